--- /dev/null
+++ b/src/include/verbenalever/entry_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "loop/endpoint.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+/// One entry daemon's own settings, read from its YAML file at start.
+struct entry_settings {
+    std::string name;
+    std::string availability_zone;
+    endpoint http;                          ///< where callers and operators connect
+    endpoint peer;                          ///< where other entries connect
+    endpoint platform;                      ///< the platform's key-value service and VM list
+    std::vector<endpoint> seeds;            ///< peers to ask while the platform is down
+    std::vector<std::string> operator_keys; ///< SHA-256 of keys valid before any configuration
+
+    std::size_t body_limit_bytes = 1 << 20;
+    milliseconds heartbeat_interval{1000};
+    milliseconds target_lease{3000};
+    milliseconds target_lease_renewal{1000};
+    milliseconds task_lease{30000};
+    milliseconds vm_list_interval{1000};
+    milliseconds drain_timeout{30000};
+
+    /// Read settings from YAML text; every problem is told at once.
+    /// @param file name for messages
+    /// @return INVALID_ARGUMENT with one line for each problem
+    [[nodiscard]] static absl::StatusOr<entry_settings> parse(std::string_view text,
+                                                              std::string_view file);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -0,0 +1,183 @@
+#include "verbenalever/entry_daemon.h"
+
+#include "access/access_control.h"
+#include "administration/admin_api.h"
+#include "configuration/configuration_store.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "http/router.h"
+#include "jobs/job_service.h"
+#include "loop/event_loop.h"
+#include "loop/signal_watcher.h"
+#include "loop/timer.h"
+#include "membership/peer_mesh.h"
+#include "platform/kv_client.h"
+#include "platform/vm_list_client.h"
+#include "requests/request_service.h"
+#include "targets/lease_keeper.h"
+#include "targets/target_client.h"
+#include "targets/target_registry.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <csignal>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr milliseconds drain_check_interval{20};
+/// Time for the last responses to leave and for the balancer to see the health check fail.
+constexpr milliseconds drain_grace{500};
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+class entry_daemon::implementation {
+public:
+    explicit implementation(entry_settings settings)
+        : settings(std::move(settings)), log(this->settings.name),
+          http(this->loop, this->settings.peer.address),
+          store(this->http, this->metrics, this->settings.platform),
+          configuration(this->loop, this->store, this->log),
+          access(this->configuration, this->settings.operator_keys),
+          mesh(this->loop, this->settings, this->metrics, this->log),
+          registry(this->configuration, this->settings.availability_zone),
+          targets(this->http, this->metrics),
+          leases(this->loop, this->settings, this->mesh, this->targets, this->registry, this->log),
+          requests(this->loop, this->configuration, this->access, this->registry, this->targets,
+                   this->metrics, this->log),
+          jobs(this->loop, this->settings, this->configuration, this->access, this->store,
+               this->registry, this->targets, this->metrics, this->log),
+          administration(this->settings, this->configuration, this->access, this->mesh,
+                         this->registry),
+          vms(this->loop, this->http, this->metrics, this->settings.platform,
+              [this](std::span<const vm_record> list) { this->take_vm_list(list); }),
+          drain_timer(this->loop, [this] { this->check_drained(); }),
+          terminate(this->loop, SIGTERM, [this] { this->drain(); }),
+          interrupt(this->loop, SIGINT, [this] { this->drain(); })
+    {
+    }
+
+    absl::Status run()
+    {
+        this->add_routes();
+        auto listening = http_server::listen(
+            this->loop, this->settings.http, {.body_bytes = this->settings.body_limit_bytes},
+            [this](const http_request& request, http_responder respond) {
+                this->routes.dispatch(request, std::move(respond));
+            });
+        if (!listening.ok())
+            return listening.status();
+        this->server = *std::move(listening);
+        if (auto status = this->mesh.start([this](heartbeat& message) { this->describe(message); });
+            !status.ok())
+            return status;
+        this->configuration.start();
+        this->vms.start(this->settings.vm_list_interval);
+        this->leases.start();
+        this->log.write("daemon", "started",
+                        {{"availability_zone", this->settings.availability_zone},
+                         {"http", this->settings.http.text()}});
+        this->loop.run();
+        this->log.write("daemon", "stopped");
+        return absl::OkStatus();
+    }
+
+private:
+    void add_routes()
+    {
+        this->routes.add("GET", "/healthz",
+                         [this](const http_request&, const path_parameters&,
+                                const http_responder& respond) { respond(this->health()); });
+        this->routes.add(
+            "GET", "/metrics",
+            [this](const http_request&, const path_parameters&, const http_responder& respond) {
+                respond(
+                    {.headers = {{"Content-Type", "text/plain"}}, .body = this->metrics.text()});
+            });
+        this->requests.add_routes(this->routes);
+        this->jobs.add_routes(this->routes);
+        this->administration.add_routes(this->routes);
+    }
+
+    [[nodiscard]] http_response health() const
+    {
+        if (this->draining)
+            return http_response::json(status_unavailable, R"({"status":"draining"})");
+        return http_response::json(200, R"({"status":"serving"})");
+    }
+
+    void describe(heartbeat& message) const
+    {
+        message.configuration_revision = this->configuration.current().revision;
+        message.free_slots = this->registry.free_slots();
+        message.draining = this->draining;
+    }
+
+    void take_vm_list(std::span<const vm_record> list)
+    {
+        this->mesh.set_members(list);
+        this->registry.update(list);
+    }
+
+    void drain()
+    {
+        if (this->draining)
+            return;
+        this->draining = true;
+        this->drain_started = monotonic_clock::now();
+        this->log.write("daemon", "drain_started");
+        this->requests.drain();
+        this->drain_timer.start_repeating(drain_check_interval);
+    }
+
+    void check_drained()
+    {
+        const auto spent = monotonic_clock::now() - this->drain_started;
+        const bool idle = this->requests.held() == 0 && this->server->pending() == 0;
+        const bool late = spent > this->settings.drain_timeout;
+        if (spent < drain_grace || (!idle && !late))
+            return;
+        this->drain_timer.stop();
+        this->leases.hand_over([this] { this->loop.stop(); });
+    }
+
+    entry_settings settings;
+    event_loop loop;
+    event_log log;
+    counters metrics;
+    http_client http;
+    kv_client store;
+    configuration_store configuration;
+    access_control access;
+    peer_mesh mesh;
+    target_registry registry;
+    target_client targets;
+    lease_keeper leases;
+    request_service requests;
+    job_service jobs;
+    admin_api administration;
+    vm_list_client vms;
+    router routes;
+    std::unique_ptr<http_server> server;
+    bool draining = false;
+    monotonic_time drain_started;
+    timer drain_timer;
+    signal_watcher terminate;
+    signal_watcher interrupt;
+};
+
+entry_daemon::entry_daemon(entry_settings settings)
+    : body(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+entry_daemon::~entry_daemon() = default;
+
+absl::Status entry_daemon::run()
+{
+    return this->body->run();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/http/http_client.cpp
@@ -0,0 +1,293 @@
+#include "http/http_client.h"
+
+#include "loop/event_loop.h"
+#include "loop/io_watcher.h"
+#include "loop/timer.h"
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr std::size_t response_body_limit = 16U << 20U;
+constexpr long kept_connections = 1024;
+constexpr long connect_timeout_ms = 2000;
+constexpr std::size_t spare_handles = 256;
+
+/// One call in progress.
+struct transfer {
+    std::uint64_t id = 0;
+    CURL* handle = nullptr;
+    curl_slist* headers = nullptr;
+    http_call call;
+    http_client::callback done;
+    http_result result;
+};
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* target)
+{
+    auto& body = static_cast<transfer*>(target)->result.body;
+    if (body.size() + size * count > response_body_limit)
+        return 0;
+    body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* target)
+{
+    std::string_view line(data, size * count);
+    while (line.ends_with('\n') || line.ends_with('\r'))
+        line.remove_suffix(1);
+    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+        auto value = line.substr(colon + 1);
+        while (value.starts_with(' '))
+            value.remove_prefix(1);
+        static_cast<transfer*>(target)->result.headers.push_back(
+            {std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return size * count;
+}
+
+/// Called by the library just before a request is written to a connection. A second time for one
+/// call means that it is about to resend on another connection, which only our caller may decide.
+int on_before_send(void* target, char*, char*, int, int)
+{
+    auto& result = static_cast<transfer*>(target)->result;
+    if (result.may_have_been_sent)
+        return CURL_PREREQFUNC_ABORT;
+    result.may_have_been_sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+absl::Status to_status(CURLcode code, const http_call& call)
+{
+    if (code == CURLE_OK)
+        return absl::OkStatus();
+    const auto message = fmt::format("{} {}: {}", call.method, call.url, curl_easy_strerror(code));
+    if (code == CURLE_OPERATION_TIMEDOUT)
+        return absl::DeadlineExceededError(message);
+    return absl::UnavailableError(message);
+}
+
+void configure(transfer& current)
+{
+    CURL* handle = current.handle;
+    const http_call& call = current.call;
+    curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(call.body.size()));
+    }
+    current.headers = curl_slist_append(current.headers, "Expect:");
+    current.headers = curl_slist_append(current.headers, "Accept:");
+    for (const auto& header : call.headers) {
+        const auto line = fmt::format("{}: {}", header.name, header.value);
+        current.headers = curl_slist_append(current.headers, line.c_str());
+    }
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, current.headers);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, on_before_send);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &current);
+}
+
+} // namespace
+
+class http_client::implementation {
+public:
+    implementation(event_loop& loop, std::string local_address)
+        : loop(loop), local_address(std::move(local_address)),
+          library_timer(loop,
+                        [this] {
+                            // No socket watcher is running its callback now.
+                            this->retired.clear();
+                            this->act(CURL_SOCKET_TIMEOUT, 0);
+                        }),
+          multi(curl_multi_init())
+    {
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &implementation::on_socket);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &implementation::on_timer);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kept_connections);
+    }
+
+    ~implementation()
+    {
+        for (auto& [id, current] : this->transfers) {
+            curl_multi_remove_handle(this->multi, current->handle);
+            curl_easy_cleanup(current->handle);
+            curl_slist_free_all(current->headers);
+        }
+        for (CURL* handle : this->spares)
+            curl_easy_cleanup(handle);
+        curl_multi_cleanup(this->multi);
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    std::uint64_t start(http_call call, callback done)
+    {
+        auto current = std::make_unique<transfer>();
+        current->id = ++this->last_id;
+        current->handle = this->take_handle();
+        current->call = std::move(call);
+        current->done = std::move(done);
+        configure(*current);
+        if (!this->local_address.empty())
+            curl_easy_setopt(current->handle, CURLOPT_INTERFACE, this->local_address.c_str());
+        transfer& placed = *current;
+        this->transfers.emplace(placed.id, std::move(current));
+        curl_multi_add_handle(this->multi, placed.handle);
+        return placed.id;
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        if (const auto found = this->transfers.find(id); found != this->transfers.end()) {
+            const auto current = std::move(found->second);
+            this->transfers.erase(found);
+            this->release(*current);
+        }
+    }
+
+private:
+    static int on_socket(CURL*, curl_socket_t descriptor, int what, void* self, void*)
+    {
+        auto& client = *static_cast<implementation*>(self);
+        if (what == CURL_POLL_REMOVE) {
+            client.retire(descriptor);
+            return 0;
+        }
+        auto& watcher = client.watchers[descriptor];
+        if (watcher == nullptr) {
+            watcher = std::make_unique<io_watcher>(
+                client.loop, descriptor, [&client, descriptor](bool readable, bool writable) {
+                    client.act(descriptor, (readable ? CURL_CSELECT_IN : 0) |
+                                               (writable ? CURL_CSELECT_OUT : 0));
+                });
+        }
+        watcher->watch((what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
+        return 0;
+    }
+
+    static int on_timer(CURLM*, long timeout_ms, void* self)
+    {
+        auto& client = *static_cast<implementation*>(self);
+        if (timeout_ms < 0)
+            client.library_timer.stop();
+        else
+            client.library_timer.start_once(milliseconds(timeout_ms));
+        return 0;
+    }
+
+    /// Stop watching now, destroy later: the watcher may be the one that is calling.
+    void retire(int descriptor)
+    {
+        if (const auto found = this->watchers.find(descriptor); found != this->watchers.end()) {
+            found->second->watch(false, false);
+            this->retired.push_back(std::move(found->second));
+            this->watchers.erase(found);
+        }
+    }
+
+    void act(curl_socket_t descriptor, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(this->multi, descriptor, events, &running);
+        this->collect_finished();
+    }
+
+    void collect_finished()
+    {
+        int left = 0;
+        while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            transfer* finished = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
+            this->finish(finished->id, message->data.result);
+        }
+    }
+
+    void finish(std::uint64_t id, CURLcode code)
+    {
+        const auto found = this->transfers.find(id);
+        const auto current = std::move(found->second);
+        this->transfers.erase(found);
+        long status = 0;
+        curl_easy_getinfo(current->handle, CURLINFO_RESPONSE_CODE, &status);
+        current->result.status = static_cast<int>(status);
+        current->result.transport = to_status(code, current->call);
+        this->release(*current);
+        current->done(std::move(current->result));
+    }
+
+    void release(transfer& current)
+    {
+        curl_multi_remove_handle(this->multi, current.handle);
+        curl_slist_free_all(current.headers);
+        current.headers = nullptr;
+        if (this->spares.size() < spare_handles) {
+            curl_easy_reset(current.handle);
+            this->spares.push_back(current.handle);
+        }
+        else {
+            curl_easy_cleanup(current.handle);
+        }
+    }
+
+    CURL* take_handle()
+    {
+        if (this->spares.empty())
+            return curl_easy_init();
+        CURL* handle = this->spares.back();
+        this->spares.pop_back();
+        return handle;
+    }
+
+    event_loop& loop;
+    std::string local_address;
+    timer library_timer;
+    CURLM* multi;
+    std::uint64_t last_id = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
+    std::map<curl_socket_t, std::unique_ptr<io_watcher>> watchers;
+    std::vector<std::unique_ptr<io_watcher>> retired;
+    std::vector<CURL*> spares;
+};
+
+http_client::http_client(event_loop& loop, std::string local_address)
+    : body(std::make_unique<implementation>(loop, std::move(local_address)))
+{
+}
+
+http_client::~http_client() = default;
+
+std::uint64_t http_client::start(http_call call, callback done)
+{
+    return this->body->start(std::move(call), std::move(done));
+}
+
+void http_client::cancel(std::uint64_t call)
+{
+    this->body->cancel(call);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/http/http_request.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "http/http_header.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// A whole request as the server received it.
+struct http_request {
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string, std::less<>> query;
+    std::vector<http_header> headers;
+    std::string body;
+
+    /// @return the header's value, empty when it is absent
+    [[nodiscard]] std::string_view header(std::string_view name) const
+    {
+        return find_header(this->headers, name).value_or(std::string_view());
+    }
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/http/problem.cpp
@@ -0,0 +1,68 @@
+#include "http/problem.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace verbenalever {
+
+http_response problem::response() const
+{
+    nlohmann::ordered_json body = {
+        {"outcome", this->outcome == work_outcome::not_run ? "not_run" : "unknown"},
+        {"code", this->code},
+        {"message", this->message},
+    };
+    if (this->retry_after)
+        body["retry_after_ms"] = this->retry_after->count();
+    auto response = http_response::json(
+        this->status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    if (this->retry_after) {
+        const auto seconds = std::max<std::int64_t>(1, (this->retry_after->count() + 999) / 1000);
+        response.headers.push_back({"Retry-After", fmt::format("{}", seconds)});
+    }
+    return response;
+}
+
+int http_status_of(absl::StatusCode code)
+{
+    switch (code) {
+    case absl::StatusCode::kOk:
+        return 200;
+    case absl::StatusCode::kInvalidArgument:
+        return 400;
+    case absl::StatusCode::kUnauthenticated:
+        return 401;
+    case absl::StatusCode::kPermissionDenied:
+        return 403;
+    case absl::StatusCode::kNotFound:
+        return 404;
+    case absl::StatusCode::kAborted:
+    case absl::StatusCode::kAlreadyExists:
+        return 409;
+    case absl::StatusCode::kFailedPrecondition:
+        return 422;
+    case absl::StatusCode::kResourceExhausted:
+        return 429;
+    case absl::StatusCode::kUnavailable:
+        return 503;
+    case absl::StatusCode::kDeadlineExceeded:
+        return 504;
+    default:
+        return 500;
+    }
+}
+
+http_response not_run_response(const absl::Status& status, std::string_view code)
+{
+    const std::string message(status.message());
+    return problem{.status = http_status_of(status.code()),
+                   .outcome = work_outcome::not_run,
+                   .code = code,
+                   .message = message,
+                   .retry_after = std::nullopt}
+        .response();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/membership/peer_mesh.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "loop/timer.h"
+#include "membership/message_codec.h"
+#include "membership/peer_envelope.h"
+#include "membership/peer_state.h"
+#include "platform/vm_record.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+class counters;
+class event_log;
+class frame_connection;
+class frame_listener;
+struct entry_settings;
+
+/// Connections to the other entries, their liveness, and typed messages between them.
+///
+/// Each entry opens one connection to each peer and sends by it; what peers send arrives on the
+/// connections that they opened. A connection on which nothing comes back is replaced.
+class peer_mesh {
+public:
+    template <typename Message>
+    using handler = std::function<void(const std::string& from, const Message&)>;
+
+    peer_mesh(event_loop& loop, const entry_settings& settings, counters& metrics,
+              const event_log& log);
+    ~peer_mesh();
+    peer_mesh(const peer_mesh&) = delete;
+    peer_mesh& operator=(const peer_mesh&) = delete;
+
+    /// Listen for peers and begin to send heartbeats.
+    /// @param describe fills in what this entry's next heartbeat says
+    [[nodiscard]] absl::Status start(std::function<void(heartbeat&)> describe);
+
+    /// Take in the platform's list; peers that it no longer names are forgotten.
+    void set_members(std::span<const vm_record> vms);
+
+    /// Send to one peer; lost without notice when it is not connected.
+    template <typename Message>
+    void send(std::string_view peer, const Message& message)
+    {
+        this->send_packed(peer, Message::type, pack_message(message));
+    }
+
+    /// Send to every peer.
+    template <typename Message>
+    void broadcast(const Message& message)
+    {
+        const auto body = pack_message(message);
+        for (const auto& [name, state] : this->states)
+            this->send_packed(name, Message::type, body);
+    }
+
+    /// Set who handles one type of message.
+    template <typename Message>
+    void on(handler<Message> action)
+    {
+        this->handlers[Message::type] = [action = std::move(action)](const std::string& from,
+                                                                     std::string_view body) {
+            if (const auto message = unpack_message<Message>(body); message.ok())
+                action(from, *message);
+        };
+    }
+
+    /// Be told when a peer comes alive or falls silent.
+    void on_liveness(std::function<void(const peer_state&)> action);
+
+    [[nodiscard]] const std::map<std::string, peer_state, std::less<>>& peers() const;
+
+    /// @return the names of the live entries of this entry's zone that are not leaving, with its
+    ///         own unless it is draining
+    [[nodiscard]] std::vector<std::string> live_in_zone() const;
+
+private:
+    using raw_handler = std::function<void(const std::string& from, std::string_view body)>;
+
+    void tick();
+    void send_packed(std::string_view peer, std::string_view type, const std::string& body);
+    void open(peer_state& peer);
+    void accept(std::unique_ptr<frame_connection> connection);
+    void receive(std::string_view frame, frame_connection* answer_by);
+    void heard(const std::string& from, const heartbeat& message);
+    void check_liveness(peer_state& peer, monotonic_time now);
+
+    event_loop& loop;
+    const entry_settings& settings;
+    counters& metrics;
+    const event_log& log;
+    std::uint64_t incarnation;
+    std::function<void(heartbeat&)> describe;
+    std::function<void(const peer_state&)> liveness_changed;
+    std::unique_ptr<frame_listener> listener;
+    std::map<std::string, peer_state, std::less<>> states;
+    std::map<std::string, std::unique_ptr<frame_connection>, std::less<>> outgoing;
+    std::map<frame_connection*, std::unique_ptr<frame_connection>> incoming;
+    std::vector<std::unique_ptr<frame_connection>> closed;
+    std::map<std::string, raw_handler, std::less<>> handlers;
+    bool draining = false;
+    timer heartbeat_timer;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/membership/peer_state.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "loop/endpoint.h"
+#include "membership/heartbeat.h"
+
+#include <string>
+
+namespace verbenalever {
+
+/// What this entry knows about another one.
+struct peer_state {
+    std::string name;
+    endpoint address;
+    std::string availability_zone;
+    heartbeat last; ///< its newest heartbeat
+    monotonic_time last_heard;
+    bool alive = false;   ///< heard from lately
+    bool leaving = false; ///< the platform or the peer itself says that it will go
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/platform/kv_client.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "loop/endpoint.h"
+#include "platform/kv_listing.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+class counters;
+class http_client;
+struct http_result;
+
+/// Talks to the platform's key-value service. The only place that knows its HTTP protocol.
+///
+/// Errors: UNAVAILABLE (no answer came: a write may or may not have taken effect), NOT_FOUND,
+/// ABORTED (compare-and-swap lost; nothing was written).
+class kv_client {
+public:
+    template <typename Value>
+    using callback = std::function<void(absl::StatusOr<Value>)>;
+
+    kv_client(http_client& http, counters& metrics, endpoint platform);
+
+    void get(std::string_view key, callback<kv_entry> done);
+    void list(std::string_view prefix, callback<kv_listing> done);
+
+    /// Write if the key's revision is still @p expected (zero: the key must be absent).
+    /// @param done the new revision
+    void put(std::string_view key, std::string value, std::int64_t expected,
+             callback<std::int64_t> done);
+
+    /// Delete if the key's revision is still @p expected.
+    void remove(std::string_view key, std::int64_t expected, callback<std::int64_t> done);
+
+    /// Wait for changes under @p prefix after @p since; one call for the service's budget.
+    /// @param done the changes, none when @p wait passed; OUT_OF_RANGE when @p since is too old
+    ///             to be answered, and the caller has to list again
+    void watch(std::string_view prefix, std::int64_t since, milliseconds wait,
+               callback<kv_listing> done);
+
+private:
+    http_client& http;
+    counters& metrics;
+    std::string base;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/platform/kv_listing.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "platform/kv_entry.h"
+
+#include <vector>
+
+namespace verbenalever {
+
+/// The keys under one prefix, or the changes to them, and the service's revision at that time.
+struct kv_listing {
+    std::int64_t revision = 0;
+    std::vector<kv_entry> entries;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/scheduling/resources.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+
+namespace verbenalever {
+
+/// Amounts of what a target has and work takes.
+struct resources {
+    std::int64_t slots = 0;
+    std::int64_t processors_milli = 0; ///< thousandths of a processor
+    std::int64_t memory_mb = 0;        ///< megabytes
+    std::int64_t accelerators = 0;
+
+    /// @return whether every amount is at most that of @p room
+    [[nodiscard]] bool fits_within(const resources& room) const;
+
+    resources& operator+=(const resources& other);
+    resources& operator-=(const resources& other);
+    friend resources operator+(resources left, const resources& right)
+    {
+        return left += right;
+    }
+    friend resources operator-(resources left, const resources& right)
+    {
+        return left -= right;
+    }
+    friend bool operator==(const resources&, const resources&) = default;
+
+    MSGPACK_DEFINE_MAP(slots, processors_milli, memory_mb, accelerators)
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/settings/yaml_problems.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+/// Collects everything that is wrong with one YAML document, so that all of it is told at once.
+class yaml_problems {
+public:
+    /// @param file name under which the document's problems are reported
+    explicit yaml_problems(std::string file);
+
+    /// Note one problem.
+    /// @param line one-based line in the document; zero when unknown
+    /// @param path dotted path of the setting
+    void add(int line, std::string_view path, std::string_view message);
+
+    [[nodiscard]] bool empty() const;
+
+    /// @return OK, or INVALID_ARGUMENT with a line "FILE:LINE: PATH: MESSAGE" for each problem
+    [[nodiscard]] absl::Status status() const;
+
+private:
+    std::string file;
+    std::vector<std::string> lines;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -0,0 +1,159 @@
+#include "targets/target_client.h"
+
+#include "http/http_client.h"
+#include "scheduling/resources_json.h"
+#include "timeline/counters.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr milliseconds call_timeout{1500};
+constexpr int status_conflict = 409;
+
+absl::Status status_of(const http_result& result)
+{
+    if (!result.transport.ok())
+        return result.transport;
+    if (result.success())
+        return absl::OkStatus();
+    if (result.status == status_conflict)
+        return absl::AbortedError(fmt::format("the target refused: {}", result.body));
+    if (result.status == 404)
+        return absl::NotFoundError("the target does not know the task");
+    return absl::UnavailableError(fmt::format("the target answered {}", result.status));
+}
+
+std::string url_of(const endpoint& target, std::string_view path)
+{
+    return fmt::format("http://{}{}", target.text(), path);
+}
+
+absl::StatusOr<target_inventory> parse_inventory(const http_result& result)
+{
+    if (auto status = status_of(result); !status.ok())
+        return status;
+    const auto json = nlohmann::json::parse(result.body, nullptr, false);
+    if (!json.is_object() || !json.contains("tasks"))
+        return absl::UnavailableError("the target sent a malformed inventory");
+    try {
+        target_inventory inventory;
+        inventory.requests = json.value("requests", std::int64_t{0});
+        for (const auto& item : json["tasks"])
+            inventory.tasks.push_back({.task = item.at("task").get<std::string>(),
+                                       .attempt = item.at("attempt").get<std::string>(),
+                                       .team = item.value("team", ""),
+                                       .demand = item.at("demand").get<resources>(),
+                                       .state = item.at("state").get<std::string>(),
+                                       .result = item.value("result", "")});
+        return inventory;
+    }
+    catch (const nlohmann::json::exception& error) {
+        return absl::UnavailableError(error.what());
+    }
+}
+
+} // namespace
+
+target_client::target_client(http_client& http, counters& metrics) : http(http), metrics(metrics) {}
+
+void target_client::call(const endpoint& target, std::string_view method, std::string_view path,
+                         std::string body, done_callback done)
+{
+    this->metrics.add("target_calls");
+    http_call call{.method = std::string(method),
+                   .url = url_of(target, path),
+                   .body = std::move(body),
+                   .timeout = call_timeout};
+    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
+        done(status_of(result));
+    });
+}
+
+void target_client::acquire_lease(const endpoint& target, std::string_view holder,
+                                  std::int64_t epoch, milliseconds ttl,
+                                  std::function<void(absl::StatusOr<std::int64_t>)> done)
+{
+    this->metrics.add("target_lease_calls");
+    const nlohmann::json body = {{"holder", holder}, {"epoch", epoch}, {"ttl_ms", ttl.count()}};
+    http_call call{.method = "PUT",
+                   .url = url_of(target, "/lease"),
+                   .body = body.dump(),
+                   .timeout = call_timeout};
+    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
+        if (auto status = status_of(result); !status.ok())
+            return done(status);
+        const auto json = nlohmann::json::parse(result.body, nullptr, false);
+        if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_integer())
+            return done(absl::UnavailableError("the target sent a malformed lease"));
+        done(json["epoch"].get<std::int64_t>());
+    });
+}
+
+void target_client::release_lease(const endpoint& target, std::string_view holder,
+                                  std::int64_t epoch, done_callback done)
+{
+    const nlohmann::json body = {{"holder", holder}, {"epoch", epoch}};
+    this->call(target, "DELETE", "/lease", body.dump(), std::move(done));
+}
+
+void target_client::start_task(const endpoint& target, const task_start& start, std::int64_t epoch,
+                               done_callback done)
+{
+    nlohmann::json body = {{"task", start.task}, {"attempt", start.attempt},
+                           {"team", start.team}, {"demand", start.demand},
+                           {"epoch", epoch},     {"lease_ms", start.lease.count()}};
+    body["command"] = nlohmann::json::parse(start.command, nullptr, false);
+    this->call(target, "POST", "/tasks", body.dump(), std::move(done));
+}
+
+void target_client::renew_task(const endpoint& target, std::string_view task, std::int64_t epoch,
+                               milliseconds lease, done_callback done)
+{
+    const nlohmann::json body = {{"epoch", epoch}, {"lease_ms", lease.count()}};
+    this->call(target, "PUT", fmt::format("/tasks/{}/lease", task), body.dump(), std::move(done));
+}
+
+void target_client::stop_task(const endpoint& target, std::string_view task, std::int64_t epoch,
+                              done_callback done)
+{
+    const nlohmann::json body = {{"epoch", epoch}};
+    this->call(target, "POST", fmt::format("/tasks/{}/stop", task), body.dump(), std::move(done));
+}
+
+void target_client::forget_task(const endpoint& target, std::string_view task, done_callback done)
+{
+    this->call(target, "DELETE", fmt::format("/tasks/{}", task), "", std::move(done));
+}
+
+void target_client::read_inventory(const endpoint& target,
+                                   std::function<void(absl::StatusOr<target_inventory>)> done)
+{
+    this->metrics.add("target_inventory_calls");
+    http_call call{.url = url_of(target, "/tasks"), .timeout = call_timeout};
+    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
+        done(parse_inventory(result));
+    });
+}
+
+std::uint64_t target_client::send_request(const endpoint& target, std::string_view request,
+                                          std::string_view team, std::int64_t epoch,
+                                          std::string body, milliseconds timeout,
+                                          std::function<void(http_result)> done)
+{
+    this->metrics.add("target_requests");
+    http_call call{.method = "POST",
+                   .url = url_of(target, "/requests"),
+                   .headers = {{"Request-Id", std::string(request)},
+                               {"Team", std::string(team)},
+                               {"Lease-Epoch", fmt::format("{}", epoch)},
+                               {"Content-Type", "application/json"}},
+                   .body = std::move(body),
+                   .timeout = timeout};
+    return this->http.start(std::move(call), std::move(done));
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_record.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "platform/vm_record.h"
+#include "scheduling/resources.h"
+
+#include <cstdint>
+
+namespace verbenalever {
+
+/// What this entry knows about one target of its own availability zone.
+struct target_record {
+    vm_record vm;
+
+    std::int64_t lease_epoch = 0;     ///< epoch of the lease last granted to this entry
+    monotonic_time lease_valid_until; ///< counted from before the grant was asked for
+    bool inventory_known = false;     ///< whether the inventory was read under this lease
+
+    resources reserved; ///< taken by work that this entry started or found running
+
+    /// @return whether this entry holds the target's lease at @p now
+    [[nodiscard]] bool held(monotonic_time now) const
+    {
+        return this->lease_epoch != 0 && now < this->lease_valid_until;
+    }
+
+    [[nodiscard]] resources free() const
+    {
+        return this->vm.capacity - this->reserved;
+    }
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_registry.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "platform/vm_record.h"
+#include "targets/target_record.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+class configuration_store;
+class placement_policy;
+
+/// The targets of this entry's zone, what is reserved on each, and where a start is allowed.
+class target_registry {
+public:
+    target_registry(const configuration_store& configuration, std::string availability_zone);
+
+    /// Take in the platform's list of VMs.
+    void update(std::span<const vm_record> vms);
+
+    /// @return the target, or null
+    [[nodiscard]] target_record* find(std::string_view name);
+
+    [[nodiscard]] std::map<std::string, target_record, std::less<>>& all();
+
+    /// @return whether new work may start on @p target at @p now: the lease is held, its inventory
+    ///         is known, it is not leaving and its availability zone is in service
+    [[nodiscard]] bool may_start(const target_record& target, monotonic_time now) const;
+
+    /// Choose a target with room and reserve the room, in one step.
+    /// @return the target's name; nothing when no target may take the work now
+    [[nodiscard]] std::optional<std::string> place(placement_policy& policy,
+                                                   const resources& demand);
+
+    /// Give room back, once the work has surely ended.
+    void release(std::string_view target, const resources& demand);
+
+    /// Be told when room may have come free.
+    void on_room(std::function<void()> action);
+
+    /// Tell the listener of on_room().
+    void announce_room() const;
+
+    /// @return free slots on the targets where starts are allowed
+    [[nodiscard]] std::int64_t free_slots() const;
+
+private:
+    const configuration_store& configuration;
+    std::string availability_zone;
+    std::map<std::string, target_record, std::less<>> records;
+    std::vector<std::function<void()>> room_listeners;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/task_start.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "scheduling/resources.h"
+
+#include <string>
+
+namespace verbenalever {
+
+/// What a target is told to start.
+struct task_start {
+    std::string task;    ///< unique over all jobs
+    std::string attempt; ///< unique over all starts of the task
+    std::string team;
+    resources demand;
+    milliseconds lease{30000};
+    std::string command; ///< JSON that the target understands
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/timeline/counters.cpp
@@ -0,0 +1,39 @@
+#include "timeline/counters.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace verbenalever {
+
+void counters::add(std::string_view name, std::int64_t amount)
+{
+    if (const auto found = this->values.find(name); found != this->values.end())
+        found->second += amount;
+    else
+        this->values.emplace(name, amount);
+}
+
+void counters::set(std::string_view name, std::int64_t value)
+{
+    if (const auto found = this->values.find(name); found != this->values.end())
+        found->second = value;
+    else
+        this->values.emplace(name, value);
+}
+
+std::int64_t counters::value(std::string_view name) const
+{
+    const auto found = this->values.find(name);
+    return found == this->values.end() ? 0 : found->second;
+}
+
+std::string counters::text() const
+{
+    std::string out;
+    for (const auto& [name, value] : this->values)
+        fmt::format_to(std::back_inserter(out), "verbenalever_{} {}\n", name, value);
+    return out;
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/timeline/trace_checker.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "scheduling/resources.h"
+#include "timeline/trace_event.h"
+#include "timeline/trace_rules.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+/// Checks what must always hold against the events of all processes. What targets report is taken
+/// as the truth of what ran; what entries report is taken as what they promised.
+///
+/// Checked: capacity of each target, one place at a time for each task, at most one run of each
+/// request that is not repeatable, truth of "not run", no start on a leaving target or in an
+/// availability zone that is out, upper limits given in the rules.
+class trace_checker {
+public:
+    explicit trace_checker(trace_rules rules);
+
+    /// Check events in order of time.
+    /// @return one sentence for each breach; empty when all holds
+    [[nodiscard]] std::vector<std::string> check(std::span<const trace_event> events);
+
+    /// @return starts of tasks and requests that were seen
+    [[nodiscard]] std::int64_t starts() const;
+
+private:
+    using handler = void (trace_checker::*)(const trace_event&);
+
+    /// Work that a target reports as running.
+    struct running_work {
+        std::string target;
+        std::string team;
+        resources demand;
+    };
+
+    /// What is known of one target.
+    struct target_state {
+        std::string availability_zone;
+        resources capacity;
+        resources used;
+        std::int64_t leaving_since_us = 0;
+    };
+
+    void on_started(const trace_event& event);
+    void on_killed(const trace_event& event);
+    void on_task_running(const trace_event& event);
+    void on_task_ended(const trace_event& event);
+    void on_request_running(const trace_event& event);
+    void on_request_ended(const trace_event& event);
+    void on_request_taken(const trace_event& event);
+    void on_request_not_run(const trace_event& event);
+    void on_vm_state(const trace_event& event);
+    void on_zone_state(const trace_event& event);
+
+    void begin(const trace_event& event, const std::string& work, running_work running);
+    void end(const trace_event& event, const std::string& work);
+    void check_start_allowed(const trace_event& event, const target_state& target);
+    void check_once(const trace_event& event, const std::string& request);
+    void breach(const trace_event& event, std::string_view what);
+
+    static const std::map<std::string_view, handler> handlers;
+
+    trace_rules rules;
+    std::map<std::string, target_state> targets;
+    std::map<std::string, running_work> running;         ///< by kind, id and target
+    std::map<std::string, std::set<std::string>> places; ///< of each running task
+    std::map<std::string, std::int64_t> slots_of_team;
+    std::map<std::string, std::int64_t> zones_out_since_us;
+    std::map<std::string, std::string> once_key; ///< of requests that may run once only
+    std::map<std::string, int> runs_of_once_key;
+    std::set<std::string> ran;
+    std::set<std::string> not_run;
+    std::int64_t start_count = 0;
+    std::vector<std::string> breaches;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/wire/frame_connection.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "loop/clock.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+class event_loop;
+class io_watcher;
+struct endpoint;
+
+/// One TCP connection that carries frames: a 4-byte big-endian length, then that many bytes.
+class frame_connection {
+public:
+    using frame_handler = std::function<void(std::string_view)>;
+    using close_handler = std::function<void()>;
+
+    /// Largest frame sent or accepted, in bytes.
+    static constexpr std::size_t frame_limit = 4U << 20U;
+
+    /// Start connecting; a refusal shows up as a close.
+    /// @param local_address the IPv4 address to connect from; any when empty
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<frame_connection>>
+    connect(event_loop& loop, const endpoint& to, const std::string& local_address = {});
+
+    /// Take over a connected, non-blocking descriptor.
+    frame_connection(event_loop& loop, int descriptor);
+    ~frame_connection();
+    frame_connection(const frame_connection&) = delete;
+    frame_connection& operator=(const frame_connection&) = delete;
+
+    /// Set who is told of frames and of the end of the connection. The close handler runs at most
+    /// once, as the last thing this object does; it may destroy the connection.
+    void on_events(frame_handler frame, close_handler close);
+
+    /// Queue one frame. Frames past the limit, or to a closed connection, are dropped.
+    void send(std::string_view frame);
+
+    /// @return when a byte last arrived, or when the connection was made
+    [[nodiscard]] monotonic_time last_received() const;
+
+    /// @return bytes queued and not yet taken by the kernel
+    [[nodiscard]] std::size_t unsent() const;
+
+private:
+    void ready(bool readable, bool writable);
+    bool read_available();
+    bool write_available();
+    bool deliver_frames();
+    void update_interest();
+
+    int descriptor;
+    std::unique_ptr<io_watcher> watcher;
+    frame_handler on_frame;
+    close_handler on_close;
+    std::string input;
+    std::string output;
+    std::size_t output_taken = 0;
+    bool closed = false;
+    monotonic_time received;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/wire/frame_listener.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "wire/frame_connection.h"
+
+#include <cstdint>
+
+namespace verbenalever {
+
+/// Accepts TCP connections and hands them out as frame connections.
+class frame_listener {
+public:
+    using accept_handler = std::function<void(std::unique_ptr<frame_connection>)>;
+
+    /// @return UNAVAILABLE when the address cannot be bound
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<frame_listener>>
+    listen(event_loop& loop, const endpoint& address, accept_handler accepted);
+
+    ~frame_listener();
+    frame_listener(const frame_listener&) = delete;
+    frame_listener& operator=(const frame_listener&) = delete;
+
+    /// @return the port bound, also when port 0 was asked for
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    frame_listener(event_loop& loop, int descriptor, accept_handler accepted);
+    void accept_available();
+
+    event_loop& loop;
+    int descriptor;
+    accept_handler accepted;
+    std::unique_ptr<io_watcher> watcher;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/standins/platform/platform_service.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "http/router.h"
+#include "key_value_store.h"
+#include "loop/timer.h"
+#include "platform_faults.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+class event_log;
+class event_loop;
+} // namespace verbenalever
+
+namespace standins {
+
+/// Stand-in for the platform: key-value service and VM list over HTTP, with faults.
+class platform_service {
+public:
+    platform_service(verbenalever::event_loop& loop, const verbenalever::event_log& log);
+
+    /// Handle one request.
+    void dispatch(const verbenalever::http_request& request, verbenalever::http_responder respond);
+
+private:
+    using request_type = verbenalever::http_request;
+    using responder = verbenalever::http_responder;
+
+    /// A watch that waits for a change.
+    struct waiting_watch {
+        std::string prefix;
+        std::int64_t since = 0;
+        verbenalever::monotonic_time until;
+        responder respond;
+    };
+
+    /// A change of the VM list that is not yet visible.
+    struct lagging_vm {
+        verbenalever::monotonic_time visible_at;
+        std::string name;
+        nlohmann::json vm; ///< null for a removal
+    };
+
+    void add_routes();
+    void add_key_value_routes();
+    void add_vm_routes();
+    void add_control_routes();
+    void get(const std::string& key, const responder& respond);
+    void put(const request_type& request, const std::string& key, const responder& respond);
+    void remove(const request_type& request, const std::string& key, const responder& respond);
+    void written(const absl::StatusOr<std::int64_t>& result, const responder& respond);
+    void list(const request_type& request, const responder& respond);
+    void watch(const request_type& request, responder respond);
+    void change_vm(const std::string& name, nlohmann::json vm);
+    void set_faults(const request_type& request, const responder& respond);
+    void answer_watches();
+    void tick();
+    [[nodiscard]] const key_value_store& readable() const;
+
+    verbenalever::event_loop& loop;
+    const verbenalever::event_log& log;
+    verbenalever::router platform_routes; ///< subject to faults
+    verbenalever::router control_routes;  ///< for tests, never faulty
+    key_value_store store;
+    key_value_store stale;
+    platform_faults faults;
+    std::map<std::string, std::int64_t> calls;
+    std::map<std::string, nlohmann::json> vms;
+    std::deque<lagging_vm> lagging;
+    std::vector<waiting_watch> watches;
+    std::vector<responder> unanswered;
+    std::multimap<verbenalever::monotonic_time, std::function<void()>> delayed;
+    verbenalever::timer tick_timer;
+};
+
+} // namespace standins
--- /dev/null
+++ b/src/verbenalever/job_verbs.cpp
@@ -0,0 +1,114 @@
+#include "job_verbs.h"
+
+#include "exit_codes.h"
+#include "flags.h"
+#include "session.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <optional>
+
+namespace tool {
+
+using verbenalever::milliseconds;
+using verbenalever::monotonic_clock;
+
+namespace {
+
+constexpr milliseconds poll_interval{100};
+
+std::optional<std::string> chosen_job(const session& state, std::span<const std::string> arguments)
+{
+    const auto job = arguments.empty() ? state.last_job : arguments[0];
+    if (job.empty()) {
+        fmt::print(stderr, "verbenalever job: a JOB is needed\n");
+        return std::nullopt;
+    }
+    return job;
+}
+
+void print_job(const std::string& text)
+{
+    if (FLAGS_json) {
+        fmt::print("{}\n", text);
+        return;
+    }
+    const auto job = nlohmann::json::parse(text);
+    fmt::print("{}  queue {}  team {}  {}\n", job.value("job", ""), job.value("queue", ""),
+               job.value("team", ""), job.value("finished", false) ? "finished" : "running");
+    int index = 0;
+    for (const auto& task : job["tasks"])
+        fmt::print("{:>6}  {:<10}{:<16}{}\n", index++, task.value("state", ""),
+                   task.value("target", ""), task.value("result", ""));
+}
+
+bool any_failed(const nlohmann::json& job)
+{
+    for (const auto& task : job["tasks"]) {
+        if (task.value("state", "") == "failed")
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+int run_job_submit(session& state, std::span<const std::string> arguments)
+{
+    if (arguments.size() != 1) {
+        fmt::print(stderr, "verbenalever job submit: one QUEUE is needed\n");
+        return exit_usage;
+    }
+    nlohmann::json job = {{"queue", arguments[0]}, {"tasks", FLAGS_tasks}};
+    job["command"] = nlohmann::json::parse(FLAGS_command, nullptr, false);
+    if (!FLAGS_demand.empty())
+        job["demand"] = nlohmann::json::parse(FLAGS_demand, nullptr, false);
+    if (job["command"].is_discarded() || (job.contains("demand") && job["demand"].is_discarded())) {
+        fmt::print(stderr, "verbenalever job submit: --command and --demand must be JSON\n");
+        return exit_usage;
+    }
+    const auto result = state.call("POST", "/v1/jobs", job.dump());
+    if (!result.success())
+        return report_failure(result);
+    state.last_job = nlohmann::json::parse(result.body).value("job", "");
+    fmt::print("{}\n", FLAGS_json ? result.body : state.last_job);
+    return exit_ok;
+}
+
+int run_job_show(session& state, std::span<const std::string> arguments)
+{
+    const auto job = chosen_job(state, arguments);
+    if (!job)
+        return exit_usage;
+    const auto result = state.call("GET", fmt::format("/v1/jobs/{}", *job));
+    if (!result.success())
+        return report_failure(result);
+    print_job(result.body);
+    return exit_ok;
+}
+
+int run_job_wait(session& state, std::span<const std::string> arguments)
+{
+    const auto job = chosen_job(state, arguments);
+    if (!job)
+        return exit_usage;
+    const auto give_up = monotonic_clock::now() + milliseconds(FLAGS_timeout_ms);
+    while (true) {
+        const auto result = state.call("GET", fmt::format("/v1/jobs/{}", *job));
+        if (!result.success())
+            return report_failure(result);
+        const auto shown = nlohmann::json::parse(result.body);
+        if (shown.value("finished", false)) {
+            print_job(result.body);
+            return any_failed(shown) ? exit_failed : exit_ok;
+        }
+        if (monotonic_clock::now() > give_up) {
+            fmt::print(stderr, "verbenalever job wait: {} has not finished\n", *job);
+            return exit_unknown;
+        }
+        sleep_for(poll_interval);
+    }
+}
+
+} // namespace tool
--- /dev/null
+++ b/src/verbenalever/load_generator.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http/http_result.h"
+#include "loop/clock.h"
+#include "loop/timer.h"
+#include "timeline/latency_histogram.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace tool {
+
+class session;
+
+/// Sends requests at Poisson arrival times, whether or not earlier ones were answered, and counts
+/// each latency from the time at which the request was due.
+class load_generator {
+public:
+    /// Take everything from the flags of the load verb.
+    explicit load_generator(session& state);
+
+    /// Send for the duration asked for, then wait for what is outstanding.
+    void run();
+
+    /// Print the result as a table, JSON or CSV.
+    void print_report() const;
+
+    [[nodiscard]] std::int64_t answered() const;
+
+private:
+    /// The figures of one queue.
+    struct queue_result {
+        std::int64_t sent = 0;
+        std::int64_t answered = 0;
+        std::int64_t not_run = 0;
+        std::int64_t unknown = 0;
+        verbenalever::latency_histogram latency;
+    };
+
+    /// One queue and its share of the requests.
+    struct mix_part {
+        std::string queue;
+        double weight = 1;
+    };
+
+    void send_due();
+    void send(verbenalever::monotonic_time due);
+    void ended(const std::string& queue, verbenalever::monotonic_time due,
+               const verbenalever::http_result& result);
+    void schedule();
+    const std::string& pick_queue();
+
+    session& state;
+    std::mt19937_64 random;
+    std::vector<std::string> entries;
+    std::vector<std::string> keys;
+    std::vector<mix_part> mix;
+    std::map<std::string, queue_result> results;
+    std::uint64_t sent = 0;
+    std::uint64_t outstanding = 0;
+    verbenalever::monotonic_time next_due;
+    verbenalever::monotonic_time end;
+    verbenalever::timer send_timer;
+};
+
+} // namespace tool
--- /dev/null
+++ b/src/verbenalever/load_verb.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+namespace tool {
+
+class session;
+
+int run_load(session& state, std::span<const std::string> arguments);
+
+} // namespace tool
--- /dev/null
+++ b/src/verbenalever/main.cpp
@@ -0,0 +1,130 @@
+// The callers' and operators' tool: verbs, which may be chained with "then".
+
+#include "exit_codes.h"
+#include "flags.h"
+#include "session.h"
+#include "verb.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace {
+
+using tool::verb;
+
+constexpr std::string_view chain_word = "then";
+
+void print_help()
+{
+    fmt::print("usage: verbenalever [--entry ADDRESS:PORT] [--key KEY] [--json] VERB ... "
+               "[then VERB ...]\n\nverbs:\n");
+    for (const auto& candidate : tool::all_verbs())
+        fmt::print("  {:<42}{}\n", fmt::format("{} {}", candidate.name, candidate.arguments),
+                   candidate.summary);
+    fmt::print("\n'verbenalever VERB --help' describes one verb and its flags.\n"
+               "The key may also come from the environment variable VERBENALEVER_KEY.\n"
+               "exit codes: 0 done, 1 failed, 2 usage, 3 not run, 4 outcome unknown, "
+               "5 unreachable\n");
+}
+
+void print_verb_help(const verb& chosen)
+{
+    fmt::print("usage: verbenalever {} {}\n\n{}\n", chosen.name, chosen.arguments, chosen.summary);
+    std::string flags(chosen.flags);
+    for (std::size_t start = 0; start < flags.size();) {
+        const auto end = std::min(flags.find(' ', start), flags.size());
+        gflags::CommandLineFlagInfo info;
+        if (gflags::GetCommandLineFlagInfo(flags.substr(start, end - start).c_str(), &info))
+            fmt::print("  --{:<16}{} (default: {})\n", info.name, info.description,
+                       info.default_value.empty() ? "none" : info.default_value);
+        start = end + 1;
+    }
+}
+
+/// @return how many leading words name the verb; zero when they do not
+std::size_t name_length(const verb& candidate, std::span<const std::string> words)
+{
+    std::string joined;
+    for (std::size_t i = 0; i < words.size() && i < 2; ++i) {
+        joined += (i == 0 ? "" : " ") + words[i];
+        if (joined == candidate.name)
+            return i + 1;
+    }
+    return 0;
+}
+
+int run_verb(tool::session& state, std::vector<std::string> words)
+{
+    const bool help = std::erase_if(words, [](const std::string& word) {
+                          return word == "--help" || word == "-h" || word == "help";
+                      }) > 0;
+    if (words.empty()) {
+        print_help();
+        return help ? tool::exit_ok : tool::exit_usage;
+    }
+    for (const auto& candidate : tool::all_verbs()) {
+        const auto length = name_length(candidate, words);
+        if (length == 0)
+            continue;
+        if (help) {
+            print_verb_help(candidate);
+            return tool::exit_ok;
+        }
+        return candidate.run(state, std::span(words).subspan(length));
+    }
+    fmt::print(stderr, "verbenalever: there is no verb '{}'; see --help\n", words.front());
+    return tool::exit_usage;
+}
+
+/// Parse the flags of one link of the chain; they hold for this link only, except those that
+/// stand before the first verb.
+std::vector<std::string> take_flags(const std::string& program, std::vector<std::string> words)
+{
+    std::vector<char*> arguments{const_cast<char*>(program.data())};
+    std::vector<std::string> help;
+    for (auto& word : words) {
+        if (word == "--help" || word == "-h")
+            help.push_back(word);
+        else
+            arguments.push_back(word.data());
+    }
+    int count = static_cast<int>(arguments.size());
+    char** values = arguments.data();
+    gflags::ParseCommandLineFlags(&count, &values, true);
+    std::vector<std::string> rest(values + 1, values + count);
+    rest.insert(rest.end(), help.begin(), help.end());
+    return rest;
+}
+
+std::vector<std::vector<std::string>> split_chain(std::span<char*> arguments)
+{
+    std::vector<std::vector<std::string>> chain(1);
+    for (const char* argument : arguments) {
+        if (argument == chain_word)
+            chain.emplace_back();
+        else
+            chain.back().emplace_back(argument);
+    }
+    return chain;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetVersionString(VERBENALEVER_VERSION);
+    if (const char* key = std::getenv("VERBENALEVER_KEY"); key != nullptr)
+        FLAGS_key = key;
+    tool::session state;
+    for (auto& link : split_chain(std::span(argv + 1, static_cast<std::size_t>(argc - 1)))) {
+        const auto words = take_flags(argv[0], std::move(link));
+        if (const int code = run_verb(state, words); code != tool::exit_ok)
+            return code;
+    }
+    return tool::exit_ok;
+}
--- /dev/null
+++ b/src/verbenalever/timeline_verbs.cpp
@@ -0,0 +1,65 @@
+#include "timeline_verbs.h"
+
+#include "exit_codes.h"
+#include "flags.h"
+#include "timeline/trace_checker.h"
+#include "timeline/trace_reader.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cstdio>
+#include <optional>
+
+namespace tool {
+
+using verbenalever::milliseconds;
+using verbenalever::trace_rules;
+
+namespace {
+
+/// Read "TEAM=SLOTS,TEAM=SLOTS".
+std::optional<trace_rules> read_rules()
+{
+    trace_rules rules{.grace = milliseconds(FLAGS_grace_ms), .slot_limits = {}};
+    std::string_view rest = FLAGS_limits;
+    while (!rest.empty()) {
+        const auto part = rest.substr(0, rest.find(','));
+        rest.remove_prefix(std::min(part.size() + 1, rest.size()));
+        const auto equals = part.find('=');
+        if (equals == std::string_view::npos)
+            return std::nullopt;
+        std::int64_t slots = 0;
+        const auto* end = part.data() + part.size();
+        if (std::from_chars(part.data() + equals + 1, end, slots).ptr != end)
+            return std::nullopt;
+        rules.slot_limits.emplace(part.substr(0, equals), slots);
+    }
+    return rules;
+}
+
+} // namespace
+
+int run_timeline_check(session&, std::span<const std::string> arguments)
+{
+    const auto rules = read_rules();
+    if (!rules || arguments.empty()) {
+        fmt::print(stderr, "verbenalever timeline check: FILEs are needed, and --limits must be "
+                           "TEAM=SLOTS,...\n");
+        return exit_usage;
+    }
+    const auto events = verbenalever::read_trace(arguments);
+    if (!events.ok()) {
+        fmt::print(stderr, "{}\n", std::string(events.status().message()));
+        return exit_usage;
+    }
+    verbenalever::trace_checker checker(*rules);
+    const auto breaches = checker.check(*events);
+    for (const auto& breach : breaches)
+        fmt::print("{}\n", breach);
+    fmt::print("{} events, {} starts, {} breaches\n", events->size(), checker.starts(),
+               breaches.size());
+    return breaches.empty() ? exit_ok : exit_failed;
+}
+
+} // namespace tool
