Reserve room by team, with one guard that every start passes

Cause: shares and upper limits need to know whose work is on a target, and an inventory told only how many requests were in flight.

Ruled out: counting by team beside the registry, since two counts drift apart.

Change: reservations carry their team; claim() reserves on a named target; set_start_guard() is asked for every reservation; inventories list requests with their teams.

Conclusion: limits, shares and gangs can now be built beside each other.

--- a/src/libverbenalever/jobs/job_driver.cpp
+++ b/src/libverbenalever/jobs/job_driver.cpp
@@ -59,7 +59,7 @@
         auto& task = this->job.tasks[i];
         if (task.state != "pending")
             continue;
-        const auto target = this->registry.place(this->placement, this->job.demand);
+        const auto target = this->registry.place(this->placement, this->job.team, this->job.demand);
         if (!target)
             break;
         task.state = "placed";
@@ -137,7 +137,7 @@
             this->log.write("jobs", "task_done_recorded", {{"task", task}, {"target", target}});
             if (record != nullptr)
                 this->client.forget_task(record->vm.address, task, [](const absl::Status&) {});
-            this->registry.release(target, this->job.demand);
+            this->registry.release(target, this->job.team, this->job.demand);
         }
         if (this->job.finished() && this->finished) {
             this->step_timer.stop();
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -158,7 +158,7 @@
     this->dispatching = true;
     std::optional<std::string> target;
     const auto can_start = [this, &target](const queued_work& work) {
-        target = this->registry.place(*this->placement, work.demand);
+        target = this->registry.place(*this->placement, work.team, work.demand);
         return target.has_value();
     };
     while (const auto work = this->waiting->next(can_start, monotonic_clock::now()))
@@ -214,7 +214,7 @@
 {
     const auto node = this->requests.extract(number);
     if (!node.mapped().target.empty())
-        this->registry.release(node.mapped().target, node.mapped().demand);
+        this->registry.release(node.mapped().target, node.mapped().team, node.mapped().demand);
 }
 
 void request_service::expire()
--- a/src/libverbenalever/targets/lease_keeper.cpp
+++ b/src/libverbenalever/targets/lease_keeper.cpp
@@ -76,14 +76,7 @@
             auto* target = this->registry.find(name);
             if (!inventory.ok() || target == nullptr || target->lease_epoch != epoch)
                 return;
-            resources used{.slots = inventory->requests};
-            for (const auto& task : inventory->tasks) {
-                if (task.running())
-                    used += task.demand;
-            }
-            target->reserved = used;
-            target->inventory_known = true;
-            this->registry.announce_room();
+            this->registry.take_inventory(*target, *inventory);
         });
 }
 
--- a/src/libverbenalever/targets/target_client.cpp
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -41,7 +41,9 @@
         return absl::UnavailableError("the target sent a malformed inventory");
     try {
         target_inventory inventory;
-        inventory.requests = json.value("requests", std::int64_t{0});
+        for (const auto& item : json.value("requests", nlohmann::json::array()))
+            inventory.requests.push_back(
+                {.request = item.at("request").get<std::string>(), .team = item.value("team", "")});
         for (const auto& item : json["tasks"])
             inventory.tasks.push_back({.task = item.at("task").get<std::string>(),
                                        .attempt = item.at("attempt").get<std::string>(),
--- a/src/libverbenalever/targets/target_inventory.h
+++ b/src/libverbenalever/targets/target_inventory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "targets/target_request.h"
 #include "targets/target_task.h"
 
 #include <vector>
@@ -8,8 +9,8 @@
 
 /// What a target says that it holds.
 struct target_inventory {
-    std::vector<target_task> tasks; ///< running, and finished but not yet forgotten
-    std::int64_t requests = 0;      ///< requests in flight
+    std::vector<target_task> tasks;       ///< running, and finished but not yet forgotten
+    std::vector<target_request> requests; ///< in flight
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/targets/target_record.h
+++ b/src/libverbenalever/targets/target_record.h
@@ -5,6 +5,8 @@
 #include "scheduling/resources.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace verbenalever {
 
@@ -17,6 +19,7 @@
     bool inventory_known = false;     ///< whether the inventory was read under this lease
 
     resources reserved; ///< taken by work that this entry started or found running
+    std::map<std::string, resources, std::less<>> reserved_by_team; ///< sums to reserved
 
     /// @return whether this entry holds the target's lease at @p now
     [[nodiscard]] bool held(monotonic_time now) const
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/configuration_store.h"
 #include "scheduling/placement_policy.h"
+#include "targets/target_inventory.h"
 
 #include <set>
 
@@ -45,13 +46,32 @@
            !zones_out.contains(target.vm.availability_zone);
 }
 
-std::optional<std::string> target_registry::place(placement_policy& policy, const resources& demand)
+void target_registry::set_start_guard(start_guard guard)
+{
+    this->guard = std::move(guard);
+}
+
+bool target_registry::admits(const target_record& target, std::string_view team,
+                             const resources& demand, monotonic_time now) const
+{
+    return this->may_start(target, now) && demand.fits_within(target.free()) &&
+           (!this->guard || this->guard(target, team, demand));
+}
+
+void target_registry::reserve(target_record& target, std::string_view team, const resources& demand)
+{
+    target.reserved += demand;
+    target.reserved_by_team[std::string(team)] += demand;
+}
+
+std::optional<std::string> target_registry::place(placement_policy& policy, std::string_view team,
+                                                  const resources& demand)
 {
     const auto now = monotonic_clock::now();
     std::vector<placement_candidate> candidates;
     std::vector<target_record*> targets;
     for (auto& [name, target] : this->records) {
-        if (!this->may_start(target, now))
+        if (!this->admits(target, team, demand, now))
             continue;
         candidates.push_back({.index = targets.size(),
                               .capacity = target.vm.capacity,
@@ -63,14 +83,40 @@
     if (!chosen)
         return std::nullopt;
     auto& target = *targets[candidates[*chosen].index];
-    target.reserved += demand;
+    target_registry::reserve(target, team, demand);
     return target.vm.name;
 }
 
-void target_registry::release(std::string_view target, const resources& demand)
+bool target_registry::claim(std::string_view target, std::string_view team, const resources& demand)
 {
-    if (auto* record = this->find(target))
+    auto* record = this->find(target);
+    if (record == nullptr || !this->admits(*record, team, demand, monotonic_clock::now()))
+        return false;
+    target_registry::reserve(*record, team, demand);
+    return true;
+}
+
+void target_registry::release(std::string_view target, std::string_view team,
+                              const resources& demand)
+{
+    if (auto* record = this->find(target)) {
         record->reserved -= demand;
+        record->reserved_by_team[std::string(team)] -= demand;
+    }
+    this->announce_room();
+}
+
+void target_registry::take_inventory(target_record& target, const target_inventory& inventory)
+{
+    target.reserved = {};
+    target.reserved_by_team.clear();
+    for (const auto& request : inventory.requests)
+        target_registry::reserve(target, request.team, {.slots = 1});
+    for (const auto& task : inventory.tasks) {
+        if (task.running())
+            target_registry::reserve(target, task.team, task.demand);
+    }
+    target.inventory_known = true;
     this->announce_room();
 }
 
--- a/src/standins/target/target_service.cpp
+++ b/src/standins/target/target_service.cpp
@@ -129,7 +129,7 @@
 
 resources target_service::used() const
 {
-    resources total{.slots = this->requests_running};
+    resources total{.slots = static_cast<std::int64_t>(this->requests.size())};
     for (const auto& [id, task] : this->tasks) {
         if (task.state == "running")
             total += task.demand;
@@ -262,10 +262,11 @@
                         {"state", task.state},
                         {"progress_ms", task.progress_ms},
                         {"result", task.result}});
-    respond(http_response::json(200, nlohmann::json{{"epoch", this->epoch},
-                                                    {"requests", this->requests_running},
-                                                    {"tasks", list}}
-                                         .dump()));
+    nlohmann::json in_flight = nlohmann::json::array();
+    for (const auto& [request, team] : this->requests)
+        in_flight.push_back({{"request", request}, {"team", team}});
+    const nlohmann::json shown = {{"epoch", this->epoch}, {"requests", in_flight}, {"tasks", list}};
+    respond(http_response::json(200, shown.dump()));
 }
 
 void target_service::show_usage(const responder& respond) const
@@ -283,11 +284,11 @@
     const std::string id(request.header("Request-Id"));
     this->log.write("target", "request_running",
                     {{"request", id}, {"team", request.header("Team")}});
-    ++this->requests_running;
+    this->requests[id] = request.header("Team");
     const auto body = parse_object(request.body);
     const auto work = this->faults.delay_ms + integer_of(body, "work_ms", 0);
     auto finish = [this, id, echo = request.body, respond = std::move(respond)] {
-        --this->requests_running;
+        this->requests.erase(id);
         this->log.write("target", "request_ended", {{"request", id}});
         if (this->faults.fail_everything)
             return respond(refusal(500, "failed"));
--- a/src/standins/target/target_service.h
+++ b/src/standins/target/target_service.h
@@ -75,7 +75,7 @@
     std::int64_t epoch;
     verbenalever::monotonic_time lease_until;
     std::map<std::string, task_state> tasks;
-    std::int64_t requests_running = 0;
+    std::map<std::string, std::string> requests; ///< in flight, with their teams
     std::multimap<verbenalever::monotonic_time, std::function<void()>> later;
     std::vector<responder> unanswered;
     verbenalever::timer tick_timer;
