Upper limits by escrow: an amount of each limit for each target

Cause: nothing held a team to its limit; a count through heartbeats lags, and two parted zones would each start up to the whole.

Ruled out (docs/design/02-upper-limits.md): a store write a start; parts by entry (lost when it is replaced); parts by group of targets (two holders during a hand-over would each use the whole part).

Change: limits/: the kept record of amounts by target, what of it an entry may use (allotment_book), the plan of the next version (allotment_planner), and the keeper that guards every start.

--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include "http/http_server.h"
 #include "http/router.h"
 #include "jobs/job_service.h"
+#include "limits/limit_keeper.h"
 #include "loop/event_loop.h"
 #include "loop/signal_watcher.h"
 #include "loop/timer.h"
@@ -44,6 +45,8 @@
           mesh(this->loop, this->settings, this->metrics, this->log),
           registry(this->configuration, this->settings.availability_zone),
           targets(this->http, this->metrics),
+          limits(this->loop, this->settings.name, this->configuration, this->store, this->mesh,
+                 this->registry, this->metrics, this->log),
           leases(this->loop, this->settings, this->mesh, this->targets, this->registry, this->log),
           requests(this->loop, this->configuration, this->access, this->registry, this->targets,
                    this->metrics, this->log),
@@ -73,6 +76,7 @@
         if (auto status = this->mesh.start([this](heartbeat& message) { this->describe(message); });
             !status.ok())
             return status;
+        this->limits.start();
         this->configuration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
@@ -119,6 +123,7 @@
     {
         this->mesh.set_members(list);
         this->registry.update(list);
+        this->limits.take_vm_list(list);
     }
 
     void drain()
@@ -154,6 +159,7 @@
     peer_mesh mesh;
     target_registry registry;
     target_client targets;
+    limit_keeper limits;
     lease_keeper leases;
     request_service requests;
     job_service jobs;
