--- a/src/libverbenalever/limits/allotment_model_test.cpp
+++ b/src/libverbenalever/limits/allotment_model_test.cpp
@@ -18,7 +18,6 @@
 using verbenalever::allotment_wish;
 using verbenalever::allotted_target;
 using verbenalever::plan_allotments;
-using verbenalever::resources;
 
 constexpr int entry_count = 3;
 constexpr int target_count = 4;
