--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -14,8 +14,10 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "requests/request_service.h"
+#include "targets/inventory_keeper.h"
 #include "targets/lease_keeper.h"
 #include "targets/target_client.h"
+#include "targets/target_lease_arbiter.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
@@ -43,8 +45,10 @@
           access(this->configuration, this->settings.operator_keys),
           mesh(this->loop, this->settings, this->metrics, this->log),
           registry(this->configuration, this->settings.availability_zone),
-          targets(this->http, this->metrics),
-          leases(this->loop, this->settings, this->mesh, this->targets, this->registry, this->log),
+          targets(this->http, this->metrics), arbiter(this->targets, this->settings.name),
+          inventories(this->targets, this->registry),
+          leases(this->loop, this->settings, this->mesh, this->arbiter, this->inventories,
+                 this->registry, this->metrics, this->log),
           requests(this->loop, this->configuration, this->access, this->registry, this->targets,
                    this->metrics, this->log),
           jobs(this->loop, this->settings, this->configuration, this->access, this->store,
@@ -154,6 +158,8 @@
     peer_mesh mesh;
     target_registry registry;
     target_client targets;
+    target_lease_arbiter arbiter;
+    inventory_keeper inventories;
     lease_keeper leases;
     request_service requests;
     job_service jobs;
--- a/src/libverbenalever/http/http_call.h
+++ b/src/libverbenalever/http/http_call.h
@@ -15,6 +15,7 @@
     std::vector<http_header> headers;
     std::string body;
     milliseconds timeout{5000};
+    bool fresh_connection = false; ///< open a new connection in place of using a kept one
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/http/http_client.cpp
+++ b/src/libverbenalever/http/http_client.cpp
@@ -95,6 +95,9 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, current.headers);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(http_client::kept_idle_limit.count()));
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
--- a/src/libverbenalever/http/http_client.h
+++ b/src/libverbenalever/http/http_client.h
@@ -2,6 +2,7 @@
 
 #include "http/http_call.h"
 #include "http/http_result.h"
+#include "loop/clock.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,9 @@
 public:
     using callback = std::function<void(http_result)>;
 
+    /// How long a kept connection may have been idle and still be used again.
+    static constexpr std::chrono::seconds kept_idle_limit{3};
+
     /// @param local_address the IPv4 address that connections come from; any when empty
     explicit http_client(event_loop& loop, std::string local_address = {});
     ~http_client();
--- a/src/libverbenalever/requests/held_request.h
+++ b/src/libverbenalever/requests/held_request.h
@@ -22,7 +22,8 @@
     monotonic_time arrival;
     monotonic_time deadline;
     http_responder respond;
-    std::string target; ///< where it was sent, empty while queued
+    bool in_doubt = false; ///< it may still run on the target
+    std::string target;    ///< where it was sent, empty while queued
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -158,7 +158,8 @@
     this->dispatching = true;
     std::optional<std::string> target;
     const auto can_start = [this, &target](const queued_work& work) {
-        target = this->registry.place(*this->placement, work.team, work.demand);
+        target = this->registry.place(*this->placement, work.team, work.demand,
+                                      this->requests.at(work.id).id);
         return target.has_value();
     };
     while (const auto work = this->waiting->next(can_start, monotonic_clock::now()))
@@ -198,6 +199,9 @@
                      "the target did not take the request");
     }
     else {
+        request.in_doubt = !result.transport.ok();
+        if (request.in_doubt)
+            this->registry.doubt(request.target, request.id);
         this->metrics.add("requests_outcome_unknown");
         this->log.write("requests", "request_outcome_unknown", {{"request", request.id}});
         request.respond(problem{.status = status_bad_gateway,
@@ -213,8 +217,9 @@
 void request_service::forget(std::uint64_t number)
 {
     const auto node = this->requests.extract(number);
-    if (!node.mapped().target.empty())
-        this->registry.release(node.mapped().target, node.mapped().team, node.mapped().demand);
+    const auto& request = node.mapped();
+    if (!request.target.empty() && !request.in_doubt)
+        this->registry.release(request.target, request.team, request.demand, request.id);
 }
 
 void request_service::expire()
--- a/src/libverbenalever/targets/target_client.cpp
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr milliseconds call_timeout{1500};
+/// How long calls to a target use new connections after one fell silent. Longer than a kept
+/// connection may be idle, so that none of the silent ones is used again.
+constexpr milliseconds fresh_period = http_client::kept_idle_limit + milliseconds(1000);
 constexpr int status_conflict = 409;
 
 absl::Status status_of(const http_result& result)
@@ -32,6 +35,24 @@
     return fmt::format("http://{}{}", target.text(), path);
 }
 
+absl::StatusOr<lease_answer> parse_lease(const http_result& result)
+{
+    if (const auto status = status_of(result); !status.ok() && !absl::IsAborted(status))
+        return status;
+    const auto json = nlohmann::json::parse(result.body, nullptr, false);
+    if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_integer())
+        return absl::UnavailableError("the target sent a malformed lease");
+    try {
+        return lease_answer{.granted = result.success(),
+                            .epoch = json["epoch"].get<std::int64_t>(),
+                            .holder = json.value("holder", ""),
+                            .remaining = milliseconds(json.value("remaining_ms", std::int64_t{0}))};
+    }
+    catch (const nlohmann::json::exception& error) {
+        return absl::UnavailableError(error.what());
+    }
+}
+
 absl::StatusOr<target_inventory> parse_inventory(const http_result& result)
 {
     if (auto status = status_of(result); !status.ok())
@@ -62,37 +83,48 @@
 
 target_client::target_client(http_client& http, counters& metrics) : http(http), metrics(metrics) {}
 
+http_call target_client::prepare(const endpoint& target, std::string_view method,
+                                 std::string_view path, std::string body) const
+{
+    const auto fresh = this->fresh_until.find(target.text());
+    return {.method = std::string(method),
+            .url = url_of(target, path),
+            .headers = {},
+            .body = std::move(body),
+            .timeout = call_timeout,
+            .fresh_connection =
+                fresh != this->fresh_until.end() && monotonic_clock::now() < fresh->second};
+}
+
+void target_client::suspect_connections(const endpoint& target)
+{
+    this->metrics.add("target_connections_suspected");
+    this->fresh_until[target.text()] = monotonic_clock::now() + fresh_period;
+}
+
 void target_client::call(const endpoint& target, std::string_view method, std::string_view path,
                          std::string body, done_callback done)
 {
     this->metrics.add("target_calls");
-    http_call call{.method = std::string(method),
-                   .url = url_of(target, path),
-                   .body = std::move(body),
-                   .timeout = call_timeout};
-    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
-        done(status_of(result));
-    });
+    this->http.start(
+        this->prepare(target, method, path, std::move(body)),
+        [done = std::move(done)](const http_result& result) { done(status_of(result)); });
 }
 
 void target_client::acquire_lease(const endpoint& target, std::string_view holder,
-                                  std::int64_t epoch, milliseconds ttl,
-                                  std::function<void(absl::StatusOr<std::int64_t>)> done)
+                                  std::int64_t epoch, milliseconds ttl, milliseconds limit,
+                                  std::function<void(absl::StatusOr<lease_answer>)> done)
 {
     this->metrics.add("target_lease_calls");
     const nlohmann::json body = {{"holder", holder}, {"epoch", epoch}, {"ttl_ms", ttl.count()}};
-    http_call call{.method = "PUT",
-                   .url = url_of(target, "/lease"),
-                   .body = body.dump(),
-                   .timeout = call_timeout};
-    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
-        if (auto status = status_of(result); !status.ok())
-            return done(status);
-        const auto json = nlohmann::json::parse(result.body, nullptr, false);
-        if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_integer())
-            return done(absl::UnavailableError("the target sent a malformed lease"));
-        done(json["epoch"].get<std::int64_t>());
-    });
+    auto call = this->prepare(target, "PUT", "/lease", body.dump());
+    call.timeout = limit;
+    this->http.start(std::move(call),
+                     [this, target, done = std::move(done)](const http_result& result) {
+                         if (absl::IsDeadlineExceeded(result.transport))
+                             this->suspect_connections(target);
+                         done(parse_lease(result));
+                     });
 }
 
 void target_client::release_lease(const endpoint& target, std::string_view holder,
@@ -135,10 +167,9 @@
                                    std::function<void(absl::StatusOr<target_inventory>)> done)
 {
     this->metrics.add("target_inventory_calls");
-    http_call call{.url = url_of(target, "/tasks"), .timeout = call_timeout};
-    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
-        done(parse_inventory(result));
-    });
+    this->http.start(
+        this->prepare(target, "GET", "/tasks", ""),
+        [done = std::move(done)](const http_result& result) { done(parse_inventory(result)); });
 }
 
 std::uint64_t target_client::send_request(const endpoint& target, std::string_view request,
@@ -147,14 +178,12 @@
                                           std::function<void(http_result)> done)
 {
     this->metrics.add("target_requests");
-    http_call call{.method = "POST",
-                   .url = url_of(target, "/requests"),
-                   .headers = {{"Request-Id", std::string(request)},
-                               {"Team", std::string(team)},
-                               {"Lease-Epoch", fmt::format("{}", epoch)},
-                               {"Content-Type", "application/json"}},
-                   .body = std::move(body),
-                   .timeout = timeout};
+    auto call = this->prepare(target, "POST", "/requests", std::move(body));
+    call.headers = {{"Request-Id", std::string(request)},
+                    {"Team", std::string(team)},
+                    {"Lease-Epoch", fmt::format("{}", epoch)},
+                    {"Content-Type", "application/json"}};
+    call.timeout = timeout;
     return this->http.start(std::move(call), std::move(done));
 }
 
--- a/src/libverbenalever/targets/target_client.h
+++ b/src/libverbenalever/targets/target_client.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "http/http_call.h"
 #include "http/http_result.h"
 #include "loop/clock.h"
 #include "loop/endpoint.h"
+#include "targets/lease_answer.h"
 #include "targets/target_inventory.h"
 #include "targets/task_start.h"
 
@@ -10,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +26,10 @@
 ///
 /// Errors: UNAVAILABLE and DEADLINE_EXCEEDED mean that no answer came and the target may have
 /// acted; ABORTED means that it refused and did nothing.
+///
+/// A lease call that gets no answer in time may mean that something between the two ends has lost
+/// track of the open connections. For a while after it every call to that target opens a new one,
+/// until the kept ones are too old to be used again.
 class target_client {
 public:
     using done_callback = std::function<void(absl::Status)>;
@@ -31,9 +38,11 @@
 
     /// Ask for the target's lease, or renew it.
     /// @param epoch the epoch held, zero for a first grant
-    /// @param done  the epoch granted; ABORTED while another entry holds the lease
+    /// @param limit longest wait for the answer
+    /// @param done  the grant, or who holds the lease now
     void acquire_lease(const endpoint& target, std::string_view holder, std::int64_t epoch,
-                       milliseconds ttl, std::function<void(absl::StatusOr<std::int64_t>)> done);
+                       milliseconds ttl, milliseconds limit,
+                       std::function<void(absl::StatusOr<lease_answer>)> done);
 
     void release_lease(const endpoint& target, std::string_view holder, std::int64_t epoch,
                        done_callback done);
@@ -62,11 +71,16 @@
                                milliseconds timeout, std::function<void(http_result)> done);
 
 private:
+    /// @return the call with what is the same for every call to @p target filled in
+    [[nodiscard]] http_call prepare(const endpoint& target, std::string_view method,
+                                    std::string_view path, std::string body) const;
+    void suspect_connections(const endpoint& target);
     void call(const endpoint& target, std::string_view method, std::string_view path,
               std::string body, done_callback done);
 
     http_client& http;
     counters& metrics;
+    std::map<std::string, monotonic_time, std::less<>> fresh_until; ///< by "ADDRESS:PORT"
 };
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_lease_arbiter.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "targets/target_arbiter.h"
+
+#include <string>
+
+namespace verbenalever {
+
+class target_client;
+
+/// The target is its own arbiter: it is the one place that every start has to reach, so it can
+/// decide while the zone is cut off and the platform is down.
+class target_lease_arbiter : public target_arbiter {
+public:
+    /// @param holder the name under which this entry holds leases
+    target_lease_arbiter(target_client& client, std::string holder);
+
+    void acquire(const target_record& target, std::int64_t epoch, milliseconds ttl,
+                 milliseconds limit, lease_callback done) override;
+    void release(const target_record& target, std::int64_t epoch, release_callback done) override;
+
+private:
+    target_client& client;
+    std::string holder;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_ledger.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "scheduling/resources.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenalever {
+
+struct target_inventory;
+
+/// What is reserved on one target, each piece of work counted once.
+///
+/// Four kinds add up: work that this entry reserved under an identifier, work that it reserved
+/// without one, work that is in doubt (its start may yet arrive), and work that only the target's
+/// inventory shows, e.g. started by an earlier holder of the lease. The work's identifier is the
+/// request's, or the task's attempt, as the inventory shows it.
+class target_ledger {
+public:
+    using team_sums = std::map<std::string, resources, std::less<>>;
+
+    void reserve(std::string_view work, std::string_view team, const resources& demand);
+
+    /// Give a reservation back, once the work has surely ended.
+    /// @return whether there was such a reservation
+    bool release(std::string_view work, std::string_view team, const resources& demand);
+
+    /// Keep a reservation whose work may still start or run, until an inventory read under a
+    /// lease newer than @p epoch does not show it.
+    /// @param work an identifier, not empty
+    void doubt(std::string_view work, std::int64_t epoch);
+
+    /// Note that the target was asked for its inventory: what is released from now on may still
+    /// show in it.
+    void begin_read();
+
+    /// Take in the inventory asked for last.
+    /// @param epoch of the lease under which it was asked for
+    void take(const target_inventory& inventory, std::int64_t epoch);
+
+    /// @return whether @p work was running when the inventory was last read
+    [[nodiscard]] bool seen_running(std::string_view work) const;
+
+    /// @return whether the next inventory may free room: work in doubt or started by others
+    [[nodiscard]] bool unsettled() const;
+
+    /// @return whether only a newer lease can settle what is in doubt
+    [[nodiscard]] bool in_doubt() const;
+
+    [[nodiscard]] resources total() const;
+    [[nodiscard]] team_sums by_team() const;
+
+private:
+    /// Room taken by one piece of work.
+    struct reservation {
+        std::string team;
+        resources demand;
+        std::int64_t doubt_epoch = 0; ///< epoch under which it came in doubt
+
+        friend bool operator==(const reservation&, const reservation&) = default;
+    };
+    using by_work = std::map<std::string, reservation, std::less<>>;
+
+    void settle(std::int64_t epoch);
+    [[nodiscard]] std::vector<const reservation*> all() const;
+
+    by_work own;
+    std::vector<reservation> unnamed;
+    by_work doubtful;
+    by_work foreign;
+    std::set<std::string, std::less<>> running;
+    std::set<std::string, std::less<>> released_since_read;
+    bool reading = false;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/targets/target_record.h
+++ b/src/libverbenalever/targets/target_record.h
@@ -3,6 +3,7 @@
 #include "loop/clock.h"
 #include "platform/vm_record.h"
 #include "scheduling/resources.h"
+#include "targets/target_ledger.h"
 
 #include <cstdint>
 #include <map>
@@ -18,7 +19,8 @@
     monotonic_time lease_valid_until; ///< counted from before the grant was asked for
     bool inventory_known = false;     ///< whether the inventory was read under this lease
 
-    resources reserved; ///< taken by work that this entry started or found running
+    target_ledger ledger; ///< each reservation; the sums follow
+    resources reserved;   ///< taken by work that this entry started or found running
     std::map<std::string, resources, std::less<>> reserved_by_team; ///< sums to reserved
 
     /// @return whether this entry holds the target's lease at @p now
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -39,6 +39,11 @@
     return this->records;
 }
 
+const std::map<std::string, target_record, std::less<>>& target_registry::all() const
+{
+    return this->records;
+}
+
 bool target_registry::may_start(const target_record& target, monotonic_time now) const
 {
     const auto& zones_out = this->configuration.current().availability_zones_out;
@@ -58,14 +63,16 @@
            (!this->guard || this->guard(target, team, demand));
 }
 
-void target_registry::reserve(target_record& target, std::string_view team, const resources& demand)
+void target_registry::reserve(target_record& target, std::string_view team, const resources& demand,
+                              std::string_view work)
 {
+    target.ledger.reserve(work, team, demand);
     target.reserved += demand;
     target.reserved_by_team[std::string(team)] += demand;
 }
 
 std::optional<std::string> target_registry::place(placement_policy& policy, std::string_view team,
-                                                  const resources& demand)
+                                                  const resources& demand, std::string_view work)
 {
     const auto now = monotonic_clock::now();
     std::vector<placement_candidate> candidates;
@@ -83,39 +90,63 @@
     if (!chosen)
         return std::nullopt;
     auto& target = *targets[candidates[*chosen].index];
-    target_registry::reserve(target, team, demand);
+    target_registry::reserve(target, team, demand, work);
     return target.vm.name;
 }
 
-bool target_registry::claim(std::string_view target, std::string_view team, const resources& demand)
+bool target_registry::claim(std::string_view target, std::string_view team, const resources& demand,
+                            std::string_view work)
 {
     auto* record = this->find(target);
     if (record == nullptr || !this->admits(*record, team, demand, monotonic_clock::now()))
         return false;
-    target_registry::reserve(*record, team, demand);
+    target_registry::reserve(*record, team, demand, work);
     return true;
 }
 
 void target_registry::release(std::string_view target, std::string_view team,
-                              const resources& demand)
+                              const resources& demand, std::string_view work)
 {
-    if (auto* record = this->find(target)) {
+    auto* record = this->find(target);
+    if (record != nullptr && record->ledger.release(work, team, demand)) {
         record->reserved -= demand;
-        record->reserved_by_team[std::string(team)] -= demand;
+        const auto sum = record->reserved_by_team.find(team);
+        sum->second -= demand;
+        if (sum->second == resources{})
+            record->reserved_by_team.erase(sum);
     }
     this->announce_room();
 }
 
+void target_registry::doubt(std::string_view target, std::string_view work)
+{
+    if (auto* record = this->find(target))
+        record->ledger.doubt(work, record->lease_epoch);
+}
+
+bool target_registry::may_still_run(std::string_view target, std::string_view attempt,
+                                    std::int64_t epoch, monotonic_time lapses_at,
+                                    monotonic_time now) const
+{
+    const auto found = this->records.find(target);
+    if (found == this->records.end())
+        return now < lapses_at;
+    const auto& record = found->second;
+    if (!record.held(now) || !record.inventory_known)
+        return now < lapses_at;
+    return epoch == record.lease_epoch || record.ledger.seen_running(attempt);
+}
+
+void target_registry::begin_inventory(target_record& target)
+{
+    target.ledger.begin_read();
+}
+
 void target_registry::take_inventory(target_record& target, const target_inventory& inventory)
 {
-    target.reserved = {};
-    target.reserved_by_team.clear();
-    for (const auto& request : inventory.requests)
-        target_registry::reserve(target, request.team, {.slots = 1});
-    for (const auto& task : inventory.tasks) {
-        if (task.running())
-            target_registry::reserve(target, task.team, task.demand);
-    }
+    target.ledger.take(inventory, target.lease_epoch);
+    target.reserved = target.ledger.total();
+    target.reserved_by_team = target.ledger.by_team();
     target.inventory_known = true;
     this->announce_room();
 }
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -29,6 +29,7 @@
     [[nodiscard]] target_record* find(std::string_view name);
 
     [[nodiscard]] std::map<std::string, target_record, std::less<>>& all();
+    [[nodiscard]] const std::map<std::string, target_record, std::less<>>& all() const;
 
     /// @return whether new work may start on @p target at @p now: the lease is held, its inventory
     ///         is known, it is not leaving and its availability zone is in service
@@ -43,19 +44,45 @@
 
     /// Choose a target with room and reserve the room, in one step.
     /// @param team whose work it is; empty on open queues
+    /// @param work the request or the attempt, as the target's inventory will show it; without it
+    ///             the reservation can neither be told from others like it nor be in doubt
     /// @return the target's name; nothing when no target may take the work now
     [[nodiscard]] std::optional<std::string> place(placement_policy& policy, std::string_view team,
-                                                   const resources& demand);
+                                                   const resources& demand,
+                                                   std::string_view work = {});
 
     /// Reserve room on one target.
     /// @return whether a start is allowed there now and there was room
     [[nodiscard]] bool claim(std::string_view target, std::string_view team,
-                             const resources& demand);
-
-    /// Give room back, once the work has surely ended.
-    void release(std::string_view target, std::string_view team, const resources& demand);
-
-    /// Replace what is reserved on a target by what its inventory shows.
+                             const resources& demand, std::string_view work = {});
+
+    /// Give room back, once the work has surely ended; changes nothing when none was reserved.
+    void release(std::string_view target, std::string_view team, const resources& demand,
+                 std::string_view work = {});
+
+    /// Keep room for work that may still start or run, e.g. after a call that timed out, until
+    /// the target is known not to run it.
+    /// @param work the name under which the room was reserved
+    void doubt(std::string_view target, std::string_view work);
+
+    /// Say whether an attempt may still run, or start, on a target, so that it must not be started
+    /// elsewhere.
+    ///
+    /// Under a lease of this entry the inventory decides, since a start by anyone else would be
+    /// refused. Otherwise only time does.
+    /// @param epoch     of the lease under which this process sent the start; zero when another
+    ///                  process did
+    /// @param lapses_at when its task lease has lapsed if nobody renewed it: the last time at which
+    ///                  a start or a renewal may have been sent, and the task lease after it
+    [[nodiscard]] bool may_still_run(std::string_view target, std::string_view attempt,
+                                     std::int64_t epoch, monotonic_time lapses_at,
+                                     monotonic_time now) const;
+
+    /// Note that the target was asked for its inventory under its present lease.
+    static void begin_inventory(target_record& target);
+
+    /// Take in the inventory asked for last: reservations of this entry stand, and work started by
+    /// others is added.
     void take_inventory(target_record& target, const target_inventory& inventory);
 
     /// Be told when room may have come free.
@@ -70,7 +97,8 @@
 private:
     [[nodiscard]] bool admits(const target_record& target, std::string_view team,
                               const resources& demand, monotonic_time now) const;
-    static void reserve(target_record& target, std::string_view team, const resources& demand);
+    static void reserve(target_record& target, std::string_view team, const resources& demand,
+                        std::string_view work);
 
     const configuration_store& configuration;
     std::string availability_zone;
