Spread the VM list over peers, ask a second opinion, ignore older incarnations

Cause: an entry that the platform did not reach kept its old VM list, so a leaving target went on getting work; a peer silent on one link was given up at once; envelopes did not say which incarnation sent them; a frozen connection was replaced only when its peer already counted as silent; connections that peers had opened and lost were kept for good.

Change: heartbeats tell when the list was read and its digest, the list itself goes only to an entry that reads nothing from the platform; seeds are asked while no member is known; an unknown sender of heartbeats becomes a member. Silent connections are replaced after two intervals, peers given up after three if nobody vouches for them. A drain is announced at once, leases go when nothing is queued, and an entry whose own VM is leaving drains. The platform's list carries an entity tag, so that a list that has not changed is not sent again.

--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -11,6 +11,7 @@
 #include "loop/signal_watcher.h"
 #include "loop/timer.h"
 #include "membership/peer_mesh.h"
+#include "membership/vm_list_relay.h"
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "requests/request_service.h"
@@ -44,6 +45,8 @@
           configuration(this->loop, this->store, this->log),
           access(this->configuration, this->settings.operator_keys),
           mesh(this->loop, this->settings, this->metrics, this->log),
+          vm_list(this->mesh, this->metrics, this->log, 2 * this->settings.vm_list_interval,
+                  [this](std::string_view text) { this->take_vm_list(text); }),
           registry(this->configuration, this->settings.availability_zone),
           targets(this->http, this->metrics), arbiter(this->targets, this->settings.name),
           inventories(this->targets, this->registry),
@@ -56,7 +59,12 @@
           administration(this->settings, this->configuration, this->access, this->mesh,
                          this->registry),
           vms(this->loop, this->http, this->metrics, this->settings.platform,
-              [this](std::span<const vm_record> list) { this->take_vm_list(list); }),
+              [this](std::string_view text, std::int64_t read_at_us) {
+                  if (text.empty())
+                      this->vm_list.confirm(read_at_us);
+                  else
+                      this->vm_list.read(text, read_at_us);
+              }),
           drain_timer(this->loop, [this] { this->check_drained(); }),
           terminate(this->loop, SIGTERM, [this] { this->drain(); }),
           interrupt(this->loop, SIGINT, [this] { this->drain(); })
@@ -77,6 +85,7 @@
         if (auto status = this->mesh.start([this](heartbeat& message) { this->describe(message); });
             !status.ok())
             return status;
+        this->mesh.on_superseded([this] { this->drain(); });
         this->configuration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
@@ -117,12 +126,20 @@
         message.configuration_revision = this->configuration.current().revision;
         message.free_slots = this->registry.free_slots();
         message.draining = this->draining;
+        this->vm_list.describe(message);
     }
 
-    void take_vm_list(std::span<const vm_record> list)
+    void take_vm_list(std::string_view text)
     {
-        this->mesh.set_members(list);
-        this->registry.update(list);
+        const auto list = vm_list_client::parse(text);
+        if (!list.ok())
+            return;
+        this->mesh.set_members(*list);
+        this->registry.update(*list);
+        for (const auto& vm : *list) {
+            if (vm.name == this->settings.name && vm.leaving)
+                this->drain();
+        }
     }
 
     void drain()
@@ -133,18 +150,24 @@
         this->drain_started = monotonic_clock::now();
         this->log.write("daemon", "drain_started");
         this->requests.drain();
+        this->mesh.announce();
         this->drain_timer.start_repeating(drain_check_interval);
     }
 
+    /// Leases go as soon as nothing waits for a target; what is in flight needs none.
     void check_drained()
     {
         const auto spent = monotonic_clock::now() - this->drain_started;
-        const bool idle = this->requests.held() == 0 && this->server->pending() == 0;
         const bool late = spent > this->settings.drain_timeout;
-        if (spent < drain_grace || (!idle && !late))
+        if (!this->handing_over && (this->requests.queued() == 0 || late)) {
+            this->handing_over = true;
+            this->leases.hand_over([this] { this->handed_over = true; });
+        }
+        const bool idle = this->requests.held() == 0 && this->server->pending() == 0;
+        if (spent < drain_grace || !this->handed_over || (!idle && !late))
             return;
         this->drain_timer.stop();
-        this->leases.hand_over([this] { this->loop.stop(); });
+        this->loop.stop();
     }
 
     entry_settings settings;
@@ -156,6 +179,7 @@
     configuration_store configuration;
     access_control access;
     peer_mesh mesh;
+    vm_list_relay vm_list;
     target_registry registry;
     target_client targets;
     target_lease_arbiter arbiter;
@@ -168,6 +192,8 @@
     router routes;
     std::unique_ptr<http_server> server;
     bool draining = false;
+    bool handing_over = false;
+    bool handed_over = false;
     monotonic_time drain_started;
     timer drain_timer;
     signal_watcher terminate;
--- a/src/libverbenalever/membership/heartbeat_ack.h
+++ b/src/libverbenalever/membership/heartbeat_ack.h
@@ -11,8 +11,9 @@
     static constexpr const char* type = "heartbeat_ack";
 
     std::uint64_t incarnation = 0;
+    std::uint64_t known_incarnation = 0; ///< greatest one heard from the heartbeat's sender
 
-    MSGPACK_DEFINE_MAP(incarnation)
+    MSGPACK_DEFINE_MAP(incarnation, known_incarnation)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/membership/peer_envelope.h
+++ b/src/libverbenalever/membership/peer_envelope.h
@@ -13,10 +13,11 @@
 
     int version = current_version;
     std::string type;
-    std::string from; ///< name of the sending entry
-    std::string body; ///< the typed message, packed as a map
+    std::string from;              ///< name of the sending entry
+    std::uint64_t incarnation = 0; ///< of the sending entry
+    std::string body;              ///< the typed message, packed as a map
 
-    MSGPACK_DEFINE_MAP(version, type, from, body)
+    MSGPACK_DEFINE_MAP(version, type, from, incarnation, body)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/membership/peer_mesh.cpp
+++ b/src/libverbenalever/membership/peer_mesh.cpp
@@ -1,6 +1,9 @@
 #include "membership/peer_mesh.h"
 
 #include "membership/heartbeat_ack.h"
+#include "membership/probe_answer.h"
+#include "membership/probe_request.h"
+#include "membership/vm_list_request.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 #include "verbenalever/entry_settings.h"
@@ -11,17 +14,49 @@
 
 namespace {
 
-/// Heartbeats that may be missed before a peer, or a connection, counts as silent.
+/// Silence, in heartbeat intervals, after which a connection is replaced and others are asked
+/// about the peer.
+constexpr int suspicion_heartbeats = 2;
+
+/// Silence, in heartbeat intervals, after which a peer for which nobody vouches is given up.
 constexpr int missed_heartbeats = 3;
 
+/// Silence, in heartbeat intervals, after which a connection that a peer opened is dropped.
+constexpr int idle_incoming_heartbeats = 30;
+
+/// Looks at peers and connections for each heartbeat interval.
+constexpr int watches_per_heartbeat = 5;
+
+/// Entries asked for a second opinion.
+constexpr int opinions_asked = 3;
+
+/// A process younger than this whose incarnation is behind takes a greater one: its clock is
+/// behind that of the process before it. An older one has been superseded.
+constexpr milliseconds young_process{10'000};
+
 } // namespace
 
 peer_mesh::peer_mesh(event_loop& loop, const entry_settings& settings, counters& metrics,
                      const event_log& log)
     : loop(loop), settings(settings), metrics(metrics), log(log),
-      incarnation(static_cast<std::uint64_t>(wall_microseconds())),
-      heartbeat_timer(loop, [this] { this->tick(); })
+      incarnation(static_cast<std::uint64_t>(wall_microseconds())), started(monotonic_clock::now()),
+      heartbeat_timer(loop, [this] { this->announce(); }),
+      watch_timer(loop, [this] { this->watch(); })
 {
+    this->on<heartbeat_ack>(
+        [this](const std::string&, const heartbeat_ack& message) { this->acknowledged(message); });
+    this->on<probe_request>([this](const std::string& from, const probe_request& message) {
+        const auto found = this->states.find(message.peer);
+        const auto fresh = this->settings.heartbeat_interval * 3 / 2;
+        if (found != this->states.end() &&
+            monotonic_clock::now() - found->second.last_heard < fresh)
+            this->send(from, probe_answer{.peer = message.peer});
+    });
+    this->on<probe_answer>([this](const std::string&, const probe_answer& message) {
+        if (const auto found = this->states.find(message.peer); found != this->states.end())
+            found->second.vouched_until =
+                monotonic_clock::now() + suspicion_heartbeats * this->settings.heartbeat_interval;
+    });
     this->on<heartbeat>(
         [this](const std::string& from, const heartbeat& message) { this->heard(from, message); });
 }
@@ -39,6 +74,7 @@
         return listening.status();
     this->listener = *std::move(listening);
     this->heartbeat_timer.start_repeating(this->settings.heartbeat_interval);
+    this->watch_timer.start_repeating(this->settings.heartbeat_interval / watches_per_heartbeat);
     return absl::OkStatus();
 }
 
@@ -51,7 +87,7 @@
         named.insert(vm.name);
         auto& peer = this->states[vm.name];
         if (peer.address != vm.address)
-            this->outgoing.erase(vm.name);
+            this->close_outgoing(vm.name);
         peer.name = vm.name;
         peer.address = vm.address;
         peer.availability_zone = vm.availability_zone;
@@ -60,11 +96,21 @@
     std::erase_if(this->states, [&named, this](const auto& entry) {
         const bool gone = !named.contains(entry.first) && !entry.second.alive;
         if (gone)
-            this->outgoing.erase(entry.first);
+            this->close_outgoing(entry.first);
         return gone;
     });
 }
 
+void peer_mesh::on_heartbeat(handler<heartbeat> action)
+{
+    this->heartbeat_handlers.push_back(std::move(action));
+}
+
+void peer_mesh::on_superseded(std::function<void()> action)
+{
+    this->superseded = std::move(action);
+}
+
 void peer_mesh::on_liveness(std::function<void(const peer_state&)> action)
 {
     this->liveness_changed = std::move(action);
@@ -88,52 +134,146 @@
     return names;
 }
 
-void peer_mesh::tick()
+heartbeat peer_mesh::own_heartbeat()
 {
-    this->closed.clear();
     heartbeat message{.availability_zone = this->settings.availability_zone,
                       .http = this->settings.http.text(),
+                      .peer = this->settings.peer.text(),
                       .incarnation = this->incarnation};
     this->describe(message);
     this->draining = message.draining;
-    const auto now = monotonic_clock::now();
+    return message;
+}
+
+void peer_mesh::announce()
+{
+    const auto message = this->own_heartbeat();
     for (auto& [name, peer] : this->states) {
-        this->check_liveness(peer, now);
         if (!this->outgoing.contains(name))
             this->open(peer);
-        this->send(name, message);
     }
+    this->broadcast(message);
+    if (this->states.empty())
+        this->ask_seeds();
 }
 
-void peer_mesh::check_liveness(peer_state& peer, monotonic_time now)
+void peer_mesh::ask_seeds()
 {
-    const auto silence_limit = missed_heartbeats * this->settings.heartbeat_interval;
+    for (const auto& seed : this->settings.seeds) {
+        auto& connection = this->seeds[seed.text()];
+        if (connection != nullptr)
+            this->closed.push_back(std::move(connection));
+        auto opened = frame_connection::connect(this->loop, seed, this->settings.peer.address);
+        if (!opened.ok())
+            continue;
+        connection = *std::move(opened);
+        connection->on_events([this](std::string_view frame) { this->receive(frame, nullptr); },
+                              {});
+        connection->send(this->frame_of(vm_list_request::type,
+                                        pack_message(vm_list_request{.reason = "no members"})));
+    }
+}
+
+void peer_mesh::watch()
+{
+    this->closed.clear();
+    if (!this->states.empty())
+        this->seeds.clear();
+    const auto now = monotonic_clock::now();
+    for (auto& [name, peer] : this->states)
+        this->watch_peer(peer, now);
+    this->drop_idle_incoming(now);
+}
+
+void peer_mesh::watch_peer(peer_state& peer, monotonic_time now)
+{
+    const auto interval = this->settings.heartbeat_interval;
     if (const auto found = this->outgoing.find(peer.name);
-        found != this->outgoing.end() && now - found->second->last_received() > silence_limit) {
+        found != this->outgoing.end() &&
+        now - found->second->last_received() > suspicion_heartbeats * interval) {
         this->log.write("membership", "connection_silent", {{"peer", peer.name}});
         this->metrics.add("peer_connections_replaced");
-        this->outgoing.erase(found);
+        this->close_outgoing(peer.name);
+        this->open(peer);
+        this->send(peer.name, this->own_heartbeat());
     }
-    if (!peer.alive || now - peer.last_heard <= silence_limit)
+    if (!peer.alive || now - peer.last_heard <= suspicion_heartbeats * interval)
         return;
+    this->ask_second_opinion(peer);
+    if (now - peer.last_heard > missed_heartbeats * interval && now > peer.vouched_until)
+        this->give_up(peer);
+}
+
+void peer_mesh::give_up(peer_state& peer)
+{
     peer.alive = false;
     this->log.write("membership", "peer_silent", {{"peer", peer.name}});
     if (this->liveness_changed)
         this->liveness_changed(peer);
 }
 
+void peer_mesh::ask_second_opinion(const peer_state& silent)
+{
+    int asked = 0;
+    for (const bool own_zone : {true, false}) {
+        for (const auto& [name, peer] : this->states) {
+            const bool in_own_zone = peer.availability_zone == this->settings.availability_zone;
+            if (!peer.alive || name == silent.name || in_own_zone != own_zone)
+                continue;
+            if (++asked > opinions_asked)
+                return;
+            this->send(name, probe_request{.peer = silent.name});
+        }
+    }
+}
+
+void peer_mesh::drop_idle_incoming(monotonic_time now)
+{
+    const auto limit = idle_incoming_heartbeats * this->settings.heartbeat_interval;
+    std::erase_if(this->incoming, [now, limit](const auto& entry) {
+        return now - entry.second->last_received() > limit;
+    });
+}
+
+std::string peer_mesh::frame_of(std::string_view type, const std::string& body) const
+{
+    return pack_message(peer_envelope{.type = std::string(type),
+                                      .from = this->settings.name,
+                                      .incarnation = this->incarnation,
+                                      .body = body});
+}
+
 void peer_mesh::send_packed(std::string_view peer, std::string_view type, const std::string& body)
 {
     const auto found = this->outgoing.find(peer);
     if (found == this->outgoing.end())
         return;
-    const auto frame = pack_message(
-        peer_envelope{.type = std::string(type), .from = this->settings.name, .body = body});
+    const auto frame = this->frame_of(type, body);
     this->metrics.add("peer_messages_sent");
     this->metrics.add("peer_bytes_sent", static_cast<std::int64_t>(frame.size()));
     found->second->send(frame);
 }
 
+void peer_mesh::reply_packed(std::string_view peer, std::string_view type, const std::string& body)
+{
+    if (this->reply_by == nullptr)
+        return this->send_packed(peer, type, body);
+    const auto frame = this->frame_of(type, body);
+    this->metrics.add("peer_messages_sent");
+    this->metrics.add("peer_bytes_sent", static_cast<std::int64_t>(frame.size()));
+    this->reply_by->send(frame);
+}
+
+void peer_mesh::close_outgoing(std::string_view peer)
+{
+    // Destroyed later: the connection may be the one whose message is being handled.
+    if (const auto found = this->outgoing.find(peer); found != this->outgoing.end()) {
+        found->second->on_events({}, {});
+        this->closed.push_back(std::move(found->second));
+        this->outgoing.erase(found);
+    }
+}
+
 void peer_mesh::open(peer_state& peer)
 {
     auto connection =
@@ -160,7 +300,7 @@
                       });
 }
 
-void peer_mesh::receive(std::string_view frame, frame_connection* answer_by)
+void peer_mesh::receive(std::string_view frame, frame_connection* came_by)
 {
     this->metrics.add("peer_messages_received");
     const auto envelope = unpack_message<peer_envelope>(frame);
@@ -168,34 +308,86 @@
         this->metrics.add("peer_messages_malformed");
         return;
     }
+    const bool current = this->is_current(*envelope);
+    if (came_by != nullptr && envelope->type == heartbeat::type)
+        this->acknowledge(envelope->from, *came_by);
+    if (!current) {
+        this->metrics.add("peer_messages_of_older_incarnations");
+        return;
+    }
+    this->reply_by = came_by;
     if (const auto found = this->handlers.find(envelope->type); found != this->handlers.end())
         found->second(envelope->from, envelope->body);
-    else if (envelope->type != heartbeat_ack::type)
+    else
         this->metrics.add("peer_messages_of_unknown_type");
-    if (answer_by != nullptr && envelope->type == heartbeat::type) {
-        answer_by->send(pack_message(
-            peer_envelope{.type = heartbeat_ack::type,
-                          .from = this->settings.name,
-                          .body = pack_message(heartbeat_ack{.incarnation = this->incarnation})}));
+    this->reply_by = nullptr;
+}
+
+bool peer_mesh::is_current(const peer_envelope& envelope)
+{
+    const auto found = this->states.find(envelope.from);
+    if (found == this->states.end())
+        return true;
+    auto& peer = found->second;
+    if (envelope.incarnation < peer.incarnation)
+        return false;
+    if (envelope.incarnation > peer.incarnation) {
+        if (peer.incarnation != 0)
+            this->log.write("membership", "peer_restarted", {{"peer", peer.name}});
+        peer.incarnation = envelope.incarnation;
+        peer.last = {};
     }
+    return true;
 }
 
-void peer_mesh::heard(const std::string& from, const heartbeat& message)
+void peer_mesh::acknowledge(const std::string& from, frame_connection& by)
 {
     const auto found = this->states.find(from);
-    if (found == this->states.end())
+    const auto known = found == this->states.end() ? 0 : found->second.incarnation;
+    by.send(this->frame_of(
+        heartbeat_ack::type,
+        pack_message(heartbeat_ack{.incarnation = this->incarnation, .known_incarnation = known})));
+}
+
+void peer_mesh::acknowledged(const heartbeat_ack& message)
+{
+    if (message.known_incarnation <= this->incarnation)
         return;
-    auto& peer = found->second;
-    if (message.incarnation < peer.last.incarnation)
+    if (monotonic_clock::now() - this->started < young_process) {
+        this->incarnation = message.known_incarnation + 1;
         return;
+    }
+    this->log.write("membership", "superseded");
+    if (this->superseded)
+        this->superseded();
+}
+
+void peer_mesh::heard(const std::string& from, const heartbeat& message)
+{
+    auto found = this->states.find(from);
+    if (found == this->states.end()) {
+        // The platform's list lags, or cannot be read: who speaks is there.
+        auto address = endpoint::parse(message.peer);
+        if (!address.ok() || from == this->settings.name)
+            return;
+        found = this->states
+                    .emplace(from, peer_state{.name = from,
+                                              .address = *std::move(address),
+                                              .availability_zone = message.availability_zone,
+                                              .incarnation = message.incarnation})
+                    .first;
+    }
+    auto& peer = found->second;
     peer.last = message;
     peer.last_heard = monotonic_clock::now();
-    if (peer.alive)
-        return;
-    peer.alive = true;
-    this->log.write("membership", "peer_alive", {{"peer", from}});
-    if (this->liveness_changed)
-        this->liveness_changed(peer);
+    if (!peer.alive) {
+        peer.alive = true;
+        this->log.write("membership", "peer_alive", {{"peer", from}});
+        if (this->liveness_changed)
+            this->liveness_changed(peer);
+    }
+    for (const auto& handler : this->heartbeat_handlers)
+        handler(from, message);
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/membership/peer_mesh.h
+++ b/src/libverbenalever/membership/peer_mesh.h
@@ -22,11 +22,14 @@
 class frame_connection;
 class frame_listener;
 struct entry_settings;
+struct heartbeat_ack;
 
 /// Connections to the other entries, their liveness, and typed messages between them.
 ///
 /// Each entry opens one connection to each peer and sends by it; what peers send arrives on the
-/// connections that they opened. A connection on which nothing comes back is replaced.
+/// connections that they opened. A connection on which nothing comes back is replaced before the
+/// peer at its other end counts as silent. A peer that is silent here is given up only when no
+/// other entry has heard from it lately. What an older incarnation of a peer sent is ignored.
 class peer_mesh {
 public:
     template <typename Message>
@@ -61,6 +64,14 @@
             this->send_packed(name, Message::type, body);
     }
 
+    /// Answer the message that is being handled, by the connection on which it came if that is
+    /// one that the peer opened; so an entry that is not a member yet gets an answer too.
+    template <typename Message>
+    void reply(std::string_view peer, const Message& message)
+    {
+        this->reply_packed(peer, Message::type, pack_message(message));
+    }
+
     /// Set who handles one type of message.
     template <typename Message>
     void on(handler<Message> action)
@@ -75,6 +86,15 @@
     /// Be told when a peer comes alive or falls silent.
     void on_liveness(std::function<void(const peer_state&)> action);
 
+    /// Be told of each heartbeat of a member.
+    void on_heartbeat(handler<heartbeat> action);
+
+    /// Be told when a newer process runs under this entry's name.
+    void on_superseded(std::function<void()> action);
+
+    /// Send a heartbeat to every peer now, e.g. when this entry begins to drain.
+    void announce();
+
     [[nodiscard]] const std::map<std::string, peer_state, std::less<>>& peers() const;
 
     /// @return the names of the live entries of this entry's zone that are not leaving, with its
@@ -84,29 +104,46 @@
 private:
     using raw_handler = std::function<void(const std::string& from, std::string_view body)>;
 
-    void tick();
+    void watch();
+    void watch_peer(peer_state& peer, monotonic_time now);
+    void give_up(peer_state& peer);
+    void ask_second_opinion(const peer_state& silent);
+    void drop_idle_incoming(monotonic_time now);
+    void ask_seeds();
+    [[nodiscard]] heartbeat own_heartbeat();
+    [[nodiscard]] std::string frame_of(std::string_view type, const std::string& body) const;
     void send_packed(std::string_view peer, std::string_view type, const std::string& body);
+    void reply_packed(std::string_view peer, std::string_view type, const std::string& body);
     void open(peer_state& peer);
+    void close_outgoing(std::string_view peer);
     void accept(std::unique_ptr<frame_connection> connection);
-    void receive(std::string_view frame, frame_connection* answer_by);
+    void receive(std::string_view frame, frame_connection* came_by);
+    [[nodiscard]] bool is_current(const peer_envelope& envelope);
+    void acknowledge(const std::string& from, frame_connection& by);
     void heard(const std::string& from, const heartbeat& message);
-    void check_liveness(peer_state& peer, monotonic_time now);
+    void acknowledged(const heartbeat_ack& message);
 
     event_loop& loop;
     const entry_settings& settings;
     counters& metrics;
     const event_log& log;
     std::uint64_t incarnation;
+    monotonic_time started;
     std::function<void(heartbeat&)> describe;
     std::function<void(const peer_state&)> liveness_changed;
+    std::function<void()> superseded;
+    std::vector<handler<heartbeat>> heartbeat_handlers;
     std::unique_ptr<frame_listener> listener;
     std::map<std::string, peer_state, std::less<>> states;
     std::map<std::string, std::unique_ptr<frame_connection>, std::less<>> outgoing;
     std::map<frame_connection*, std::unique_ptr<frame_connection>> incoming;
     std::vector<std::unique_ptr<frame_connection>> closed;
     std::map<std::string, raw_handler, std::less<>> handlers;
+    std::map<std::string, std::unique_ptr<frame_connection>, std::less<>> seeds;
+    frame_connection* reply_by = nullptr; ///< set while a message is handled
     bool draining = false;
     timer heartbeat_timer;
+    timer watch_timer;
 };
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/membership/vm_list_relay.cpp
@@ -0,0 +1,82 @@
+#include "membership/vm_list_relay.h"
+
+#include "membership/peer_mesh.h"
+#include "membership/vm_list_request.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <xxhash.h>
+
+namespace verbenalever {
+
+vm_list_relay::vm_list_relay(peer_mesh& mesh, counters& metrics, const event_log& log,
+                             milliseconds stale_after, handler changed)
+    : mesh(mesh), metrics(metrics), log(log), stale_after(stale_after), changed(std::move(changed))
+{
+    this->mesh.on_heartbeat(
+        [this](const std::string& from, const heartbeat& message) { this->heard(from, message); });
+    this->mesh.on<vm_list_request>([this](const std::string& from, const vm_list_request&) {
+        if (this->digest != 0)
+            this->mesh.reply(from, this->current);
+    });
+    this->mesh.on<vm_list_copy>(
+        [this](const std::string& from, const vm_list_copy& copy) { this->take_copy(from, copy); });
+}
+
+void vm_list_relay::read(std::string_view text, std::int64_t read_at_us)
+{
+    this->platform_heard = monotonic_clock::now();
+    this->put_in_force(text, read_at_us);
+}
+
+void vm_list_relay::confirm(std::int64_t read_at_us)
+{
+    this->platform_heard = monotonic_clock::now();
+    this->current.read_at_us = std::max(this->current.read_at_us, read_at_us);
+}
+
+void vm_list_relay::describe(heartbeat& message) const
+{
+    message.vm_list_read_at_us = this->current.read_at_us;
+    message.vm_list_digest = this->digest;
+}
+
+bool vm_list_relay::platform_silent() const
+{
+    return this->platform_heard == monotonic_time() ||
+           monotonic_clock::now() - this->platform_heard > this->stale_after;
+}
+
+void vm_list_relay::heard(const std::string& from, const heartbeat& message)
+{
+    if (message.vm_list_read_at_us <= this->current.read_at_us || !this->platform_silent())
+        return;
+    if (message.vm_list_digest == this->digest)
+        this->current.read_at_us = message.vm_list_read_at_us;
+    else
+        this->mesh.send(from, vm_list_request{.reason = "platform silent"});
+}
+
+void vm_list_relay::take_copy(const std::string& from, const vm_list_copy& copy)
+{
+    if (copy.read_at_us <= this->current.read_at_us || !this->platform_silent())
+        return;
+    this->log.write("membership", "vm_list_from_peer", {{"peer", from}});
+    this->metrics.add("vm_lists_from_peers");
+    this->put_in_force(copy.text, copy.read_at_us);
+}
+
+void vm_list_relay::put_in_force(std::string_view text, std::int64_t read_at_us)
+{
+    const auto digest = XXH3_64bits(text.data(), text.size());
+    this->current.read_at_us = read_at_us;
+    if (digest == this->digest)
+        return;
+    this->digest = digest;
+    this->current.text = text;
+    // A copy, since what is told of the change may take in another list.
+    const auto taken = this->current.text;
+    this->changed(taken);
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/platform/vm_list_client.cpp
+++ b/src/libverbenalever/platform/vm_list_client.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr milliseconds poll_timeout{2000};
+constexpr int status_not_modified = 304;
 
 std::string text_of(const nlohmann::json& object, const char* name)
 {
@@ -73,13 +74,24 @@
 void vm_list_client::poll()
 {
     this->metrics.add("vm_list_reads");
-    this->http.start({.url = this->url, .timeout = poll_timeout},
-                     [this](const http_result& result) {
-                         if (!result.success())
-                             return;
-                         if (const auto vms = vm_list_client::parse(result.body); vms.ok())
-                             this->received(*vms);
+    http_call call{.url = this->url, .timeout = poll_timeout, .fresh_connection = this->failed};
+    if (!this->etag.empty())
+        call.headers.push_back({"If-None-Match", this->etag});
+    this->http.start(std::move(call),
+                     [this, read_at_us = wall_microseconds()](const http_result& result) {
+                         this->answered(result, read_at_us);
                      });
 }
 
+void vm_list_client::answered(const http_result& result, std::int64_t read_at_us)
+{
+    this->failed = !result.transport.ok();
+    if (result.transport.ok() && result.status == status_not_modified)
+        return this->received({}, read_at_us);
+    if (!result.success() || !vm_list_client::parse(result.body).ok())
+        return;
+    this->etag = result.header("ETag");
+    this->received(result.body, read_at_us);
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/platform/vm_list_client.h
+++ b/src/libverbenalever/platform/vm_list_client.h
@@ -6,8 +6,8 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <functional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,11 +16,15 @@
 
 class counters;
 class http_client;
+struct http_result;
 
-/// Polls the platform's VM list and tells of each list that arrives.
+/// Polls the platform's VM list and tells of each list that arrives. A list that has not changed
+/// is not sent again when the platform gives entity tags.
 class vm_list_client {
 public:
-    using handler = std::function<void(std::span<const vm_record>)>;
+    /// @param text       the list as the platform sent it; empty when it is still the one before
+    /// @param read_at_us wall clock before it was asked for
+    using handler = std::function<void(std::string_view text, std::int64_t read_at_us)>;
 
     vm_list_client(event_loop& loop, http_client& http, counters& metrics, const endpoint& platform,
                    handler received);
@@ -35,10 +39,13 @@
 
 private:
     void poll();
+    void answered(const http_result& result, std::int64_t read_at_us);
 
     http_client& http;
     counters& metrics;
     std::string url;
+    std::string etag; ///< of the list received last
+    bool failed = false;
     handler received;
     timer poll_timer;
 };
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -89,6 +89,11 @@
     return this->requests.size();
 }
 
+std::size_t request_service::queued() const
+{
+    return this->waiting->size();
+}
+
 void request_service::take(const http_request& request, const std::string& queue_name,
                            http_responder respond)
 {
--- a/src/libverbenalever/requests/request_service.h
+++ b/src/libverbenalever/requests/request_service.h
@@ -44,6 +44,9 @@
     /// @return requests not yet answered
     [[nodiscard]] std::size_t held() const;
 
+    /// @return requests not yet sent to a target
+    [[nodiscard]] std::size_t queued() const;
+
 private:
     void take(const http_request& request, const std::string& queue_name, http_responder respond);
     void enqueue(held_request request);
--- a/src/standins/platform/platform_service.cpp
+++ b/src/standins/platform/platform_service.cpp
@@ -20,6 +20,7 @@
 
 constexpr milliseconds tick_interval{2};
 constexpr std::size_t value_limit = 1 << 20;
+constexpr int status_not_modified = 304;
 constexpr int status_gone = 410;
 constexpr int status_precondition_failed = 412;
 constexpr int status_unavailable = 503;
@@ -178,12 +179,17 @@
 {
     this->platform_routes.add(
         "GET", "/vms",
-        [this](const http_request&, const path_parameters&, const http_responder& respond) {
+        [this](const http_request& request, const path_parameters&, const http_responder& respond) {
             ++this->calls["vms"];
             nlohmann::json list = nlohmann::json::array();
             for (const auto& [name, vm] : this->vms)
                 list.push_back(vm);
-            respond(http_response::json(200, nlohmann::json{{"vms", list}}.dump()));
+            auto response = http_response::json(200, nlohmann::json{{"vms", list}}.dump());
+            const auto tag = std::to_string(std::hash<std::string>()(response.body));
+            if (request.header("If-None-Match") == tag)
+                return respond({.status = status_not_modified, .headers = {}, .body = ""});
+            response.headers.push_back({"ETag", tag});
+            respond(std::move(response));
         });
 }
 
--- a/testsuite/harness/cluster.py
+++ b/testsuite/harness/cluster.py
@@ -57,13 +57,14 @@
     """
 
     def __init__(self, zones=3, entries=1, targets=2, proxy=False, times=None, slots=8,
-                 target_flags=(), configuration=None, binaries=None):
+                 target_flags=(), configuration=None, binaries=None, settings=None):
         self.subnet = Subnet()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="verbenalever-"))
         self.programs = {**PROGRAMS, **(binaries or {})}
         self.processes = {}
         self.proxied = proxy
         self.times = times or {}
+        self.extra_settings = settings or {}
         self.slots = slots
         self.target_flags = list(target_flags)
         self.zones = list(ZONE_LETTERS[:zones])
@@ -176,7 +177,8 @@
         settings = {
             "name": name, "availability_zone": f"zone-{zone}", "http": f"{ip}:8000",
             "peer": f"{ip}:8001", "platform": self.platform_address,
-            "operator_keys": [digest(OPERATOR_KEY)], "times": self.times}
+            "operator_keys": [digest(OPERATOR_KEY)], "times": self.times,
+            **self.extra_settings}
         path = self.folder / f"{name}.yaml"
         path.write_text(json.dumps(settings))  # JSON is YAML
         self.launch(name, "entry", "--settings", str(path))
--- /dev/null
+++ b/testsuite/harness/faults.py
@@ -0,0 +1,70 @@
+"""Measures of a site under faults, shared by the cases that cause them."""
+
+import json
+import time
+
+TAKEOVER_LIMIT_S = 5
+ANSWERED_SHARE = 0.95
+SETTLING_S = 5
+
+
+def zone_entries(cluster, zone, without=()):
+    return [name for name, (z, _) in cluster.entries.items() if z == zone and name not in without]
+
+
+def zone_targets(cluster, zone, without=()):
+    return {name for name, (z, _) in cluster.targets.items() if z == zone and name not in without}
+
+
+def seconds_until_startable(cluster, zone, without=()):
+    """Wait until every target of a zone may be started on again; gives the seconds it took."""
+    begun = time.monotonic()
+    wanted = zone_targets(cluster, zone, without)
+    cluster.wait(lambda: wanted <= cluster.startable([zone]), 20, f"{zone} has targets without lease")
+    return time.monotonic() - begun
+
+
+def held_by(cluster, entry):
+    """Names of the targets whose leases an entry holds."""
+    answer = cluster.admin("targets", entry)
+    return {t["name"] for t in answer.json()["targets"] if t["held"]} if answer.status == 200 else set()
+
+
+def settle(cluster):
+    """Wait until the entries of each zone have divided its targets and none is handed over."""
+    time.sleep(SETTLING_S)
+    for zone in cluster.zones:
+        seconds_until_startable(cluster, zone)
+
+
+def finish(load):
+    """The figures of the one queue of a load that was started."""
+    return json.loads(load.communicate()[0])[0]
+
+
+def longest_pause_s(cluster, since_us=0, until_us=None, targets=None):
+    """Longest time without a start on any of the targets, from the targets' own events."""
+    starts = [e["mono_us"] for e in cluster.events("request_running")
+              if e["mono_us"] >= since_us and (until_us is None or e["mono_us"] <= until_us)
+              and (targets is None or e["process"] in targets)]
+    gaps = [after - before for before, after in zip(starts, starts[1:])]
+    return max(gaps, default=0) / 1e6
+
+
+def answered_share(figures):
+    return figures["answered"] / figures["sent"]
+
+
+def seconds_until_startable_by(cluster, entries, targets):
+    """Wait until the given entries alone may start on all the targets; gives the seconds."""
+    begun = time.monotonic()
+
+    def taken():
+        names = set()
+        for entry in entries:
+            names |= {t["name"] for t in cluster.admin("targets", entry).json()["targets"]
+                      if t["may_start"]}
+        return targets <= names
+
+    cluster.wait(taken, 20, "the targets are not taken over")
+    return time.monotonic() - begun
