--- a/testsuite/harness/faults.py
+++ b/testsuite/harness/faults.py
@@ -3,9 +3,12 @@
 import json
 import time
 
+from .cluster import Cluster
+
 TAKEOVER_LIMIT_S = 5
 ANSWERED_SHARE = 0.95
 SETTLING_S = 5
+CUT_S = 6
 
 
 def zone_entries(cluster, zone, without=()):
@@ -68,3 +71,20 @@
 
     cluster.wait(taken, 20, "the targets are not taken over")
     return time.monotonic() - begun
+
+
+def check_zone_serves(case, rules_of):
+    """Zone a answers what its own targets can carry while rules_of(cluster) hold."""
+    with Cluster(zones=2, entries=2, targets=4, proxy=True) as cluster:
+        settle(cluster)
+        load = cluster.start_load(150, CUT_S + 4, entries=zone_entries(cluster, "a"), work_ms=10)
+        time.sleep(1)
+        cluster.rules(*rules_of(cluster))
+        time.sleep(CUT_S)
+        for zone in cluster.zones:
+            case.assertEqual(cluster.startable([zone]), zone_targets(cluster, zone))
+        cluster.rules()
+        figures = finish(load)
+        print(figures)
+        case.assertGreaterEqual(answered_share(figures), ANSWERED_SHARE)
+        cluster.check_trace()
