--- a/src/build-scripts/test.sh
+++ b/src/build-scripts/test.sh
@@ -7,8 +7,8 @@
 red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 if [ -n "$red" ]; then
   echo "known red (see KNOWN-RED.txt): $red"
-  ctest --test-dir build --output-on-failure -j 3 -R "^($red)\$" || true
-  ctest --test-dir build --output-on-failure -j 3 -E "^($red)\$"
+  ctest --test-dir build --output-on-failure -j "$(nproc)" -R "^($red)\$" || true
+  ctest --test-dir build --output-on-failure -j "$(nproc)" -E "^($red)\$"
 else
-  ctest --test-dir build --output-on-failure -j 3
+  ctest --test-dir build --output-on-failure -j "$(nproc)"
 fi
