Keep the three final answers apart, forward once, claim callers' ids, find sick targets

Cause: a request was sent once to an own target or waited there until its deadline; any answer that was not 2xx became "outcome unknown" and lost the target's words; a slot under a request without an answer was given away; a resend ran again.

Ruled out: hedged second sends (doubles work under load); queueing at the peer (two queues, and "not run" would need a second answer); counting a target's failures alone (a queue that fails everywhere would condemn all targets).

Change: request_service keeps arrival, queue and final answer. target_sender places, sends and classifies; abandoned_slots keeps room until the inventory no longer names the request; request_forwarder sends to a peer with room, one hop, matched by attempt; request_claims and resend_table make resends safe; queue_load refuses early and tells when to come back; retry_budget bounds retries; target_health compares each target with the better of the others, source by source. kv_client: keys bound to a lease. target_registry: set_health_filter.

target_health first compared with the mean of the others: with three sick targets of four none was found (half_of_the_targets_stay_in_use failed so); it now takes the lower quartile.

--- a/src/libverbenalever/platform/kv_client.cpp
+++ b/src/libverbenalever/platform/kv_client.cpp
@@ -101,11 +101,12 @@
 }
 
 void kv_client::put(std::string_view key, std::string value, std::int64_t expected,
-                    callback<std::int64_t> done)
+                    callback<std::int64_t> done, std::int64_t lease)
 {
     this->metrics.add("kv_writes");
+    const auto binding = lease == 0 ? std::string() : fmt::format("?lease={}", lease);
     http_call call{.method = "PUT",
-                   .url = fmt::format("{}/kv/{}", this->base, key),
+                   .url = fmt::format("{}/kv/{}{}", this->base, key, binding),
                    .headers = {condition(expected)},
                    .body = std::move(value),
                    .timeout = call_timeout};
@@ -114,6 +115,23 @@
     });
 }
 
+void kv_client::grant_lease(milliseconds ttl, callback<std::int64_t> done)
+{
+    this->metrics.add("kv_writes");
+    http_call call{.method = "POST",
+                   .url = fmt::format("{}/leases", this->base),
+                   .body = nlohmann::json{{"ttl_ms", ttl.count()}}.dump(),
+                   .timeout = call_timeout};
+    this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
+        if (!result.success())
+            return done(failure_of(result));
+        const auto json = nlohmann::json::parse(result.body, nullptr, false);
+        if (!json.is_object() || !json.contains("lease") || !json["lease"].is_number_integer())
+            return done(absl::UnavailableError("the key-value service sent a malformed lease"));
+        done(json["lease"].get<std::int64_t>());
+    });
+}
+
 void kv_client::remove(std::string_view key, std::int64_t expected, callback<std::int64_t> done)
 {
     this->metrics.add("kv_writes");
--- a/src/libverbenalever/platform/kv_client.h
+++ b/src/libverbenalever/platform/kv_client.h
@@ -31,9 +31,14 @@
     void list(std::string_view prefix, callback<kv_listing> done);
 
     /// Write if the key's revision is still @p expected (zero: the key must be absent).
-    /// @param done the new revision
+    /// @param done  the new revision
+    /// @param lease the key is removed when this lease ends; zero for none
     void put(std::string_view key, std::string value, std::int64_t expected,
-             callback<std::int64_t> done);
+             callback<std::int64_t> done, std::int64_t lease = 0);
+
+    /// Ask for a lease that keys can be bound to.
+    /// @param done its number
+    void grant_lease(milliseconds ttl, callback<std::int64_t> done);
 
     /// Delete if the key's revision is still @p expected.
     void remove(std::string_view key, std::int64_t expected, callback<std::int64_t> done);
--- /dev/null
+++ b/src/libverbenalever/requests/final_answer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "requests/request_answer.h"
+
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+/// @return the answer that a request did not run and will not
+/// @param retry_after when the caller may come back
+[[nodiscard]] request_answer not_run_answer(int status, std::string_view code,
+                                            std::string_view message, milliseconds retry_after);
+
+/// @return the answer that a request may have run: 504 after a timeout, else 502
+[[nodiscard]] request_answer unknown_answer(const attempt_result& result);
+
+/// @return the answer that another entry has taken a request with this caller's id
+/// @param holder HTTP address of that entry
+[[nodiscard]] request_answer taken_answer(const std::string& holder);
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/requests/request_admission.cpp
@@ -0,0 +1,106 @@
+#include "requests/request_admission.h"
+
+#include "access/access_control.h"
+#include "configuration/configuration_store.h"
+#include "http/http_request.h"
+#include "http/problem.h"
+#include "loop/unique_id.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr milliseconds longest_deadline{600'000};
+constexpr std::size_t caller_id_limit = 128;
+
+absl::StatusOr<milliseconds> requested_deadline(const http_request& request, milliseconds otherwise)
+{
+    const auto text = request.header("Deadline-Ms");
+    if (text.empty())
+        return otherwise;
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value <= 0 ||
+        value > longest_deadline.count())
+        return absl::InvalidArgumentError(
+            fmt::format("Deadline-Ms: '{}' is not a number of milliseconds from 1 to {}", text,
+                        longest_deadline.count()));
+    return milliseconds(value);
+}
+
+absl::StatusOr<bool> requested_repeatable(const http_request& request)
+{
+    const auto text = request.header("Repeatable");
+    if (text.empty() || text == "true" || text == "false")
+        return text == "true";
+    return absl::InvalidArgumentError(
+        fmt::format("Repeatable: '{}' is neither true nor false", text));
+}
+
+bool is_id_character(char character)
+{
+    const bool digit = character >= '0' && character <= '9';
+    const bool upper = character >= 'A' && character <= 'Z';
+    const bool lower = character >= 'a' && character <= 'z';
+    return digit || upper || lower || character == '-' || character == '_' || character == '.';
+}
+
+absl::StatusOr<std::string> requested_id(const http_request& request)
+{
+    const auto text = request.header("Request-Id");
+    if (text.size() > caller_id_limit || !std::all_of(text.begin(), text.end(), is_id_character))
+        return absl::InvalidArgumentError(fmt::format(
+            "Request-Id: at most {} letters, digits, '-', '_' and '.'", caller_id_limit));
+    return std::string(text);
+}
+
+} // namespace
+
+request_admission::request_admission(const configuration_store& configuration,
+                                     const access_control& access)
+    : configuration(configuration), access(access)
+{
+}
+
+std::variant<held_request, http_response>
+request_admission::read(const http_request& request, const std::string& queue_name) const
+{
+    const auto& queues = this->configuration.current().queues;
+    const auto queue = queues.find(queue_name);
+    if (queue == queues.end())
+        return not_run_response(
+            absl::NotFoundError(fmt::format("there is no queue '{}'", queue_name)),
+            "no_such_queue");
+    const auto team = this->access.admit(request, queue->second);
+    if (!team.ok())
+        return not_run_response(team.status(), "key_refused");
+    const auto deadline = requested_deadline(request, queue->second.deadline);
+    if (!deadline.ok())
+        return not_run_response(deadline.status(), "bad_header");
+    const auto repeatable = requested_repeatable(request);
+    if (!repeatable.ok())
+        return not_run_response(repeatable.status(), "bad_header");
+    auto caller_id = requested_id(request);
+    if (!caller_id.ok())
+        return not_run_response(caller_id.status(), "bad_header");
+    const auto now = monotonic_clock::now();
+    return held_request{.caller_id = *std::move(caller_id),
+                        .work = {.id = make_unique_id("req"),
+                                 .queue = queue_name,
+                                 .team = *team,
+                                 .repeatable = *repeatable,
+                                 .body = request.body,
+                                 .demand = queue->second.demand,
+                                 .deadline = now + *deadline},
+                        .arrival = now,
+                        .respond = {},
+                        .last_answer = std::nullopt,
+                        .tried = {}};
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/requests/request_admission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "http/http_response.h"
+#include "requests/held_request.h"
+
+#include <string>
+#include <variant>
+
+namespace verbenalever {
+
+class access_control;
+class configuration_store;
+struct http_request;
+
+/// Reads a caller's request: queue, key, deadline, whether it is repeatable, the caller's id.
+class request_admission {
+public:
+    request_admission(const configuration_store& configuration, const access_control& access);
+
+    /// @return the request with no responder yet, or the refusal ("not run") that says why not
+    [[nodiscard]] std::variant<held_request, http_response> read(const http_request& request,
+                                                                 const std::string& queue) const;
+
+private:
+    const configuration_store& configuration;
+    const access_control& access;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/requests/request_claims.cpp
@@ -0,0 +1,140 @@
+#include "requests/request_claims.h"
+
+#include "platform/kv_client.h"
+#include "platform/kv_entry.h"
+#include "timeline/counters.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace verbenalever {
+
+namespace {
+
+/// A claim stands for at least this long after it was made.
+constexpr std::chrono::minutes shortest_claim{10};
+/// Claims made within this time share one lease.
+constexpr std::chrono::minutes lease_use{5};
+constexpr int writes_limit = 2;
+
+std::string store_key(const std::string& key)
+{
+    return "requests/" + key;
+}
+
+std::string text_of(const nlohmann::json& claim, const char* name)
+{
+    if (!claim.is_object() || !claim.contains(name) || !claim[name].is_string())
+        return {};
+    return claim[name].get<std::string>();
+}
+
+std::string_view process_part(std::string_view writer)
+{
+    return writer.substr(0, writer.rfind('.'));
+}
+
+} // namespace
+
+request_claims::request_claims(kv_client& store, counters& metrics, std::string address)
+    : store(store), metrics(metrics), address(std::move(address))
+{
+}
+
+void request_claims::claim(const std::string& key, const std::string& writer, callback done)
+{
+    this->metrics.add("request_claims");
+    this->with_lease([this, key, writer,
+                      done = std::move(done)](const absl::StatusOr<std::int64_t>& granted) mutable {
+        if (!granted.ok())
+            return done(result::unavailable, {});
+        this->write({.key = key,
+                     .writer = writer,
+                     .lease = *granted,
+                     .writes_left = writes_limit,
+                     .done = std::move(done)});
+    });
+}
+
+void request_claims::with_lease(lease_callback done)
+{
+    const auto now = monotonic_clock::now();
+    if (this->lease != 0 && now < this->lease_used_until)
+        return done(this->lease);
+    this->lease_waiters.push_back(std::move(done));
+    if (this->lease_waiters.size() > 1)
+        return;
+    this->store.grant_lease(
+        shortest_claim + lease_use,
+        [this, now](const absl::StatusOr<std::int64_t>& granted) { this->leased(granted, now); });
+}
+
+void request_claims::leased(absl::StatusOr<std::int64_t> granted, monotonic_time asked)
+{
+    if (granted.ok()) {
+        this->lease = *granted;
+        this->lease_used_until = asked + lease_use;
+    }
+    const auto waiters = std::exchange(this->lease_waiters, {});
+    for (const auto& waiter : waiters)
+        waiter(granted);
+}
+
+void request_claims::write(attempt claim)
+{
+    const nlohmann::json value = {{"writer", claim.writer}, {"entry", this->address}};
+    const auto key = store_key(claim.key);
+    const auto expected = claim.expected;
+    const auto lease = claim.lease;
+    --claim.writes_left;
+    this->store.put(
+        key, value.dump(), expected,
+        [this, claim = std::move(claim)](const absl::StatusOr<std::int64_t>& revision) {
+            if (revision.ok())
+                return claim.done(result::claimed, this->address);
+            this->read_back(claim);
+        },
+        lease);
+}
+
+void request_claims::read_back(attempt claim)
+{
+    this->metrics.add("request_claims_read_back");
+    const auto key = store_key(claim.key);
+    this->store.get(key, [this, claim = std::move(claim)](const absl::StatusOr<kv_entry>& entry) {
+        this->resolve(claim, entry);
+    });
+}
+
+void request_claims::resolve(attempt claim, const absl::StatusOr<kv_entry>& entry)
+{
+    if (!entry.ok() && !absl::IsNotFound(entry.status()))
+        return claim.done(result::unavailable, {});
+    if (entry.ok()) {
+        const auto standing = nlohmann::json::parse(entry->value, nullptr, false);
+        const auto writer = text_of(standing, "writer");
+        if (writer == claim.writer)
+            return claim.done(result::claimed, this->address);
+        if (process_part(writer) != process_part(claim.writer))
+            return claim.done(result::taken, text_of(standing, "entry"));
+    }
+    if (claim.writes_left == 0)
+        return claim.done(result::unavailable, {});
+    claim.expected = entry.ok() ? entry->revision : 0;
+    this->write(std::move(claim));
+}
+
+void request_claims::release(const std::string& key, const std::string& writer)
+{
+    this->store.get(store_key(key), [this, key, writer](const absl::StatusOr<kv_entry>& entry) {
+        if (!entry.ok())
+            return;
+        const auto claim = nlohmann::json::parse(entry->value, nullptr, false);
+        if (text_of(claim, "writer") != writer)
+            return;
+        this->store.remove(store_key(key), entry->revision,
+                           [](const absl::StatusOr<std::int64_t>&) {});
+    });
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -1,71 +1,48 @@
 #include "requests/request_service.h"
 
-#include "access/access_control.h"
 #include "configuration/configuration_store.h"
-#include "http/problem.h"
 #include "http/router.h"
-#include "loop/unique_id.h"
+#include "requests/final_answer.h"
 #include "scheduling/fifo_queue.h"
-#include "scheduling/least_loaded_placement.h"
-#include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
-
-#include <fmt/format.h>
+#include "verbenalever/entry_settings.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace verbenalever {
 
 namespace {
 
-constexpr milliseconds expiry_interval{10};
-constexpr milliseconds longest_deadline{600'000};
+constexpr milliseconds tick_interval{10};
 constexpr milliseconds retry_after_drain{1000};
-constexpr milliseconds retry_after_full{500};
-constexpr int status_conflict = 409;
+constexpr milliseconds retry_after_claim{1000};
+constexpr milliseconds shortest_back_off{10};
+constexpr int attempts_limit = 5;
+/// Retries of what may have run, as a share of first attempts, and how many may be saved up.
+constexpr double retry_share = 0.1;
+constexpr double retry_burst = 20;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
-constexpr int status_bad_gateway = 502;
-
-absl::StatusOr<milliseconds> requested_deadline(const http_request& request, milliseconds otherwise)
-{
-    const auto text = request.header("Deadline-Ms");
-    if (text.empty())
-        return otherwise;
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value <= 0 ||
-        value > longest_deadline.count())
-        return absl::InvalidArgumentError(
-            fmt::format("Deadline-Ms: '{}' is not a number of milliseconds from 1 to {}", text,
-                        longest_deadline.count()));
-    return milliseconds(value);
-}
-
-absl::StatusOr<bool> requested_repeatable(const http_request& request)
-{
-    const auto text = request.header("Repeatable");
-    if (text.empty() || text == "true" || text == "false")
-        return text == "true";
-    return absl::InvalidArgumentError(
-        fmt::format("Repeatable: '{}' is neither true nor false", text));
-}
 
 } // namespace
 
-request_service::request_service(event_loop& loop, configuration_store& configuration,
-                                 access_control& access, target_registry& registry,
-                                 target_client& client, counters& metrics, const event_log& log)
-    : configuration(configuration), access(access), registry(registry), client(client),
-      metrics(metrics), log(log), waiting(std::make_unique<fifo_queue>()),
-      placement(std::make_unique<least_loaded_placement>()),
-      expiry_timer(loop, [this] { this->expire(); })
+request_service::request_service(event_loop& loop, const entry_settings& settings,
+                                 const configuration_store& configuration,
+                                 const access_control& access, target_registry& registry,
+                                 target_client& client, peer_mesh& mesh, kv_client& store,
+                                 counters& metrics, const event_log& log)
+    : configuration(configuration), registry(registry), metrics(metrics), log(log),
+      admission(configuration, access), sender(loop, registry, client, metrics, log),
+      forwarder(loop, settings, configuration, mesh, this->sender, metrics, log),
+      claims(store, metrics, settings.http.text()), retries(retry_share, retry_burst),
+      waiting(std::make_unique<fifo_queue>()),
+      random(static_cast<std::uint64_t>(wall_microseconds())),
+      tick_timer(loop, [this] { this->tick(); })
 {
     this->registry.on_room([this] { this->dispatch(); });
-    this->expiry_timer.start_repeating(expiry_interval);
+    this->tick_timer.start_repeating(tick_interval);
 }
 
 request_service::~request_service() = default;
@@ -74,80 +51,127 @@
 {
     routes.add("POST", "/v1/requests/{queue}",
                [this](const http_request& request, const path_parameters& parameters,
-                      http_responder respond) {
-                   this->take(request, parameters.at("queue"), std::move(respond));
+                      const http_responder& respond) {
+                   this->take(request, parameters.at("queue"), respond);
                });
 }
 
 void request_service::drain()
 {
     this->draining = true;
+    this->forwarder.drain();
 }
 
 std::size_t request_service::held() const
 {
-    return this->requests.size();
-}
-
-void request_service::take(const http_request& request, const std::string& queue_name,
-                           http_responder respond)
-{
-    const auto& queues = this->configuration.current().queues;
-    const auto queue = queues.find(queue_name);
-    if (queue == queues.end())
-        return respond(
-            not_run_response(absl::NotFoundError(fmt::format("there is no queue '{}'", queue_name)),
-                             "no_such_queue"));
-    const auto team = this->access.admit(request, queue->second);
-    if (!team.ok())
-        return respond(not_run_response(team.status(), "key_refused"));
-    const auto deadline = requested_deadline(request, queue->second.deadline);
-    if (!deadline.ok())
-        return respond(not_run_response(deadline.status(), "bad_header"));
-    const auto repeatable = requested_repeatable(request);
-    if (!repeatable.ok())
-        return respond(not_run_response(repeatable.status(), "bad_header"));
-    const auto now = monotonic_clock::now();
-    this->enqueue({.number = ++this->last_number,
-                   .id = make_unique_id("req"),
-                   .caller_id = std::string(request.header("Request-Id")),
-                   .queue = queue_name,
-                   .team = *team,
-                   .repeatable = *repeatable,
-                   .body = request.body,
-                   .demand = queue->second.demand,
-                   .arrival = now,
-                   .deadline = now + *deadline,
-                   .respond = std::move(respond),
-                   .target = {}});
-}
-
-void request_service::enqueue(held_request request)
+    return this->requests.size() + this->forwarder.running_for_peers();
+}
+
+void request_service::take(const http_request& request, const std::string& queue,
+                           const http_responder& respond)
+{
+    auto read = this->admission.read(request, queue);
+    if (auto* refusal = std::get_if<http_response>(&read))
+        return respond(std::move(*refusal));
+    auto& taken = std::get<held_request>(read);
+    taken.respond = [respond](const request_answer& answer) { respond(answer.response); };
+    if (const auto key = taken.resend_key();
+        !key.empty() && !this->resends.begin(key, taken.respond, taken.arrival)) {
+        this->metrics.add("requests_resent");
+        this->log.write("requests", "request_resent", {{"caller_id", taken.caller_id}});
+        return;
+    }
+    this->begin(std::move(taken));
+}
+
+void request_service::begin(held_request request)
 {
+    request.number = ++this->last_number;
     this->metrics.add("requests_received");
     this->log.write("requests", "request_taken",
-                    {{"request", request.id},
+                    {{"request", request.work.id},
                      {"caller_id", request.caller_id},
-                     {"team", request.team},
-                     {"queue", request.queue},
-                     {"repeatable", request.repeatable}});
-    const auto& queue = this->configuration.current().queues.find(request.queue)->second;
-    if (this->draining || queue.stopped)
-        return this->refuse(request, status_unavailable,
-                            queue.stopped ? "queue_stopped" : "entry_draining",
-                            "no new work is taken here now");
-    if (this->waiting->size() >= queue.length_limit)
-        return this->refuse(request, status_too_many, "queue_full", "the queue is full");
+                     {"team", request.work.team},
+                     {"queue", request.work.queue},
+                     {"repeatable", request.work.repeatable}});
+    const auto refusal = this->refusal_at_arrival(request);
     const auto number = request.number;
-    queued_work work{.id = number,
-                     .queue = request.queue,
-                     .team = request.team,
-                     .priority = queue.priority,
-                     .arrival = request.arrival,
-                     .deadline = request.deadline,
-                     .demand = request.demand};
-    this->requests.emplace(number, std::move(request));
-    this->waiting->push(std::move(work));
+    auto& held = this->requests.emplace(number, std::move(request)).first->second;
+    if (refusal)
+        return this->finish(number, *refusal);
+    if (held.resend_key().empty())
+        return this->wait_for_place(held);
+    this->claim(held);
+}
+
+std::optional<request_answer> request_service::refusal_at_arrival(const held_request& request)
+{
+    const auto& queue = this->configuration.current().queues.find(request.work.queue)->second;
+    const auto& load = this->loads[request.work.queue];
+    if (queue.stopped)
+        return not_run_answer(status_unavailable, "queue_stopped", "the queue takes no work now",
+                              retry_after_drain);
+    if (this->draining)
+        return not_run_answer(status_unavailable, "entry_draining", "this entry is leaving",
+                              retry_after_drain);
+    if (load.waiting() >= queue.length_limit)
+        return not_run_answer(status_too_many, "queue_full", "the queue is full",
+                              load.retry_after());
+    if (request.arrival + load.estimated_wait() + load.service.mean() > request.work.deadline)
+        return not_run_answer(status_unavailable, "wait_past_deadline",
+                              "the wait would be longer than the deadline allows",
+                              load.retry_after());
+    return std::nullopt;
+}
+
+void request_service::claim(held_request& request)
+{
+    const auto key = request.resend_key();
+    const auto writer = this->resends.writer(key);
+    request.phase = request_phase::claiming;
+    request.claim_begun = true;
+    request.wake_at = request.work.deadline;
+    this->parked.emplace(request.wake_at, request.number);
+    this->claims.claim(key, writer,
+                       [this, number = request.number, key, writer](request_claims::result result,
+                                                                    const std::string& holder) {
+                           this->claimed(number, key, writer, result, holder);
+                       });
+}
+
+void request_service::claimed(std::uint64_t number, const std::string& key,
+                              const std::string& writer, request_claims::result result,
+                              const std::string& holder)
+{
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end()) {
+        // Given up at its deadline, before the store answered.
+        if (result == request_claims::result::claimed)
+            this->claims.release(key, writer);
+        return;
+    }
+    if (result == request_claims::result::taken)
+        return this->finish(number, taken_answer(holder));
+    if (result == request_claims::result::unavailable)
+        return this->finish(number, not_run_answer(status_unavailable, "claim_failed",
+                                                   "the Request-Id could not be claimed",
+                                                   retry_after_claim));
+    this->wait_for_place(found->second);
+}
+
+void request_service::wait_for_place(held_request& request)
+{
+    request.phase = request_phase::waiting;
+    this->loads[request.work.queue].joined(monotonic_clock::now());
+    const auto& queue = this->configuration.current().queues.find(request.work.queue);
+    const bool known = queue != this->configuration.current().queues.end();
+    this->waiting->push({.id = request.number,
+                         .queue = request.work.queue,
+                         .team = request.work.team,
+                         .priority = known ? queue->second.priority : 0,
+                         .arrival = request.arrival,
+                         .deadline = request.work.deadline,
+                         .demand = request.work.demand});
     this->dispatch();
 }
 
@@ -156,87 +180,196 @@
     if (this->dispatching)
         return;
     this->dispatching = true;
-    std::optional<std::string> target;
-    const auto can_start = [this, &target](const queued_work& work) {
-        target = this->registry.place(*this->placement, work.team, work.demand);
-        return target.has_value();
+    destination to;
+    const auto can_start = [this, &to](const queued_work& work) {
+        return this->find_destination(work, to);
     };
     while (const auto work = this->waiting->next(can_start, monotonic_clock::now()))
-        this->send(this->requests.at(work->id), *target);
+        this->start(this->requests.at(work->id), to);
     this->dispatching = false;
 }
 
-void request_service::send(held_request& request, const std::string& target)
+bool request_service::find_destination(const queued_work& work, destination& found)
 {
-    const auto* record = this->registry.find(target);
-    request.target = target;
-    const auto left = std::chrono::ceil<milliseconds>(request.deadline - monotonic_clock::now());
-    this->log.write("requests", "request_sent",
-                    {{"request", request.id}, {"target", target}, {"team", request.team}});
-    this->client.send_request(record->vm.address, request.id, request.team, record->lease_epoch,
-                              request.body, std::max(left, milliseconds(1)),
-                              [this, number = request.number](http_result result) {
-                                  this->answered(number, std::move(result));
-                              });
+    const auto& request = this->requests.at(work.id);
+    found = {};
+    const auto service = this->loads[work.queue].service.mean();
+    found.too_late = monotonic_clock::now() + service > work.deadline;
+    if (found.too_late)
+        return true;
+    if (const auto target = this->sender.place(request.work, request.tried)) {
+        found.target = *target;
+        return true;
+    }
+    found.peer = this->forwarder.choose(request.work, request.tried);
+    if (!found.peer.empty() || request.tried.empty())
+        return !found.peer.empty();
+    // Only places that it has tried are left: better those than to hold up the queue.
+    if (const auto target = this->sender.place(request.work, {}))
+        found.target = *target;
+    else
+        found.peer = this->forwarder.choose(request.work, {});
+    return !found.target.empty() || !found.peer.empty();
+}
+
+void request_service::start(held_request& request, const destination& to)
+{
+    const auto now = monotonic_clock::now();
+    this->loads[request.work.queue].left(now, !to.too_late);
+    if (to.too_late)
+        return this->give_up(request, status_unavailable, "deadline_unreachable",
+                             "too little time was left to answer before the deadline");
+    request.phase = request_phase::sent;
+    request.sent_at = now;
+    if (request.attempts++ == 0)
+        this->retries.first_attempt();
+    const auto timeout = this->attempt_timeout(request);
+    const auto done = [this, number = request.number](attempt_result result) {
+        this->attempt_ended(number, std::move(result));
+    };
+    request.tried.insert(to.peer.empty() ? to.target : to.peer);
+    if (to.peer.empty())
+        this->sender.send(request.work, to.target, timeout, done);
+    else
+        this->forwarder.send(request.work, to.peer, timeout, done);
 }
 
-void request_service::answered(std::uint64_t number, http_result result)
+microseconds request_service::attempt_timeout(const held_request& request)
+{
+    const auto left =
+        std::chrono::duration_cast<microseconds>(request.work.deadline - monotonic_clock::now());
+    const auto usual = this->loads[request.work.queue].service.timeout();
+    // An attempt is only cut short where another may follow.
+    if (!request.work.repeatable || !usual || !this->retries.available())
+        return left;
+    return std::min(left, *usual);
+}
+
+void request_service::attempt_ended(std::uint64_t number, attempt_result result)
 {
     auto& request = this->requests.at(number);
-    const bool refused = result.transport.ok() && result.status == status_conflict;
-    const bool not_sent = !result.transport.ok() && !result.may_have_been_sent;
-    if (result.success()) {
-        this->metrics.add("requests_answered");
-        this->log.write("requests", "request_answered", {{"request", request.id}});
-        request.respond({.status = result.status,
-                         .headers = {{"Content-Type", std::string(result.header("Content-Type"))},
-                                     {"Request-Id", request.id}},
-                         .body = std::move(result.body)});
+    if (result.outcome == attempt_outcome::answered && !result.failed())
+        this->loads[request.work.queue].service.add(
+            std::chrono::duration_cast<microseconds>(monotonic_clock::now() - request.sent_at));
+    if (result.outcome != attempt_outcome::not_run)
+        request.may_have_run = true;
+    if (result.code == peer_refused) {
+        // The peer's room was out of date; that costs the request nothing but the hop.
+        --request.attempts;
+        request.tried.clear();
+        return this->wait_for_place(request);
     }
-    else if (refused || not_sent) {
-        this->refuse(request, status_unavailable, "target_refused",
-                     "the target did not take the request");
+    if (this->may_retry(request, result)) {
+        if (result.outcome == attempt_outcome::answered)
+            request.last_answer = std::move(result.response);
+        return this->back_off(request);
     }
-    else {
-        this->metrics.add("requests_outcome_unknown");
-        this->log.write("requests", "request_outcome_unknown", {{"request", request.id}});
-        request.respond(problem{.status = status_bad_gateway,
-                                .outcome = work_outcome::unknown,
-                                .code = "no_answer",
-                                .message = "the target gave no answer; the request may have run",
-                                .retry_after = std::nullopt}
-                            .response());
+    if (result.outcome == attempt_outcome::answered)
+        return this->finish(
+            number, {.outcome = attempt_outcome::answered, .response = std::move(result.response)});
+    if (result.outcome == attempt_outcome::unknown && !request.last_answer)
+        return this->finish(number, unknown_answer(result));
+    this->give_up(request, status_unavailable, result.code, "no target took the request");
+}
+
+bool request_service::may_retry(const held_request& request, const attempt_result& result)
+{
+    if (request.attempts >= attempts_limit ||
+        monotonic_clock::now() + shortest_back_off >= request.work.deadline)
+        return false;
+    if (result.outcome == attempt_outcome::not_run)
+        return true;
+    const bool complete = result.outcome == attempt_outcome::answered && !result.failed();
+    if (complete || !request.work.repeatable || !this->retries.take())
+        return false;
+    this->metrics.add("requests_retried");
+    return true;
+}
+
+void request_service::back_off(held_request& request)
+{
+    const auto longest = shortest_back_off * (1 << request.attempts);
+    std::uniform_int_distribution<std::int64_t> pick(0, microseconds(longest).count());
+    request.phase = request_phase::backing_off;
+    request.wake_at =
+        std::min(monotonic_clock::now() + microseconds(pick(this->random)), request.work.deadline);
+    this->parked.emplace(request.wake_at, request.number);
+}
+
+void request_service::tick()
+{
+    const auto now = monotonic_clock::now();
+    while (!this->parked.empty() && this->parked.begin()->first <= now) {
+        const auto [at, number] = *this->parked.begin();
+        this->parked.erase(this->parked.begin());
+        this->wake(number, at);
     }
-    this->forget(number);
+    for (const auto& work : this->waiting->expire(now)) {
+        this->loads[work.queue].left(now, false);
+        this->give_up(this->requests.at(work.id), status_unavailable, "deadline_passed",
+                      "no target came free before the deadline");
+    }
+    if (this->waiting->size() > 0)
+        this->dispatch();
 }
 
-void request_service::forget(std::uint64_t number)
+void request_service::wake(std::uint64_t number, monotonic_time at)
 {
-    const auto node = this->requests.extract(number);
-    if (!node.mapped().target.empty())
-        this->registry.release(node.mapped().target, node.mapped().team, node.mapped().demand);
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end() || found->second.wake_at != at)
+        return;
+    auto& request = found->second;
+    if (request.phase == request_phase::claiming)
+        this->give_up(request, status_unavailable, "claim_failed",
+                      "the Request-Id could not be claimed before the deadline");
+    else if (request.phase == request_phase::backing_off)
+        this->wait_for_place(request);
 }
 
-void request_service::expire()
+void request_service::give_up(held_request& request, int status, std::string_view code,
+                              std::string_view message)
 {
-    for (const auto& work : this->waiting->expire(monotonic_clock::now())) {
-        this->refuse(this->requests.at(work.id), status_unavailable, "deadline_passed",
-                     "no target came free before the deadline");
-        this->requests.erase(work.id);
+    const auto number = request.number;
+    if (request.last_answer)
+        return this->finish(number, {.outcome = attempt_outcome::answered,
+                                     .response = *std::move(request.last_answer)});
+    if (request.may_have_run)
+        return this->finish(number, unknown_answer({.response = {}, .code = code}));
+    const auto retry_after = this->loads[request.work.queue].retry_after();
+    this->finish(number, not_run_answer(status, code, message, retry_after));
+}
+
+void request_service::finish(std::uint64_t number, const request_answer& answer)
+{
+    const auto node = this->requests.extract(number);
+    const auto& request = node.mapped();
+    this->report(request, answer);
+    if (const auto key = request.resend_key(); !key.empty()) {
+        if (request.claim_begun && answer.outcome == attempt_outcome::not_run)
+            this->claims.release(key, this->resends.writer(key));
+        this->resends.finish(key, answer, monotonic_clock::now());
     }
+    request.respond(answer);
 }
 
-void request_service::refuse(held_request& request, int status, std::string_view code,
-                             std::string_view message)
+void request_service::report(const held_request& request, const request_answer& answer)
 {
-    this->metrics.add("requests_not_run");
-    this->log.write("requests", "request_not_run", {{"request", request.id}, {"code", code}});
-    request.respond(problem{.status = status,
-                            .outcome = work_outcome::not_run,
-                            .code = code,
-                            .message = message,
-                            .retry_after = this->draining ? retry_after_drain : retry_after_full}
-                        .response());
+    /// The counter and the event of an outcome.
+    struct names {
+        const char* counter;
+        const char* event;
+    };
+    static const std::map<attempt_outcome, names> names_of = {
+        {attempt_outcome::answered, {"requests_answered", "request_answered"}},
+        {attempt_outcome::not_run, {"requests_not_run", "request_not_run"}},
+        {attempt_outcome::unknown, {"requests_outcome_unknown", "request_outcome_unknown"}},
+    };
+    const auto& [counter, event] = names_of.at(answer.outcome);
+    this->metrics.add(counter);
+    this->log.write("requests", event,
+                    {{"request", request.work.id},
+                     {"status", answer.response.status},
+                     {"attempts", request.attempts}});
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/requests/request_service.h
+++ b/src/libverbenalever/requests/request_service.h
@@ -1,13 +1,20 @@
 #pragma once
 
-#include "http/http_result.h"
 #include "http/http_server.h"
 #include "loop/timer.h"
 #include "requests/held_request.h"
+#include "requests/queue_load.h"
+#include "requests/request_admission.h"
+#include "requests/request_claims.h"
+#include "requests/request_forwarder.h"
+#include "requests/resend_table.h"
+#include "requests/retry_budget.h"
+#include "requests/target_sender.h"
 
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -17,20 +24,25 @@
 class configuration_store;
 class counters;
 class event_log;
-class placement_policy;
+class kv_client;
+class peer_mesh;
 class queue_policy;
 class router;
 class target_client;
 class target_registry;
-struct queue_configuration;
+struct entry_settings;
+struct queued_work;
 
-/// Takes callers' requests, sends each to a target, and gives each its one final answer:
-/// the target's whole answer, "not run" (which is true), or "outcome unknown".
+/// Takes callers' requests, runs each at a target here or through a peer, and gives each its one
+/// final answer: the target's whole answer, "not run" (which is true), or "outcome unknown".
+///
+/// A request that is not repeatable is sent again only while it surely has not run.
 class request_service {
 public:
-    request_service(event_loop& loop, configuration_store& configuration, access_control& access,
-                    target_registry& registry, target_client& client, counters& metrics,
-                    const event_log& log);
+    request_service(event_loop& loop, const entry_settings& settings,
+                    const configuration_store& configuration, const access_control& access,
+                    target_registry& registry, target_client& client, peer_mesh& mesh,
+                    kv_client& store, counters& metrics, const event_log& log);
     ~request_service();
     request_service(const request_service&) = delete;
     request_service& operator=(const request_service&) = delete;
@@ -38,35 +50,60 @@
     /// Add POST /v1/requests/{queue}.
     void add_routes(router& routes);
 
-    /// Refuse new requests from now on.
+    /// Refuse new requests from now on, callers' and peers'.
     void drain();
 
-    /// @return requests not yet answered
+    /// @return requests not yet answered, callers' and peers'
     [[nodiscard]] std::size_t held() const;
 
 private:
-    void take(const http_request& request, const std::string& queue_name, http_responder respond);
-    void enqueue(held_request request);
+    /// Where a request goes next.
+    struct destination {
+        std::string target;
+        std::string peer;
+        bool too_late = false; ///< nothing could answer it before its deadline
+    };
+
+    void take(const http_request& request, const std::string& queue, const http_responder& respond);
+    void begin(held_request request);
+    [[nodiscard]] std::optional<request_answer> refusal_at_arrival(const held_request& request);
+    void claim(held_request& request);
+    void claimed(std::uint64_t number, const std::string& key, const std::string& writer,
+                 request_claims::result result, const std::string& holder);
+    void wait_for_place(held_request& request);
     void dispatch();
-    void send(held_request& request, const std::string& target);
-    void answered(std::uint64_t number, http_result result);
-    void expire();
-    void refuse(held_request& request, int status, std::string_view code, std::string_view message);
-    void forget(std::uint64_t number);
+    [[nodiscard]] bool find_destination(const queued_work& work, destination& found);
+    void start(held_request& request, const destination& to);
+    [[nodiscard]] microseconds attempt_timeout(const held_request& request);
+    void attempt_ended(std::uint64_t number, attempt_result result);
+    [[nodiscard]] bool may_retry(const held_request& request, const attempt_result& result);
+    void back_off(held_request& request);
+    void tick();
+    void wake(std::uint64_t number, monotonic_time at);
+    void give_up(held_request& request, int status, std::string_view code,
+                 std::string_view message);
+    void finish(std::uint64_t number, const request_answer& answer);
+    void report(const held_request& request, const request_answer& answer);
 
-    configuration_store& configuration;
-    access_control& access;
+    const configuration_store& configuration;
     target_registry& registry;
-    target_client& client;
     counters& metrics;
     const event_log& log;
+    request_admission admission;
+    target_sender sender;
+    request_forwarder forwarder;
+    request_claims claims;
+    resend_table resends;
+    retry_budget retries;
     std::unique_ptr<queue_policy> waiting;
-    std::unique_ptr<placement_policy> placement;
+    std::map<std::string, queue_load, std::less<>> loads; ///< by queue
     std::unordered_map<std::uint64_t, held_request> requests;
+    std::multimap<monotonic_time, std::uint64_t> parked; ///< claiming or backing off, by wake_at
+    std::mt19937_64 random;
     std::uint64_t last_number = 0;
     bool draining = false;
     bool dispatching = false;
-    timer expiry_timer;
+    timer tick_timer;
 };
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/requests/target_sender.cpp
@@ -0,0 +1,129 @@
+#include "requests/target_sender.h"
+
+#include "requests/request_work.h"
+#include "scheduling/least_loaded_placement.h"
+#include "targets/target_client.h"
+#include "targets/target_registry.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr int status_conflict = 409;
+constexpr std::size_t refusal_limit_bytes = 256;
+
+/// @return whether a target refused the start itself, rather than answered the request with 409
+bool is_refusal(const http_result& result)
+{
+    if (result.status != status_conflict || result.body.size() > refusal_limit_bytes)
+        return false;
+    const auto json = nlohmann::json::parse(result.body, nullptr, false);
+    if (!json.is_object() || !json.contains("reason"))
+        return false;
+    return json["reason"] == "epoch_too_old" || json["reason"] == "no_room";
+}
+
+} // namespace
+
+target_sender::target_sender(event_loop& loop, target_registry& registry, target_client& client,
+                             counters& metrics, const event_log& log)
+    : registry(registry), client(client), metrics(metrics), log(log),
+      placement(std::make_unique<least_loaded_placement>()), abandoned(loop, registry, client, log)
+{
+    this->registry.set_health_filter([this](const target_record& target) {
+        // Only requests serve as probes; jobs and the room told to peers leave probation alone.
+        if (this->avoided == nullptr)
+            return !this->health.on_probation(target.vm.name);
+        return !this->avoided->contains(target.vm.name) &&
+               this->health.admits(target.vm.name, monotonic_clock::now());
+    });
+}
+
+target_sender::~target_sender()
+{
+    this->registry.set_health_filter({});
+}
+
+std::optional<std::string> target_sender::place(const request_work& work, const target_set& avoided)
+{
+    this->avoided = &avoided;
+    auto target = this->registry.place(*this->placement, work.team, work.demand);
+    this->avoided = nullptr;
+    return target;
+}
+
+void target_sender::send(const request_work& work, const std::string& target, microseconds timeout,
+                         done_callback done)
+{
+    const auto* record = this->registry.find(target);
+    const auto epoch = record->lease_epoch;
+    const auto limit = std::max(std::chrono::ceil<milliseconds>(timeout), milliseconds(1));
+    this->health.started(target, monotonic_clock::now());
+    this->log.write("requests", "request_sent",
+                    {{"request", work.id}, {"target", target}, {"team", work.team}});
+    // The body stays with the caller of send(); what is needed at the end is small.
+    const request_work kept{.id = work.id,
+                            .queue = work.queue,
+                            .team = work.team,
+                            .repeatable = work.repeatable,
+                            .body = {},
+                            .demand = work.demand,
+                            .deadline = work.deadline};
+    this->client.send_request(record->vm.address, work.id, work.team, epoch, work.body, limit,
+                              [this, kept, target, epoch, done = std::move(done)](http_result got) {
+                                  auto result = target_sender::classify(kept, std::move(got));
+                                  this->ended(kept, target, epoch, result);
+                                  done(std::move(result));
+                              });
+}
+
+attempt_result target_sender::classify(const request_work& work, http_result result)
+{
+    if (!result.transport.ok()) {
+        const bool timed_out = absl::IsDeadlineExceeded(result.transport);
+        if (!result.may_have_been_sent)
+            return {.outcome = attempt_outcome::not_run,
+                    .code = "target_unreachable",
+                    .timed_out = timed_out};
+        return {.outcome = attempt_outcome::unknown, .code = "no_answer", .timed_out = timed_out};
+    }
+    if (is_refusal(result))
+        return {.outcome = attempt_outcome::not_run, .code = "target_refused"};
+    return {.outcome = attempt_outcome::answered,
+            .response = {.status = result.status,
+                         .headers = {{"Content-Type", std::string(result.header("Content-Type"))},
+                                     {"Request-Id", work.id}},
+                         .body = std::move(result.body)},
+            .code = {}};
+}
+
+void target_sender::ended(const request_work& work, const std::string& target, std::int64_t epoch,
+                          const attempt_result& result)
+{
+    const bool refused = result.code == "target_refused";
+    const bool failed = result.outcome != attempt_outcome::answered || result.failed();
+    if (!refused &&
+        this->health.ended(target, work.queue + "/" + work.team, failed, monotonic_clock::now())) {
+        this->metrics.add("target_health_changes");
+        this->log.write("targets", "target_health",
+                        {{"target", target}, {"probation", this->health.on_probation(target)}});
+    }
+    auto* record = this->registry.find(target);
+    if (record == nullptr)
+        return;
+    // A newer lease's inventory may or may not have counted this request: it is read again.
+    if (record->lease_epoch != epoch)
+        record->inventory_known = false;
+    else if (result.outcome == attempt_outcome::unknown)
+        this->abandoned.add(work, target, epoch);
+    else
+        this->registry.release(target, work.team, work.demand);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/requests/target_sender.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "http/http_result.h"
+#include "requests/abandoned_slots.h"
+#include "requests/attempt_result.h"
+#include "targets/target_health.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace verbenalever {
+
+class counters;
+class event_log;
+class placement_policy;
+class target_client;
+class target_registry;
+struct request_work;
+
+/// Places requests on this entry's own targets, sends them, and says how each attempt ended.
+class target_sender {
+public:
+    using done_callback = std::function<void(attempt_result)>;
+    using target_set = std::set<std::string, std::less<>>;
+
+    target_sender(event_loop& loop, target_registry& registry, target_client& client,
+                  counters& metrics, const event_log& log);
+    ~target_sender();
+    target_sender(const target_sender&) = delete;
+    target_sender& operator=(const target_sender&) = delete;
+
+    /// Reserve room for @p work on a target that is not in @p avoided.
+    [[nodiscard]] std::optional<std::string> place(const request_work& work,
+                                                   const target_set& avoided);
+
+    /// Send to a target on which room is reserved; the room is given back when the attempt has
+    /// surely ended there.
+    /// @param done called once, never from within send()
+    void send(const request_work& work, const std::string& target, microseconds timeout,
+              done_callback done);
+
+    /// @return what an HTTP call's end says about the request
+    [[nodiscard]] static attempt_result classify(const request_work& work, http_result result);
+
+private:
+    void ended(const request_work& work, const std::string& target, std::int64_t epoch,
+               const attempt_result& result);
+
+    target_registry& registry;
+    target_client& client;
+    counters& metrics;
+    const event_log& log;
+    std::unique_ptr<placement_policy> placement;
+    target_health health;
+    abandoned_slots abandoned;
+    const target_set* avoided = nullptr; ///< while place() runs
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/targets/target_health.cpp
@@ -0,0 +1,158 @@
+#include "targets/target_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <vector>
+
+namespace verbenalever {
+
+namespace {
+
+constexpr double memory_seconds = 10;
+constexpr milliseconds decay_interval{500};
+/// Tallies below this are dropped.
+constexpr double forgotten = 0.05;
+/// Ended work needed on a target before it is judged, and elsewhere before it serves to judge by.
+constexpr double judged_from = 4;
+constexpr double compared_from = 2;
+/// Share of a target's work that failed beyond what the same sources fail elsewhere.
+constexpr double sick_excess = 0.5;
+constexpr milliseconds first_probe{500};
+constexpr milliseconds longest_probe{8000};
+/// A probe that has not ended by then no longer holds up the next one.
+constexpr milliseconds probe_patience{10'000};
+constexpr int probes_to_recover = 3;
+
+} // namespace
+
+bool target_health::admits(std::string_view target, monotonic_time now) const
+{
+    const auto found = this->probations.find(target);
+    if (found == this->probations.end())
+        return true;
+    const auto& state = found->second;
+    return now >= (state.probing ? state.probe_due + probe_patience : state.probe_due);
+}
+
+bool target_health::on_probation(std::string_view target) const
+{
+    return this->probations.contains(target);
+}
+
+void target_health::started(std::string_view target, monotonic_time now)
+{
+    if (const auto found = this->probations.find(target); found != this->probations.end()) {
+        found->second.probing = true;
+        found->second.probe_due = now;
+    }
+}
+
+bool target_health::ended(std::string_view target, std::string_view source, bool failed,
+                          monotonic_time now)
+{
+    this->decay(now);
+    if (this->probations.contains(target))
+        return this->probe_ended(target, failed, now);
+    auto& by_target = this->by_source[std::string(source)];
+    auto& count = by_target[std::string(target)];
+    count.ended += 1;
+    count.failed += failed ? 1 : 0;
+    if (!failed || !this->is_sick(target) || !this->may_be_withdrawn())
+        return false;
+    this->probations[std::string(target)] = {.probe_due = now + first_probe,
+                                             .interval = first_probe};
+    return true;
+}
+
+bool target_health::probe_ended(std::string_view target, bool failed, monotonic_time now)
+{
+    auto& state = this->probations.find(target)->second;
+    // What was sent before the probation began also ends here, and only counts when it failed.
+    if (!state.probing)
+        return false;
+    state.probing = false;
+    if (failed) {
+        state.successes = 0;
+        state.interval = std::min(2 * state.interval, longest_probe);
+        state.probe_due = now + state.interval;
+        return false;
+    }
+    state.probe_due = now;
+    if (++state.successes < probes_to_recover)
+        return false;
+    this->probations.erase(this->probations.find(target));
+    for (auto& [source, by_target] : this->by_source) {
+        if (const auto count = by_target.find(target); count != by_target.end())
+            by_target.erase(count);
+    }
+    return true;
+}
+
+std::optional<double> target_health::usual_failure_rate(const tallies& by_target,
+                                                        std::string_view except)
+{
+    std::vector<double> rates;
+    for (const auto& [name, count] : by_target) {
+        if (name != except && count.ended >= compared_from)
+            rates.push_back(count.failed / count.ended);
+    }
+    if (rates.empty())
+        return std::nullopt;
+    const auto quartile = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 4);
+    std::nth_element(rates.begin(), quartile, rates.end());
+    return *quartile;
+}
+
+bool target_health::is_sick(std::string_view target) const
+{
+    double judged = 0;
+    double excess = 0;
+    for (const auto& [source, by_target] : this->by_source) {
+        const auto own = by_target.find(target);
+        if (own == by_target.end())
+            continue;
+        const auto usual = target_health::usual_failure_rate(by_target, target);
+        if (!usual)
+            continue;
+        judged += own->second.ended;
+        excess += own->second.failed - own->second.ended * *usual;
+    }
+    return judged >= judged_from && excess >= sick_excess * judged;
+}
+
+bool target_health::may_be_withdrawn() const
+{
+    return 2 * (this->probations.size() + 1) <= this->known_targets();
+}
+
+std::size_t target_health::known_targets() const
+{
+    std::set<std::string_view> names;
+    for (const auto& [source, by_target] : this->by_source) {
+        for (const auto& [name, count] : by_target)
+            names.insert(name);
+    }
+    for (const auto& [name, state] : this->probations)
+        names.insert(name);
+    return names.size();
+}
+
+void target_health::decay(monotonic_time now)
+{
+    if (now - this->decayed_at < decay_interval)
+        return;
+    const auto elapsed = std::chrono::duration<double>(now - this->decayed_at).count();
+    const auto kept = std::exp(-elapsed / memory_seconds);
+    this->decayed_at = now;
+    for (auto& [source, by_target] : this->by_source) {
+        for (auto& [name, count] : by_target) {
+            count.ended *= kept;
+            count.failed *= kept;
+        }
+        std::erase_if(by_target, [](const auto& entry) { return entry.second.ended < forgotten; });
+    }
+    std::erase_if(this->by_source, [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -51,10 +51,16 @@
     this->guard = std::move(guard);
 }
 
+void target_registry::set_health_filter(health_filter filter)
+{
+    this->healthy = std::move(filter);
+}
+
 bool target_registry::admits(const target_record& target, std::string_view team,
                              const resources& demand, monotonic_time now) const
 {
     return this->may_start(target, now) && demand.fits_within(target.free()) &&
+           (!this->healthy || this->healthy(target)) &&
            (!this->guard || this->guard(target, team, demand));
 }
 
@@ -136,7 +142,7 @@
     const auto now = monotonic_clock::now();
     std::int64_t total = 0;
     for (const auto& [name, target] : this->records) {
-        if (this->may_start(target, now))
+        if (this->may_start(target, now) && (!this->healthy || this->healthy(target)))
             total += target.free().slots;
     }
     return total;
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -41,6 +41,12 @@
     /// Set the guard that every new reservation has to pass.
     void set_start_guard(start_guard guard);
 
+    /// Says whether work may be placed on a target that is sound as far as its lease goes.
+    using health_filter = std::function<bool(const target_record& target)>;
+
+    /// Set the filter that placement and free_slots() obey; empty for none.
+    void set_health_filter(health_filter filter);
+
     /// Choose a target with room and reserve the room, in one step.
     /// @param team whose work it is; empty on open queues
     /// @return the target's name; nothing when no target may take the work now
@@ -77,6 +83,7 @@
     std::map<std::string, target_record, std::less<>> records;
     std::vector<std::function<void()>> room_listeners;
     start_guard guard;
+    health_filter healthy;
 };
 
 } // namespace verbenalever
