Choose queue and placement policies by the configuration, and share teams' use with peers

Cause: the request service had one queue of first come, first served, bounded over all queues together, and each placement looked at every target.

Change: request_service takes its queue policy from policy_factory, makes it anew on a change of configuration and moves waiting work over; a queue's length is bounded by its own work (queue_policy::size_of). Placement policies (least_loaded, best_fit, spread, two_choices, and the baselines random_fit and first_fit) choose over placement_index, an order by free room that target_registry keeps up at each reservation; a full fleet is seen at the first look, and the start filter says "no room" for the demand. The registry tells each change of use to share_ledger; share_exchange sends totals of changed teams once a heartbeat interval, and a moving range of all of them, which makes good what lost messages said. An entry's own changes only are sent on.

Ruled out: sending all totals at each interval (grows with teams and peers); differences (a lost message would stay wrong for ever).

Touches targets/target_registry.* (index, use listener; reserve is no longer static) and requests/request_service.* (construction, the bound, the filter).

--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -14,6 +14,9 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "requests/request_service.h"
+#include "scheduling/policy_factory.h"
+#include "scheduling/share_exchange.h"
+#include "scheduling/share_ledger.h"
 #include "targets/lease_keeper.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
@@ -45,8 +48,9 @@
           registry(this->configuration, this->settings.availability_zone),
           targets(this->http, this->metrics),
           leases(this->loop, this->settings, this->mesh, this->targets, this->registry, this->log),
+          usage(this->loop, this->mesh, this->shares, this->settings.heartbeat_interval),
           requests(this->loop, this->configuration, this->access, this->registry, this->targets,
-                   this->metrics, this->log),
+                   this->shares, this->metrics, this->log),
           jobs(this->loop, this->settings, this->configuration, this->access, this->store,
                this->registry, this->targets, this->metrics, this->log),
           administration(this->settings, this->configuration, this->access, this->mesh,
@@ -57,6 +61,11 @@
           terminate(this->loop, SIGTERM, [this] { this->drain(); }),
           interrupt(this->loop, SIGINT, [this] { this->drain(); })
     {
+        this->registry.set_use_listener([this](std::string_view team, const resources& change) {
+            this->shares.change_own(team, change, monotonic_clock::now());
+        });
+        this->configuration.on_change(
+            [this](const operator_configuration& changed) { apply_shares(changed, this->shares); });
     }
 
     absl::Status run()
@@ -76,6 +85,7 @@
         this->configuration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
+        this->usage.start();
         this->log.write("daemon", "started",
                         {{"availability_zone", this->settings.availability_zone},
                          {"http", this->settings.http.text()}});
@@ -119,6 +129,12 @@
     {
         this->mesh.set_members(list);
         this->registry.update(list);
+        resources fleet;
+        for (const auto& vm : list) {
+            if (vm.role == vm_role::target && !vm.leaving)
+                fleet += vm.capacity;
+        }
+        this->shares.set_capacity(fleet);
     }
 
     void drain()
@@ -155,6 +171,8 @@
     target_registry registry;
     target_client targets;
     lease_keeper leases;
+    share_ledger shares;
+    share_exchange usage;
     request_service requests;
     job_service jobs;
     admin_api administration;
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -5,8 +5,8 @@
 #include "http/problem.h"
 #include "http/router.h"
 #include "loop/unique_id.h"
-#include "scheduling/fifo_queue.h"
-#include "scheduling/least_loaded_placement.h"
+#include "scheduling/policy_factory.h"
+#include "scheduling/queue_policy.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
@@ -58,13 +58,17 @@
 
 request_service::request_service(event_loop& loop, configuration_store& configuration,
                                  access_control& access, target_registry& registry,
-                                 target_client& client, counters& metrics, const event_log& log)
+                                 target_client& client, share_ledger& shares, counters& metrics,
+                                 const event_log& log)
     : configuration(configuration), access(access), registry(registry), client(client),
-      metrics(metrics), log(log), waiting(std::make_unique<fifo_queue>()),
-      placement(std::make_unique<least_loaded_placement>()),
+      metrics(metrics), log(log), waiting(make_queue_policy(configuration.current(), shares)),
       expiry_timer(loop, [this] { this->expire(); })
 {
     this->registry.on_room([this] { this->dispatch(); });
+    this->configuration.on_change([this, &shares](const operator_configuration& changed) {
+        this->waiting = remake_queue_policy(*this->waiting, changed, shares);
+        this->placements.configure(changed);
+    });
     this->expiry_timer.start_repeating(expiry_interval);
 }
 
@@ -136,7 +140,7 @@
         return this->refuse(request, status_unavailable,
                             queue.stopped ? "queue_stopped" : "entry_draining",
                             "no new work is taken here now");
-    if (this->waiting->size() >= queue.length_limit)
+    if (this->waiting->size_of(request.queue) >= queue.length_limit)
         return this->refuse(request, status_too_many, "queue_full", "the queue is full");
     const auto number = request.number;
     queued_work work{.id = number,
@@ -158,8 +162,10 @@
     this->dispatching = true;
     std::optional<std::string> target;
     const auto can_start = [this, &target](const queued_work& work) {
-        target = this->registry.place(*this->placement, work.team, work.demand);
-        return target.has_value();
+        target = this->registry.place(this->placements.of(work.queue), work.team, work.demand);
+        if (!target && !this->registry.has_room(work.demand))
+            return start_verdict::no_room();
+        return start_verdict(target.has_value());
     };
     while (const auto work = this->waiting->next(can_start, monotonic_clock::now()))
         this->send(this->requests.at(work->id), *target);
--- a/src/libverbenalever/requests/request_service.h
+++ b/src/libverbenalever/requests/request_service.h
@@ -4,6 +4,7 @@
 #include "http/http_server.h"
 #include "loop/timer.h"
 #include "requests/held_request.h"
+#include "scheduling/placement_table.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,9 +18,9 @@
 class configuration_store;
 class counters;
 class event_log;
-class placement_policy;
 class queue_policy;
 class router;
+class share_ledger;
 class target_client;
 class target_registry;
 struct queue_configuration;
@@ -29,8 +30,8 @@
 class request_service {
 public:
     request_service(event_loop& loop, configuration_store& configuration, access_control& access,
-                    target_registry& registry, target_client& client, counters& metrics,
-                    const event_log& log);
+                    target_registry& registry, target_client& client, share_ledger& shares,
+                    counters& metrics, const event_log& log);
     ~request_service();
     request_service(const request_service&) = delete;
     request_service& operator=(const request_service&) = delete;
@@ -61,7 +62,7 @@
     counters& metrics;
     const event_log& log;
     std::unique_ptr<queue_policy> waiting;
-    std::unique_ptr<placement_policy> placement;
+    placement_table placements;
     std::unordered_map<std::uint64_t, held_request> requests;
     std::uint64_t last_number = 0;
     bool draining = false;
--- /dev/null
+++ b/src/libverbenalever/scheduling/best_fit_placement.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "scheduling/placement_policy.h"
+
+namespace verbenalever {
+
+/// Takes the fullest candidate that still has room, so that whole targets stay free for large work.
+class best_fit_placement final : public placement_policy {
+public:
+    [[nodiscard]] std::optional<std::size_t>
+    choose(const placement_index& index, const resources& demand, candidate_filter admits) override;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/scheduling/first_fit_placement.cpp
@@ -0,0 +1,14 @@
+#include "scheduling/first_fit_placement.h"
+
+#include "scheduling/fit_walk.h"
+
+namespace verbenalever {
+
+std::optional<std::size_t> first_fit_placement::choose(const placement_index& index,
+                                                       const resources& demand,
+                                                       candidate_filter admits)
+{
+    return walk_for_fit(index, demand, admits, 0);
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/scheduling/least_loaded_placement.cpp
+++ b/src/libverbenalever/scheduling/least_loaded_placement.cpp
@@ -1,22 +1,21 @@
 #include "scheduling/least_loaded_placement.h"
 
+#include "scheduling/placement_index.h"
+
 namespace verbenalever {
 
-std::optional<std::size_t>
-least_loaded_placement::choose(std::span<const placement_candidate> candidates,
-                               const resources& demand)
+std::optional<std::size_t> least_loaded_placement::choose(const placement_index& index,
+                                                          const resources& demand,
+                                                          candidate_filter admits)
 {
-    std::optional<std::size_t> best;
-    ++this->first;
-    for (std::size_t step = 0; step < candidates.size(); ++step) {
-        const auto position = (this->first + step) % candidates.size();
-        const auto& candidate = candidates[position];
-        if (!demand.fits_within(candidate.free))
-            continue;
-        if (!best || candidate.free.slots > candidates[*best].free.slots)
-            best = position;
+    const auto least = index.room(demand);
+    const auto& order = index.ordered();
+    for (auto place = order.rbegin(); place != order.rend() && place->first >= least; ++place) {
+        const auto position = place->second;
+        if (demand.fits_within(index.candidates()[position].free) && admits(position))
+            return position;
     }
-    return best;
+    return std::nullopt;
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/scheduling/least_loaded_placement.h
+++ b/src/libverbenalever/scheduling/least_loaded_placement.h
@@ -4,14 +4,11 @@
 
 namespace verbenalever {
 
-/// Takes the candidate with the most free slots; ties go round-robin.
+/// Takes the candidate with the most free room.
 class least_loaded_placement final : public placement_policy {
 public:
-    [[nodiscard]] std::optional<std::size_t> choose(std::span<const placement_candidate> candidates,
-                                                    const resources& demand) override;
-
-private:
-    std::size_t first = 0;
+    [[nodiscard]] std::optional<std::size_t>
+    choose(const placement_index& index, const resources& demand, candidate_filter admits) override;
 };
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/scheduling/placement_policy_test.cpp
@@ -0,0 +1,136 @@
+#include "scheduling/placement_policy.h"
+
+#include "scheduling/placement_index.h"
+#include "scheduling/policy_factory.h"
+#include "scheduling/spread_placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace {
+
+using verbenalever::make_placement_policy;
+using verbenalever::placement_candidate;
+using verbenalever::placement_index;
+using verbenalever::resources;
+
+constexpr const char* policy_names[] = {"least_loaded", "best_fit",   "spread",
+                                        "two_choices",  "random_fit", "first_fit"};
+constexpr const char* racks[] = {"rack-1", "rack-2", "rack-3"};
+
+resources arbitrary_amounts(std::int64_t most)
+{
+    return {.slots = *rc::gen::inRange<std::int64_t>(0, most),
+            .processors_milli = *rc::gen::inRange<std::int64_t>(0, most),
+            .memory_mb = *rc::gen::inRange<std::int64_t>(0, most),
+            .accelerators = *rc::gen::inRange<std::int64_t>(0, 3)};
+}
+
+placement_index arbitrary_index()
+{
+    std::vector<placement_candidate> candidates;
+    const auto count = *rc::gen::inRange<std::size_t>(0, 20);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto capacity = arbitrary_amounts(20);
+        candidates.push_back(
+            {.index = i, .capacity = capacity, .free = capacity, .rack = racks[i % 3]});
+    }
+    placement_index index;
+    index.assign(candidates);
+    return index;
+}
+
+RC_GTEST_PROP(placement_policies, never_pass_capacity_and_always_find_room_that_there_is, ())
+{
+    auto index = arbitrary_index();
+    const auto policy = make_placement_policy(*rc::gen::elementOf(
+        std::vector<std::string>(std::begin(policy_names), std::end(policy_names))));
+    const auto refused =
+        *rc::gen::container<std::set<std::size_t>>(rc::gen::inRange<std::size_t>(0, 20));
+    for (int step = 0; step < 30; ++step) {
+        const auto demand = arbitrary_amounts(8);
+        bool any_fits = false;
+        bool any_admitted = false;
+        for (const auto& candidate : index.candidates()) {
+            const bool fits = demand.fits_within(candidate.free);
+            any_fits = any_fits || fits;
+            any_admitted = any_admitted || (fits && !refused.contains(candidate.index));
+        }
+        RC_ASSERT(index.has_room(demand) == any_fits);
+        const auto chosen = policy->choose(index, demand, [&refused](std::size_t position) {
+            return !refused.contains(position);
+        });
+        RC_ASSERT(chosen.has_value() == any_admitted);
+        if (!chosen)
+            continue;
+        RC_ASSERT(!refused.contains(*chosen));
+        const auto free = index.candidates()[*chosen].free;
+        RC_ASSERT(demand.fits_within(free));
+        index.set_free(*chosen, free - demand);
+    }
+}
+
+/// @return the free slots of eight targets of eight slots after @p count placements of one
+std::multiset<std::int64_t> place_singles(const char* policy_name, int count)
+{
+    std::vector<placement_candidate> candidates;
+    for (std::size_t i = 0; i < 8; ++i)
+        candidates.push_back(
+            {.index = i, .capacity = {.slots = 8}, .free = {.slots = 8}, .rack = racks[i % 2]});
+    placement_index index;
+    index.assign(candidates);
+    const auto policy = make_placement_policy(policy_name);
+    for (int i = 0; i < count; ++i) {
+        const auto chosen = policy->choose(index, {.slots = 1}, [](std::size_t) { return true; });
+        index.set_free(*chosen, index.candidates()[*chosen].free - resources{.slots = 1});
+    }
+    std::multiset<std::int64_t> free;
+    for (const auto& candidate : index.candidates())
+        free.insert(candidate.free.slots);
+    return free;
+}
+
+TEST(placement_policies, best_fit_keeps_whole_targets_free_and_least_loaded_levels)
+{
+    EXPECT_EQ(place_singles("best_fit", 16), (std::multiset<std::int64_t>{0, 0, 8, 8, 8, 8, 8, 8}));
+    EXPECT_EQ(place_singles("least_loaded", 16),
+              (std::multiset<std::int64_t>{6, 6, 6, 6, 6, 6, 6, 6}));
+}
+
+TEST(placement_policies, spread_keeps_racks_level_although_one_is_emptier)
+{
+    std::vector<placement_candidate> candidates;
+    for (std::size_t i = 0; i < 9; ++i)
+        candidates.push_back({.index = i,
+                              .capacity = {.slots = 16},
+                              .free = {.slots = i % 3 == 0 ? 16 : 4},
+                              .rack = racks[i % 3]});
+    placement_index index;
+    index.assign(candidates);
+    verbenalever::spread_placement policy;
+    std::map<std::string, int> by_rack;
+    for (int i = 0; i < 9; ++i) {
+        const auto chosen = policy.choose(index, {.slots = 1}, [](std::size_t) { return true; });
+        ++by_rack[std::string(index.candidates()[*chosen].rack)];
+        index.set_free(*chosen, index.candidates()[*chosen].free - resources{.slots = 1});
+    }
+    for (const auto* rack : racks)
+        EXPECT_EQ(by_rack[rack], 3) << rack;
+}
+
+TEST(placement_policies, work_without_accelerators_leaves_them_free)
+{
+    placement_index index;
+    index.assign({{.index = 0,
+                   .capacity = {.slots = 8, .accelerators = 4},
+                   .free = {.slots = 8, .accelerators = 4},
+                   .rack = racks[0]},
+                  {.index = 1, .capacity = {.slots = 8}, .free = {.slots = 8}, .rack = racks[0]}});
+    const auto policy = make_placement_policy("best_fit");
+    EXPECT_EQ(policy->choose(index, {.slots = 1}, [](std::size_t) { return true; }), 1U);
+}
+
+} // namespace
--- /dev/null
+++ b/src/libverbenalever/scheduling/placement_table.cpp
@@ -0,0 +1,34 @@
+#include "scheduling/placement_table.h"
+
+#include "configuration/operator_configuration.h"
+#include "scheduling/placement_policy.h"
+#include "scheduling/policy_factory.h"
+
+namespace verbenalever {
+
+placement_table::placement_table() : otherwise(make_placement_policy("least_loaded")) {}
+
+placement_table::~placement_table() = default;
+
+void placement_table::configure(const operator_configuration& configuration)
+{
+    std::erase_if(this->by_queue, [&configuration](const auto& known) {
+        return !configuration.queues.contains(known.first);
+    });
+    for (const auto& [name, queue] : configuration.queues) {
+        const auto policy = placement_name(queue);
+        auto& known = this->by_queue[name];
+        if (known.policy != nullptr && known.name == policy)
+            continue;
+        known.name = policy;
+        known.policy = make_placement_policy(policy);
+    }
+}
+
+placement_policy& placement_table::of(std::string_view queue) const
+{
+    const auto known = this->by_queue.find(queue);
+    return known == this->by_queue.end() ? *this->otherwise : *known->second.policy;
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/scheduling/policy_factory.cpp
+++ b/src/libverbenalever/scheduling/policy_factory.cpp
@@ -1,9 +1,18 @@
 #include "scheduling/policy_factory.h"
 
 #include "configuration/operator_configuration.h"
+#include "scheduling/best_fit_placement.h"
 #include "scheduling/fifo_queue.h"
+#include "scheduling/first_fit_placement.h"
+#include "scheduling/least_loaded_placement.h"
+#include "scheduling/random_fit_placement.h"
 #include "scheduling/share_queue.h"
+#include "scheduling/spread_placement.h"
 #include "scheduling/strict_queue.h"
+#include "scheduling/two_choices_placement.h"
+
+#include <array>
+#include <random>
 
 namespace verbenalever {
 
@@ -19,6 +28,35 @@
     return rules;
 }
 
+using placement_maker = std::unique_ptr<placement_policy> (*)();
+
+template <typename Policy>
+std::unique_ptr<placement_policy> make_plain()
+{
+    return std::make_unique<Policy>();
+}
+
+template <typename Policy>
+std::unique_ptr<placement_policy> make_seeded()
+{
+    return std::make_unique<Policy>(std::random_device()());
+}
+
+constexpr std::array<std::pair<std::string_view, placement_maker>, 6> placement_makers{{
+    {"least_loaded", make_plain<least_loaded_placement>},
+    {"best_fit", make_plain<best_fit_placement>},
+    {"spread", make_plain<spread_placement>},
+    {"first_fit", make_plain<first_fit_placement>},
+    {"two_choices", make_seeded<two_choices_placement>},
+    {"random_fit", make_seeded<random_fit_placement>},
+}};
+
+constexpr std::array<std::pair<std::string_view, std::string_view>, 3> placement_of_class{{
+    {"urgent", "least_loaded"},
+    {"batch", "best_fit"},
+    {"service", "spread"},
+}};
+
 } // namespace
 
 std::unique_ptr<queue_policy> make_queue_policy(const operator_configuration& configuration,
@@ -41,6 +79,26 @@
     return made;
 }
 
+std::string_view placement_name(const queue_configuration& queue)
+{
+    if (!queue.placement.empty())
+        return queue.placement;
+    for (const auto& [work_class, placement] : placement_of_class) {
+        if (work_class == queue.work_class)
+            return placement;
+    }
+    return placement_makers.front().first;
+}
+
+std::unique_ptr<placement_policy> make_placement_policy(std::string_view name)
+{
+    for (const auto& [known, make] : placement_makers) {
+        if (known == name)
+            return make();
+    }
+    return make_plain<least_loaded_placement>();
+}
+
 void apply_shares(const operator_configuration& configuration, share_ledger& ledger)
 {
     share_ledger::weights_by_team weights;
--- a/src/libverbenalever/scheduling/policy_factory.h
+++ b/src/libverbenalever/scheduling/policy_factory.h
@@ -5,9 +5,11 @@
 
 namespace verbenalever {
 
+class placement_policy;
 class queue_policy;
 class share_ledger;
 struct operator_configuration;
+struct queue_configuration;
 
 /// Make the queue policy that the configuration names.
 /// @param ledger the teams' use; must outlive the policy
@@ -22,4 +24,10 @@
 /// Set the ledger's weights by the teams' configured shares.
 void apply_shares(const operator_configuration& configuration, share_ledger& ledger);
 
+/// @return the name of the queue's placement policy: its own, else the one of its class
+[[nodiscard]] std::string_view placement_name(const queue_configuration& queue);
+
+/// Make a placement policy by its name in the configuration; an unknown name gives least_loaded.
+[[nodiscard]] std::unique_ptr<placement_policy> make_placement_policy(std::string_view name);
+
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/scheduling/share_exchange.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "loop/timer.h"
+#include "scheduling/usage_report.h"
+
+#include <set>
+#include <string>
+
+namespace verbenalever {
+
+class peer_mesh;
+class share_ledger;
+
+/// Tells peers the teams' use on this entry's targets and takes in theirs.
+class share_exchange {
+public:
+    /// @param interval time between two messages
+    share_exchange(event_loop& loop, peer_mesh& mesh, share_ledger& ledger, milliseconds interval);
+
+    /// Begin to send.
+    void start();
+
+private:
+    void tick();
+
+    peer_mesh& mesh;
+    share_ledger& ledger;
+    usage_report report;
+    milliseconds interval;
+    std::set<std::string, std::less<>> alive; ///< peers that were alive at the last tick
+    timer tick_timer;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/scheduling/share_ledger.cpp
+++ b/src/libverbenalever/scheduling/share_ledger.cpp
@@ -81,6 +81,18 @@
     this->peers.erase(found);
 }
 
+std::vector<std::string> share_ledger::told_by(std::string_view peer, std::string_view from) const
+{
+    std::vector<std::string> names;
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end())
+        return names;
+    const auto& told = found->second;
+    for (auto place = told.lower_bound(from); place != told.end(); ++place)
+        names.push_back(place->first);
+    return names;
+}
+
 resources share_ledger::own_use(std::string_view team) const
 {
     const auto found = this->accounts.find(team);
--- a/src/libverbenalever/scheduling/share_ledger.h
+++ b/src/libverbenalever/scheduling/share_ledger.h
@@ -39,6 +39,10 @@
     /// Forget all that a peer said, e.g. because its targets go to other entries.
     void forget_peer(std::string_view peer, monotonic_time now);
 
+    /// @return the teams that a peer said have something, in order, from the name @p from on
+    [[nodiscard]] std::vector<std::string> told_by(std::string_view peer,
+                                                   std::string_view from) const;
+
     /// @return what the team has on this entry's targets
     [[nodiscard]] resources own_use(std::string_view team) const;
 
--- a/src/libverbenalever/targets/target_record.h
+++ b/src/libverbenalever/targets/target_record.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace verbenalever {
@@ -21,6 +22,10 @@
     resources reserved; ///< taken by work that this entry started or found running
     std::map<std::string, resources, std::less<>> reserved_by_team; ///< sums to reserved
 
+    /// Where it stands in the registry's placement index, if starts were allowed when that was
+    /// made.
+    std::optional<std::size_t> index_position;
+
     /// @return whether this entry holds the target's lease at @p now
     [[nodiscard]] bool held(monotonic_time now) const
     {
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -8,6 +8,14 @@
 
 namespace verbenalever {
 
+namespace {
+
+/// The index of a registry that finds no place is made anew once it is this old: leases and zones
+/// change with time alone.
+constexpr milliseconds index_lifetime{100};
+
+} // namespace
+
 target_registry::target_registry(const configuration_store& configuration,
                                  std::string availability_zone)
     : configuration(configuration), availability_zone(std::move(availability_zone))
@@ -23,9 +31,17 @@
         named.insert(vm.name);
         this->records[vm.name].vm = vm;
     }
-    std::erase_if(this->records, [&named](const auto& entry) {
-        return !named.contains(entry.first) && !entry.second.held(monotonic_clock::now());
-    });
+    const auto now = monotonic_clock::now();
+    for (auto place = this->records.begin(); place != this->records.end();) {
+        auto& [name, target] = *place;
+        if (named.contains(name) || target.held(now)) {
+            ++place;
+            continue;
+        }
+        this->forget_use(target);
+        place = this->records.erase(place);
+    }
+    this->rebuild_index();
 }
 
 target_record* target_registry::find(std::string_view name)
@@ -58,33 +74,79 @@
            (!this->guard || this->guard(target, team, demand));
 }
 
+void target_registry::set_use_listener(use_listener listener)
+{
+    this->used = std::move(listener);
+}
+
 void target_registry::reserve(target_record& target, std::string_view team, const resources& demand)
 {
-    target.reserved += demand;
-    target.reserved_by_team[std::string(team)] += demand;
+    this->change_use(target, team, demand);
+}
+
+void target_registry::change_use(target_record& target, std::string_view team,
+                                 const resources& change)
+{
+    target.reserved += change;
+    auto place = target.reserved_by_team.find(team);
+    if (place == target.reserved_by_team.end())
+        place = target.reserved_by_team.emplace(team, resources{}).first;
+    place->second += change;
+    if (place->second == resources{})
+        target.reserved_by_team.erase(place);
+    if (target.index_position)
+        this->index.set_free(*target.index_position, target.free());
+    if (this->used)
+        this->used(team, change);
+}
+
+bool target_registry::has_room(const resources& demand) const
+{
+    return this->index.has_room(demand);
 }
 
 std::optional<std::string> target_registry::place(placement_policy& policy, std::string_view team,
                                                   const resources& demand)
+{
+    auto chosen = this->choose(policy, team, demand);
+    if (!chosen && monotonic_clock::now() - this->index_made >= index_lifetime) {
+        this->rebuild_index();
+        chosen = this->choose(policy, team, demand);
+    }
+    if (!chosen)
+        return std::nullopt;
+    auto& target = *this->indexed[*chosen];
+    this->reserve(target, team, demand);
+    return target.vm.name;
+}
+
+std::optional<std::size_t> target_registry::choose(placement_policy& policy, std::string_view team,
+                                                   const resources& demand)
 {
     const auto now = monotonic_clock::now();
+    return policy.choose(this->index, demand, [this, team, &demand, now](std::size_t position) {
+        return this->admits(*this->indexed[position], team, demand, now);
+    });
+}
+
+void target_registry::rebuild_index()
+{
+    const auto now = monotonic_clock::now();
+    this->index_made = now;
+    this->indexed.clear();
     std::vector<placement_candidate> candidates;
-    std::vector<target_record*> targets;
     for (auto& [name, target] : this->records) {
-        if (!this->admits(target, team, demand, now))
+        target.index_position.reset();
+        if (!this->may_start(target, now))
             continue;
-        candidates.push_back({.index = targets.size(),
+        target.index_position = this->indexed.size();
+        candidates.push_back({.index = this->indexed.size(),
                               .capacity = target.vm.capacity,
                               .free = target.free(),
                               .rack = target.vm.rack});
-        targets.push_back(&target);
+        this->indexed.push_back(&target);
     }
-    const auto chosen = policy.choose(candidates, demand);
-    if (!chosen)
-        return std::nullopt;
-    auto& target = *targets[candidates[*chosen].index];
-    target_registry::reserve(target, team, demand);
-    return target.vm.name;
+    this->index.assign(std::move(candidates));
 }
 
 bool target_registry::claim(std::string_view target, std::string_view team, const resources& demand)
@@ -92,31 +154,36 @@
     auto* record = this->find(target);
     if (record == nullptr || !this->admits(*record, team, demand, monotonic_clock::now()))
         return false;
-    target_registry::reserve(*record, team, demand);
+    this->reserve(*record, team, demand);
     return true;
 }
 
 void target_registry::release(std::string_view target, std::string_view team,
                               const resources& demand)
 {
-    if (auto* record = this->find(target)) {
-        record->reserved -= demand;
-        record->reserved_by_team[std::string(team)] -= demand;
-    }
+    if (auto* record = this->find(target))
+        this->change_use(*record, team, resources{} - demand);
     this->announce_room();
 }
 
+void target_registry::forget_use(target_record& target)
+{
+    const auto known = target.reserved_by_team;
+    for (const auto& [team, use] : known)
+        this->change_use(target, team, resources{} - use);
+}
+
 void target_registry::take_inventory(target_record& target, const target_inventory& inventory)
 {
-    target.reserved = {};
-    target.reserved_by_team.clear();
+    this->forget_use(target);
     for (const auto& request : inventory.requests)
-        target_registry::reserve(target, request.team, {.slots = 1});
+        this->reserve(target, request.team, {.slots = 1});
     for (const auto& task : inventory.tasks) {
         if (task.running())
-            target_registry::reserve(target, task.team, task.demand);
+            this->reserve(target, task.team, task.demand);
     }
     target.inventory_known = true;
+    this->rebuild_index();
     this->announce_room();
 }
 
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/vm_record.h"
+#include "scheduling/placement_index.h"
 #include "targets/target_record.h"
 
 #include <functional>
@@ -41,6 +42,15 @@
     /// Set the guard that every new reservation has to pass.
     void set_start_guard(start_guard guard);
 
+    /// Is told of each change of what a team has reserved here; negative amounts were given back.
+    using use_listener = std::function<void(std::string_view team, const resources& change)>;
+
+    /// Set who is told of changes of use.
+    void set_use_listener(use_listener listener);
+
+    /// @return whether some target on which starts were lately allowed has room for @p demand
+    [[nodiscard]] bool has_room(const resources& demand) const;
+
     /// Choose a target with room and reserve the room, in one step.
     /// @param team whose work it is; empty on open queues
     /// @return the target's name; nothing when no target may take the work now
@@ -70,13 +80,22 @@
 private:
     [[nodiscard]] bool admits(const target_record& target, std::string_view team,
                               const resources& demand, monotonic_time now) const;
-    static void reserve(target_record& target, std::string_view team, const resources& demand);
+    void reserve(target_record& target, std::string_view team, const resources& demand);
+    void change_use(target_record& target, std::string_view team, const resources& change);
+    [[nodiscard]] std::optional<std::size_t> choose(placement_policy& policy, std::string_view team,
+                                                    const resources& demand);
+    void forget_use(target_record& target);
+    void rebuild_index();
 
     const configuration_store& configuration;
     std::string availability_zone;
     std::map<std::string, target_record, std::less<>> records;
     std::vector<std::function<void()>> room_listeners;
     start_guard guard;
+    use_listener used;
+    placement_index index;
+    std::vector<target_record*> indexed; ///< by position in the index
+    monotonic_time index_made;
 };
 
 } // namespace verbenalever
