--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -219,6 +219,7 @@
 void request_service::forget(std::uint64_t number)
 {
     const auto node = this->requests.extract(number);
+    this->waiting->ended(number);
     if (!node.mapped().target.empty())
         this->registry.release(node.mapped().target, node.mapped().team, node.mapped().demand);
 }
--- a/src/libverbenalever/scheduling/aging_lane.cpp
+++ b/src/libverbenalever/scheduling/aging_lane.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduling/work_flow.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
@@ -28,7 +30,8 @@
 bool aging_lane::due(monotonic_time now) const
 {
     const auto* first = this->by_due_time.first();
-    return this->starts >= starts_between && first != nullptr && due_time(*first) <= now;
+    return this->aged_slots * slots_for_each_aged <= this->slots && first != nullptr &&
+           due_time(*first) <= now;
 }
 
 work_flow* aging_lane::first_startable(const queue_policy::start_filter& can_start,
@@ -40,14 +43,28 @@
     return this->by_due_time.first_startable(flow_order::flow_filter(asks_when_due));
 }
 
-void aging_lane::count_start()
+void aging_lane::take_next()
+{
+    this->next_is_aged = true;
+}
+
+void aging_lane::started(std::uint64_t id, const resources& demand)
 {
-    ++this->starts;
+    const holding held{.slots = std::max<std::int64_t>(demand.slots, 1),
+                       .aged = this->next_is_aged};
+    this->next_is_aged = false;
+    this->slots += held.slots;
+    this->aged_slots += held.aged ? held.slots : 0;
+    this->running[id] = held;
 }
 
-void aging_lane::count_aged_start()
+void aging_lane::ended(std::uint64_t id)
 {
-    this->starts = 0;
+    const auto node = this->running.extract(id);
+    if (node.empty())
+        return;
+    this->slots -= node.mapped().slots;
+    this->aged_slots -= node.mapped().aged ? node.mapped().slots : 0;
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/scheduling/fifo_queue.cpp
+++ b/src/libverbenalever/scheduling/fifo_queue.cpp
@@ -34,6 +34,8 @@
     return taken;
 }
 
+void fifo_queue::ended(std::uint64_t) {}
+
 std::size_t fifo_queue::size() const
 {
     return this->store.size();
--- a/src/libverbenalever/scheduling/fifo_queue.h
+++ b/src/libverbenalever/scheduling/fifo_queue.h
@@ -17,6 +17,7 @@
     bool remove(std::uint64_t id) override;
     [[nodiscard]] std::vector<queued_work> expire(monotonic_time now) override;
     [[nodiscard]] std::vector<queued_work> take_all() override;
+    void ended(std::uint64_t id) override;
     [[nodiscard]] std::size_t size() const override;
     [[nodiscard]] std::size_t size_of(std::string_view queue) const override;
 
--- a/src/libverbenalever/scheduling/flow_queue.cpp
+++ b/src/libverbenalever/scheduling/flow_queue.cpp
@@ -21,6 +21,7 @@
     if (flow == nullptr)
         return std::nullopt;
     auto work = this->store.take_first(*flow);
+    this->aged.started(work.id, work.demand);
     this->first_has_left(*flow);
     return work;
 }
@@ -57,6 +58,11 @@
     return aside;
 }
 
+void flow_queue::ended(std::uint64_t id)
+{
+    this->aged.ended(id);
+}
+
 std::size_t flow_queue::size() const
 {
     return this->store.size();
--- a/src/libverbenalever/scheduling/flow_queue.h
+++ b/src/libverbenalever/scheduling/flow_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/aging_lane.h"
 #include "scheduling/queue_policy.h"
 #include "scheduling/queue_rules.h"
 #include "scheduling/work_flow.h"
@@ -25,6 +26,7 @@
     bool remove(std::uint64_t id) final;
     [[nodiscard]] std::vector<queued_work> expire(monotonic_time now) final;
     [[nodiscard]] std::vector<queued_work> take_all() final;
+    void ended(std::uint64_t id) final;
     [[nodiscard]] std::size_t size() const final;
     [[nodiscard]] std::size_t size_of(std::string_view queue) const final;
 
@@ -38,6 +40,9 @@
     /// @return the flow whose first piece of work starts now, or null
     [[nodiscard]] virtual work_flow* choose(const start_filter& can_start, monotonic_time now) = 0;
 
+    /// Work that may start out of the order once it has waited long, and what started work holds.
+    aging_lane aged;
+
 private:
     using flow_key = std::tuple<std::string, std::string, std::int64_t, std::int64_t, std::int64_t,
                                 std::int64_t>;
--- a/src/libverbenalever/scheduling/queue_policy.h
+++ b/src/libverbenalever/scheduling/queue_policy.h
@@ -35,6 +35,9 @@
     /// Take out everything in order of arrival, e.g. to move it to another policy.
     [[nodiscard]] virtual std::vector<queued_work> take_all() = 0;
 
+    /// Note that work which next() gave out no longer runs; other ids are let be.
+    virtual void ended(std::uint64_t id) = 0;
+
     [[nodiscard]] virtual std::size_t size() const = 0;
 
     /// @return how much waits in one queue
--- a/src/libverbenalever/scheduling/share_queue.cpp
+++ b/src/libverbenalever/scheduling/share_queue.cpp
@@ -51,10 +51,8 @@
         if (auto* flow = this->start_rest(can_start))
             return flow;
     }
-    if (auto* flow = this->urgent.first_startable(can_start)) {
-        this->aged.count_start();
+    if (auto* flow = this->urgent.first_startable(can_start))
         return flow;
-    }
     return this->start_rest(can_start);
 }
 
@@ -62,7 +60,7 @@
 {
     auto* flow = this->rest.first_startable(can_start);
     if (flow != nullptr)
-        this->aged.count_aged_start();
+        this->aged.take_next();
     return flow;
 }
 
--- a/src/libverbenalever/scheduling/share_queue.h
+++ b/src/libverbenalever/scheduling/share_queue.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "scheduling/aging_lane.h"
 #include "scheduling/flow_order.h"
 #include "scheduling/flow_queue.h"
 #include "scheduling/share_ledger.h"
@@ -14,8 +13,8 @@
 
 /// Urgent queues first; within urgent work and within the rest, the team furthest below its share.
 ///
-/// Within a team by arrival. While urgent work alone is started, one start in eight goes to the
-/// rest once that has waited past its queue's aging interval.
+/// Within a team by arrival. While the rest holds less than one slot in eight, and has waited past
+/// its queue's aging interval, it goes before urgent work.
 class share_queue final : public flow_queue {
 public:
     /// @param ledger the teams' use; must outlive this
@@ -40,7 +39,6 @@
     std::map<std::string, std::set<work_flow*>, std::less<>> flows_of_team;
     flow_order urgent;
     flow_order rest;
-    aging_lane aged; ///< holds the rest only
     monotonic_time latest;
     monotonic_time all_ranked;
 };
--- a/src/libverbenalever/scheduling/strict_queue.cpp
+++ b/src/libverbenalever/scheduling/strict_queue.cpp
@@ -20,14 +20,11 @@
 {
     if (this->aged.due(now)) {
         if (auto* flow = this->aged.first_startable(can_start, now)) {
-            this->aged.count_aged_start();
+            this->aged.take_next();
             return flow;
         }
     }
-    auto* flow = this->order.first_startable(can_start);
-    if (flow != nullptr)
-        this->aged.count_start();
-    return flow;
+    return this->order.first_startable(can_start);
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/scheduling/strict_queue.h
+++ b/src/libverbenalever/scheduling/strict_queue.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "scheduling/aging_lane.h"
 #include "scheduling/flow_order.h"
 #include "scheduling/flow_queue.h"
 
@@ -8,8 +7,8 @@
 
 /// Strict order of the queues' priorities, by arrival within one priority.
 ///
-/// Work that has waited past its queue's aging interval takes one start in eight, so that the last
-/// priority never starves and the first loses no more than that.
+/// Work that has waited past its queue's aging interval may hold one slot in eight, so that the
+/// last priority never starves and the first loses no more than that.
 class strict_queue final : public flow_queue {
 public:
     using flow_queue::flow_queue;
@@ -21,7 +20,6 @@
 
 private:
     flow_order order;
-    aging_lane aged;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -96,6 +96,8 @@
         target.reserved_by_team.erase(place);
     if (target.index_position)
         this->index.set_free(*target.index_position, target.free());
+    if (change.fits_within({}))
+        this->refusals.forget(team);
     if (this->used)
         this->used(team, change);
 }
@@ -108,13 +110,18 @@
 std::optional<std::string> target_registry::place(placement_policy& policy, std::string_view team,
                                                   const resources& demand)
 {
+    if (this->refusals.refuses(team, demand, monotonic_clock::now()))
+        return std::nullopt;
     auto chosen = this->choose(policy, team, demand);
     if (!chosen && monotonic_clock::now() - this->index_made >= index_lifetime) {
         this->rebuild_index();
         chosen = this->choose(policy, team, demand);
     }
-    if (!chosen)
+    if (!chosen) {
+        if (this->index.has_room(demand))
+            this->refusals.note(team, demand, monotonic_clock::now());
         return std::nullopt;
+    }
     auto& target = *this->indexed[*chosen];
     this->reserve(target, team, demand);
     return target.vm.name;
@@ -183,6 +190,7 @@
             this->reserve(target, task.team, task.demand);
     }
     target.inventory_known = true;
+    this->refusals.clear();
     this->rebuild_index();
     this->announce_room();
 }
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -2,6 +2,7 @@
 
 #include "platform/vm_record.h"
 #include "scheduling/placement_index.h"
+#include "scheduling/refusal_memory.h"
 #include "targets/target_record.h"
 
 #include <functional>
@@ -96,6 +97,7 @@
     placement_index index;
     std::vector<target_record*> indexed; ///< by position in the index
     monotonic_time index_made;
+    refusal_memory refusals;
 };
 
 } // namespace verbenalever
