--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -16,6 +16,9 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "requests/request_service.h"
+#include "scheduling/policy_factory.h"
+#include "scheduling/share_exchange.h"
+#include "scheduling/share_ledger.h"
 #include "targets/inventory_keeper.h"
 #include "targets/lease_keeper.h"
 #include "targets/target_client.h"
@@ -55,8 +58,9 @@
           inventories(this->targets, this->registry),
           leases(this->loop, this->settings, this->mesh, this->arbiter, this->inventories,
                  this->registry, this->metrics, this->log),
+          usage(this->loop, this->mesh, this->shares, this->settings.heartbeat_interval),
           requests(this->loop, this->settings, this->configuration, this->access, this->registry,
-                   this->targets, this->mesh, this->store, this->metrics, this->log),
+                   this->targets, this->mesh, this->store, this->shares, this->metrics, this->log),
           jobs(this->loop, this->settings, this->configuration, this->access, this->store,
                this->registry, this->targets, this->metrics, this->log),
           administration(this->settings, this->configuration, this->access, this->mesh,
@@ -72,6 +76,11 @@
           terminate(this->loop, SIGTERM, [this] { this->drain(); }),
           interrupt(this->loop, SIGINT, [this] { this->drain(); })
     {
+        this->registry.set_use_listener([this](std::string_view team, const resources& change) {
+            this->shares.change_own(team, change, monotonic_clock::now());
+        });
+        this->configuration.on_change(
+            [this](const operator_configuration& changed) { apply_shares(changed, this->shares); });
     }
 
     absl::Status run()
@@ -93,6 +102,7 @@
         this->configuration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
+        this->usage.start();
         this->log.write("daemon", "started",
                         {{"availability_zone", this->settings.availability_zone},
                          {"http", this->settings.http.text()}});
@@ -141,10 +151,14 @@
         this->mesh.set_members(*list);
         this->registry.update(*list);
         this->limits.take_vm_list(*list);
+        resources fleet;
         for (const auto& vm : *list) {
+            if (vm.role == vm_role::target && !vm.leaving)
+                fleet += vm.capacity;
             if (vm.name == this->settings.name && vm.leaving)
                 this->drain();
         }
+        this->shares.set_capacity(fleet);
     }
 
     void drain()
@@ -191,6 +205,8 @@
     target_lease_arbiter arbiter;
     inventory_keeper inventories;
     lease_keeper leases;
+    share_ledger shares;
+    share_exchange usage;
     request_service requests;
     job_service jobs;
     admin_api administration;
--- a/src/libverbenalever/limits/limit_keeper.cpp
+++ b/src/libverbenalever/limits/limit_keeper.cpp
@@ -197,7 +197,7 @@
         !only_limited(state.book.total(), state.limit).fits_within(state.limit);
     if (state.demand != resources{} && now - state.refused > demand_lifetime) {
         state.demand = {};
-        this->registry.announce_room(); // whoever still waits asks again
+        this->registry.reconsider(); // whoever still waits asks again
     }
     if (now - state.wished > demand_lifetime)
         state.lacking = {};
@@ -288,7 +288,7 @@
         found->second.book.write_kept(*revision);
         found->second.demand = {}; // whoever still waits asks again
         this->log.write("limits", "allotments_kept", {{"team", team}, {"revision", *revision}});
-        this->registry.announce_room();
+        this->registry.reconsider();
         return;
     }
     this->read_back(team);
@@ -308,7 +308,7 @@
             book.observe(*record, entry->revision);
         if (book.writing())
             book.write_failed();
-        this->registry.announce_room();
+        this->registry.reconsider();
     });
 }
 
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -3,7 +3,8 @@
 #include "configuration/configuration_store.h"
 #include "http/router.h"
 #include "requests/final_answer.h"
-#include "scheduling/fifo_queue.h"
+#include "scheduling/policy_factory.h"
+#include "scheduling/queue_policy.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
@@ -29,19 +30,23 @@
 } // namespace
 
 request_service::request_service(event_loop& loop, const entry_settings& settings,
-                                 const configuration_store& configuration,
-                                 const access_control& access, target_registry& registry,
-                                 target_client& client, peer_mesh& mesh, kv_client& store,
-                                 counters& metrics, const event_log& log)
+                                 configuration_store& configuration, const access_control& access,
+                                 target_registry& registry, target_client& client, peer_mesh& mesh,
+                                 kv_client& store, share_ledger& shares, counters& metrics,
+                                 const event_log& log)
     : configuration(configuration), registry(registry), metrics(metrics), log(log),
       admission(configuration, access), sender(registry, client, metrics, log),
       forwarder(loop, settings, configuration, mesh, this->sender, metrics, log),
       claims(store, metrics, settings.http.text()), retries(retry_share, retry_burst),
-      waiting(std::make_unique<fifo_queue>()),
+      waiting(make_queue_policy(configuration.current(), shares)),
       random(static_cast<std::uint64_t>(wall_microseconds())),
       tick_timer(loop, [this] { this->tick(); })
 {
     this->registry.on_room([this] { this->dispatch(); });
+    configuration.on_change([this, &shares](const operator_configuration& changed) {
+        this->waiting = remake_queue_policy(*this->waiting, changed, shares);
+        this->sender.configure(changed);
+    });
     this->tick_timer.start_repeating(tick_interval);
 }
 
@@ -187,7 +192,12 @@
     this->dispatching = true;
     destination to;
     const auto can_start = [this, &to](const queued_work& work) {
-        return this->find_destination(work, to);
+        if (this->find_destination(work, to))
+            return start_verdict(true);
+        const bool tried = !this->requests.at(work.id).tried.empty();
+        if (tried || this->registry.has_room(work.demand))
+            return start_verdict(false);
+        return start_verdict::no_room();
     };
     while (const auto work = this->waiting->next(can_start, monotonic_clock::now()))
         this->start(this->requests.at(work->id), to);
@@ -253,6 +263,7 @@
 void request_service::attempt_ended(std::uint64_t number, attempt_result result)
 {
     auto& request = this->requests.at(number);
+    this->waiting->ended(number);
     if (result.outcome == attempt_outcome::answered && !result.failed())
         this->loads[request.work.queue].service.add(
             std::chrono::duration_cast<microseconds>(monotonic_clock::now() - request.sent_at));
@@ -347,6 +358,7 @@
 void request_service::finish(std::uint64_t number, const request_answer& answer)
 {
     const auto node = this->requests.extract(number);
+    this->waiting->ended(number);
     const auto& request = node.mapped();
     this->report(request, answer);
     if (const auto key = request.resend_key(); !key.empty()) {
--- a/src/libverbenalever/requests/request_service.h
+++ b/src/libverbenalever/requests/request_service.h
@@ -28,6 +28,7 @@
 class peer_mesh;
 class queue_policy;
 class router;
+class share_ledger;
 class target_client;
 class target_registry;
 struct entry_settings;
@@ -40,9 +41,10 @@
 class request_service {
 public:
     request_service(event_loop& loop, const entry_settings& settings,
-                    const configuration_store& configuration, const access_control& access,
+                    configuration_store& configuration, const access_control& access,
                     target_registry& registry, target_client& client, peer_mesh& mesh,
-                    kv_client& store, counters& metrics, const event_log& log);
+                    kv_client& store, share_ledger& shares, counters& metrics,
+                    const event_log& log);
     ~request_service();
     request_service(const request_service&) = delete;
     request_service& operator=(const request_service&) = delete;
--- a/src/libverbenalever/requests/target_sender.cpp
+++ b/src/libverbenalever/requests/target_sender.cpp
@@ -1,7 +1,6 @@
 #include "requests/target_sender.h"
 
 #include "requests/request_work.h"
-#include "scheduling/least_loaded_placement.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
@@ -33,8 +32,7 @@
 
 target_sender::target_sender(target_registry& registry, target_client& client, counters& metrics,
                              const event_log& log)
-    : registry(registry), client(client), metrics(metrics), log(log),
-      placement(std::make_unique<least_loaded_placement>())
+    : registry(registry), client(client), metrics(metrics), log(log)
 {
     this->registry.set_health_filter([this](const target_record& target) {
         // Only requests serve as probes; jobs and the room told to peers leave probation alone.
@@ -50,10 +48,16 @@
     this->registry.set_health_filter({});
 }
 
+void target_sender::configure(const operator_configuration& configuration)
+{
+    this->placements.configure(configuration);
+}
+
 std::optional<std::string> target_sender::place(const request_work& work, const target_set& avoided)
 {
     this->avoided = &avoided;
-    auto target = this->registry.place(*this->placement, work.team, work.demand, work.id);
+    auto target =
+        this->registry.place(this->placements.of(work.queue), work.team, work.demand, work.id);
     this->avoided = nullptr;
     return target;
 }
--- a/src/libverbenalever/requests/target_sender.h
+++ b/src/libverbenalever/requests/target_sender.h
@@ -2,6 +2,7 @@
 
 #include "http/http_result.h"
 #include "requests/attempt_result.h"
+#include "scheduling/placement_table.h"
 #include "targets/target_health.h"
 
 #include <functional>
@@ -14,9 +15,9 @@
 
 class counters;
 class event_log;
-class placement_policy;
 class target_client;
 class target_registry;
+struct operator_configuration;
 struct request_work;
 
 /// Places requests on this entry's own targets, sends them, and says how each attempt ended.
@@ -31,6 +32,9 @@
     target_sender(const target_sender&) = delete;
     target_sender& operator=(const target_sender&) = delete;
 
+    /// Choose the placement policy of each queue anew.
+    void configure(const operator_configuration& configuration);
+
     /// Reserve room for @p work on a target that is not in @p avoided.
     [[nodiscard]] std::optional<std::string> place(const request_work& work,
                                                    const target_set& avoided);
@@ -51,7 +55,7 @@
     target_client& client;
     counters& metrics;
     const event_log& log;
-    std::unique_ptr<placement_policy> placement;
+    placement_table placements;
     target_health health;
     const target_set* avoided = nullptr; ///< while place() runs
 };
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "platform/vm_record.h"
+#include "scheduling/placement_index.h"
+#include "scheduling/refusal_memory.h"
 #include "targets/target_record.h"
 
 #include <functional>
@@ -48,6 +50,15 @@
     /// Set the filter that placement and free_slots() obey; empty for none.
     void set_health_filter(health_filter filter);
 
+    /// Is told of each change of what a team has reserved here; negative amounts were given back.
+    using use_listener = std::function<void(std::string_view team, const resources& change)>;
+
+    /// Set who is told of changes of use.
+    void set_use_listener(use_listener listener);
+
+    /// @return whether some target on which starts were lately allowed has room for @p demand
+    [[nodiscard]] bool has_room(const resources& demand) const;
+
     /// Choose a target with room and reserve the room, in one step.
     /// @param team whose work it is; empty on open queues
     /// @param work the request or the attempt, as the target's inventory will show it; without it
@@ -94,7 +105,11 @@
     /// Be told when room may have come free.
     void on_room(std::function<void()> action);
 
-    /// Tell the listener of on_room().
+    /// Ask anew about starts that were refused lately, e.g. after an upper limit was raised, and
+    /// tell the listeners of on_room().
+    void reconsider();
+
+    /// Tell the listeners of on_room().
     void announce_room() const;
 
     /// @return free slots on the targets where starts are allowed
@@ -103,8 +118,13 @@
 private:
     [[nodiscard]] bool admits(const target_record& target, std::string_view team,
                               const resources& demand, monotonic_time now) const;
-    static void reserve(target_record& target, std::string_view team, const resources& demand,
-                        std::string_view work);
+    void reserve(target_record& target, std::string_view team, const resources& demand,
+                 std::string_view work);
+    void change_use(target_record& target, std::string_view team, const resources& change);
+    [[nodiscard]] std::optional<std::size_t> choose(placement_policy& policy, std::string_view team,
+                                                    const resources& demand);
+    void forget_use(target_record& target);
+    void rebuild_index();
 
     const configuration_store& configuration;
     std::string availability_zone;
@@ -112,6 +132,12 @@
     std::vector<std::function<void()>> room_listeners;
     start_guard guard;
     health_filter healthy;
+    use_listener used;
+    placement_index index;
+    std::vector<target_record*> indexed; ///< by position in the index
+    monotonic_time index_made;
+    refusal_memory refusals;
+    bool passed_over_unhealthy = false; ///< in the choice made last
 };
 
 } // namespace verbenalever
