Jobs that last: kept in pages, driven by one entry, adopted when it goes

Cause: a job was driven by the entry that accepted it and by no other, only on targets which that entry held; a dead entry's jobs stood still, a failed task was never tried again, nothing could be cancelled, and a lost reply made 'not run' a guess.

Change: one create accepts a job of any size (absent pages hold pending tasks). A driver claims a job by compare-and-swap with an epoch and keeps 'placed' before a start and 'done' before a target forgets. Room is reserved at the holder of a target by peer message and a start needs a live reservation. One pass over the inventory of each held target serves all jobs. Jobs of entries that are gone are taken over; gangs, services, retries with backoff, cancellation, long poll, list.

Ruled out: renewing task leases only while the driver is heard from. It would bound the wait for a target that cannot be seen, but let all tasks of a zone lapse whenever the zone is cut off or the store is down. A target is instead given up only once each listed entry of its zone says that it has not renewed there for longer than the task lease.

--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -47,8 +47,8 @@
           leases(this->loop, this->settings, this->mesh, this->targets, this->registry, this->log),
           requests(this->loop, this->configuration, this->access, this->registry, this->targets,
                    this->metrics, this->log),
-          jobs(this->loop, this->settings, this->configuration, this->access, this->store,
-               this->registry, this->targets, this->metrics, this->log),
+          jobs(this->loop, this->settings, this->configuration, this->access, this->mesh,
+               this->store, this->registry, this->targets, this->metrics, this->log),
           administration(this->settings, this->configuration, this->access, this->mesh,
                          this->registry),
           vms(this->loop, this->http, this->metrics, this->settings.platform,
@@ -76,6 +76,7 @@
         this->configuration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
+        this->jobs.start();
         this->log.write("daemon", "started",
                         {{"availability_zone", this->settings.availability_zone},
                          {"http", this->settings.http.text()}});
@@ -119,6 +120,7 @@
     {
         this->mesh.set_members(list);
         this->registry.update(list);
+        this->jobs.update(list);
     }
 
     void drain()
@@ -129,13 +131,15 @@
         this->drain_started = monotonic_clock::now();
         this->log.write("daemon", "drain_started");
         this->requests.drain();
+        this->jobs.drain();
         this->drain_timer.start_repeating(drain_check_interval);
     }
 
     void check_drained()
     {
         const auto spent = monotonic_clock::now() - this->drain_started;
-        const bool idle = this->requests.held() == 0 && this->server->pending() == 0;
+        const bool idle =
+            this->requests.held() == 0 && this->server->pending() == 0 && this->jobs.drained();
         const bool late = spent > this->settings.drain_timeout;
         if (spent < drain_grace || (!idle && !late))
             return;
--- /dev/null
+++ b/src/libverbenalever/jobs/fleet_view.cpp
@@ -0,0 +1,75 @@
+#include "jobs/fleet_view.h"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace verbenalever {
+
+void fleet_view::update(std::span<const vm_record> vms)
+{
+    std::set<std::string_view> listed;
+    this->entries.clear();
+    for (const auto& vm : vms) {
+        if (vm.role == vm_role::entry) {
+            this->entries[vm.name] = vm.availability_zone;
+            continue;
+        }
+        listed.insert(vm.name);
+        this->targets[vm.name] = {.availability_zone = vm.availability_zone,
+                                  .capacity = vm.capacity,
+                                  .listed = true,
+                                  .gone = {}};
+    }
+    for (auto& [name, target] : this->targets) {
+        if (target.listed && !listed.contains(name)) {
+            target.listed = false;
+            target.gone = monotonic_clock::now();
+        }
+    }
+}
+
+std::string_view fleet_view::zone_of(std::string_view target) const
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? std::string_view() : found->second.availability_zone;
+}
+
+monotonic_time fleet_view::gone_since(std::string_view target) const
+{
+    const auto found = this->targets.find(target);
+    if (found == this->targets.end() || found->second.listed)
+        return monotonic_time::max();
+    return found->second.gone;
+}
+
+std::vector<std::string> fleet_view::entries_of(std::string_view zone) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, availability_zone] : this->entries) {
+        if (zone.empty() || availability_zone == zone)
+            names.push_back(name);
+    }
+    return names;
+}
+
+absl::Status fleet_view::could_run(const resources& demand, std::size_t tasks, bool together) const
+{
+    std::size_t room = 0;
+    for (const auto& [name, target] : this->targets) {
+        auto left = target.capacity;
+        while (target.listed && room < tasks && demand.fits_within(left)) {
+            ++room;
+            left -= demand;
+        }
+    }
+    if (room == 0)
+        return absl::FailedPreconditionError("no target is large enough for one task");
+    if (together && room < tasks)
+        return absl::FailedPreconditionError(
+            fmt::format("the whole fleet, idle, has room for {} of the {} tasks at the same time",
+                        room, tasks));
+    return absl::OkStatus();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/job_adoption.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "loop/timer.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class job_drivers;
+struct job_record;
+struct job_services;
+struct kv_entry;
+struct kv_listing;
+
+/// Finds jobs that no live entry drives and takes those that fall to this one.
+///
+/// Rendezvous hashing over the live entries says who tries; compare-and-swap in the store decides
+/// who wins. An entry that sees fewer than half of the others takes nothing from them: it is more
+/// likely that it is cut off than that they are gone.
+class job_adoption {
+public:
+    job_adoption(const job_services& services, job_drivers& drivers);
+
+    /// Begin to watch for jobs without a driver.
+    void start();
+
+    void stop();
+
+private:
+    void tick();
+    void scan();
+    void take(const kv_listing& listing);
+    [[nodiscard]] bool falls_here(const job_record& job) const;
+    [[nodiscard]] bool sees_enough() const;
+    [[nodiscard]] std::set<std::string> live() const;
+
+    const job_services& services;
+    job_drivers& drivers;
+    std::set<std::string> last_live;
+    bool scanning = false;
+    monotonic_time next_scan;
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+    timer tick_timer;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/jobs/job_driver.cpp
+++ b/src/libverbenalever/jobs/job_driver.cpp
@@ -1,31 +1,92 @@
 #include "jobs/job_driver.h"
 
-#include "loop/unique_id.h"
+#include "jobs/job_mailbox.h"
+#include "jobs/job_services.h"
+#include "jobs/task_order.h"
 #include "platform/kv_client.h"
-#include "targets/target_client.h"
-#include "targets/target_registry.h"
+#include "timeline/counters.h"
 #include "timeline/event_log.h"
+#include "verbenalever/entry_settings.h"
 
 #include <fmt/format.h>
 
-#include <set>
+#include <charconv>
 
 namespace verbenalever {
 
 namespace {
 
-constexpr milliseconds step_interval{100};
-constexpr milliseconds task_lease{30000};
+constexpr milliseconds cancel_check_interval{10000};
 
 } // namespace
 
-job_driver::job_driver(event_loop& loop, kv_client& store, target_registry& registry,
-                       target_client& client, placement_policy& placement, const event_log& log,
-                       job_record record, std::int64_t revision)
-    : store(store), registry(registry), client(client), placement(placement), log(log),
-      job(std::move(record)), revision(revision), step_timer(loop, [this] { this->step(); })
+job_driver::job_driver(const job_services& services, job_record record)
+    : services(services), job(std::move(record)), progress(this->job.tasks.size()),
+      pages(this->job, services.records, services.writer),
+      finder(services.mailbox, this->job.id, this->job.team, this->job.demand),
+      random_state(static_cast<std::uint32_t>(std::hash<std::string>()(this->job.id)))
 {
-    this->step_timer.start_repeating(step_interval);
+    this->pages.on_lost([this] { this->lose(); });
+}
+
+job_driver::~job_driver() = default;
+
+void job_driver::begin(std::int64_t revision)
+{
+    this->pages.set_revision(0, revision);
+    this->state = phase::driving;
+    this->next_cancel_check = monotonic_clock::now() + cancel_check_interval;
+}
+
+void job_driver::adopt(std::int64_t revision)
+{
+    this->pages.set_revision(0, revision);
+    this->job.driver = this->services.settings.name;
+    ++this->job.epoch;
+    this->pages.save({}, [this] { this->read_pages(); });
+}
+
+void job_driver::read_pages()
+{
+    const auto taken = [this] {
+        for (std::size_t i = 0; i < this->job.tasks.size(); ++i)
+            this->progress[i].recorded = this->job.tasks[i].state != "placed";
+        this->state = phase::driving;
+        this->services.metrics.add("jobs_adopted");
+        this->services.log.write("jobs", "job_adopted",
+                                 {{"job", this->job.id}, {"epoch", this->job.epoch}});
+    };
+    if (this->job.pages() == 1)
+        return taken();
+    this->services.store.list(
+        fmt::format("job_pages/{}/", this->job.id),
+        [this, taken, guard = std::weak_ptr(this->alive)](absl::StatusOr<kv_listing> listing) {
+            if (guard.expired())
+                return;
+            if (!listing.ok())
+                return this->lose(); // still in this entry's name: the next scan tries again
+            for (const auto& entry : listing->entries) {
+                const auto digits = entry.key.substr(entry.key.rfind('/') + 1);
+                std::size_t page = 0;
+                std::from_chars(digits.data(), digits.data() + digits.size(), page);
+                if (page == 0 || page >= this->job.pages() ||
+                    !this->job.read_page(page, entry.value).ok())
+                    continue;
+                this->pages.set_revision(page, entry.revision);
+            }
+            this->pages.save_all(taken);
+        });
+}
+
+void job_driver::lose()
+{
+    if (this->state == phase::over)
+        return;
+    this->services.log.write("jobs", "job_lost", {{"job", this->job.id}});
+    this->services.metrics.add("jobs_lost_to_another_driver");
+    this->state = phase::over;
+    if (this->handed_over)
+        this->handed_over();
 }
 
 const job_record& job_driver::record() const
@@ -33,130 +94,123 @@
     return this->job;
 }
 
-void job_driver::on_finished(std::function<void()> action)
+bool job_driver::over() const
 {
-    this->finished = std::move(action);
+    return this->state == phase::over;
 }
 
-std::string job_driver::task_id(std::size_t index) const
+void job_driver::step(monotonic_time now)
 {
-    return fmt::format("{}.{}", this->job.id, index);
+    this->finder.tick(now);
+    if (this->state != phase::driving || this->job.finished)
+        return;
+    if (!this->job.cancelled)
+        this->check_cancelled(now);
+    if (this->job.cancelled)
+        this->stop_placed(now);
+    else if (this->job.gang)
+        this->stop_gang_remains(now);
+    if (!this->job.cancelled)
+        this->place(now);
+    this->ask_about_tasks(now);
 }
 
-void job_driver::step()
+void job_driver::check_cancelled(monotonic_time now)
 {
-    if (this->writing)
+    if (now < this->next_cancel_check)
         return;
-    this->place_pending();
-    if (!this->writing)
-        this->poll();
+    this->next_cancel_check = now + cancel_check_interval;
+    this->services.store.get(
+        fmt::format("job_cancels/{}", this->job.id),
+        [this, guard = std::weak_ptr(this->alive)](const absl::StatusOr<kv_entry>& entry) {
+            if (!guard.expired() && entry.ok())
+                this->cancel();
+        });
 }
 
-void job_driver::place_pending()
+void job_driver::cancel()
 {
-    std::vector<std::size_t> placed;
-    for (std::size_t i = 0; i < this->job.tasks.size(); ++i) {
-        auto& task = this->job.tasks[i];
-        if (task.state != "pending")
-            continue;
-        const auto target = this->registry.place(this->placement, this->job.team, this->job.demand);
-        if (!target)
-            break;
-        task.state = "placed";
-        task.target = *target;
-        task.attempt = make_unique_id("try");
-        placed.push_back(i);
+    if (this->state != phase::driving) {
+        this->next_cancel_check = {};
+        return;
     }
-    if (!placed.empty())
-        this->keep([this, placed] { this->start_placed(placed); });
+    if (this->job.cancelled || this->job.finished)
+        return;
+    this->job.cancelled = true;
+    this->job.reason = "cancelled";
+    this->services.log.write("jobs", "job_cancel_seen", {{"job", this->job.id}});
+    this->cancel_pending();
 }
 
-void job_driver::start_placed(const std::vector<std::size_t>& placed)
+void job_driver::cancel_pending()
 {
-    for (const auto index : placed)
-        this->start(index);
+    std::vector<std::size_t> changed{0};
+    for (std::size_t i = 0; i < this->job.tasks.size(); ++i) {
+        if (this->job.tasks[i].state != "pending")
+            continue;
+        this->job.tasks[i].state = "cancelled";
+        changed.push_back(i);
+    }
+    this->save_ends(changed, {});
 }
 
-void job_driver::start(std::size_t index)
+void job_driver::stop_placed(monotonic_time now)
 {
-    const auto& task = this->job.tasks[index];
-    const auto* target = this->registry.find(task.target);
-    if (target == nullptr || !this->registry.may_start(*target, monotonic_clock::now()))
-        return;
-    this->log.write("jobs", "task_start_sent",
-                    {{"task", this->task_id(index)},
-                     {"attempt", task.attempt},
-                     {"target", task.target},
-                     {"team", this->job.team}});
-    this->client.start_task(target->vm.address,
-                            {.task = this->task_id(index),
-                             .attempt = task.attempt,
-                             .team = this->job.team,
-                             .demand = this->job.demand,
-                             .lease = task_lease,
-                             .command = this->job.command},
-                            target->lease_epoch, [](const absl::Status&) {});
-}
-
-void job_driver::poll()
-{
-    std::set<std::string> targets;
-    for (const auto& task : this->job.tasks) {
-        if (task.state == "placed")
-            targets.insert(task.target);
+    constexpr milliseconds repeat_interval{1000};
+    std::map<std::string, task_order> orders;
+    for (std::size_t i = 0; i < this->job.tasks.size(); ++i) {
+        auto& progress = this->progress[i];
+        const auto& task = this->job.tasks[i];
+        if (task.state != "placed" || now - progress.stop_asked < repeat_interval ||
+            progress.holder.empty())
+            continue;
+        progress.stop_asked = now;
+        orders[progress.holder].tasks.push_back(
+            {.key = {.task = this->task_id(i), .attempt = task.attempt}, .target = task.target});
     }
-    for (const auto& name : targets) {
-        if (const auto* target = this->registry.find(name); target != nullptr)
-            this->client.read_inventory(target->vm.address,
-                                        [this, name](absl::StatusOr<target_inventory> inventory) {
-                                            if (inventory.ok() && !this->writing)
-                                                this->take_inventory(name, *inventory);
-                                        });
+    for (auto& [holder, order] : orders) {
+        order.job = this->job.id;
+        order.action = "stop";
+        this->services.mailbox.send(holder, order);
     }
 }
 
-void job_driver::take_inventory(const std::string& target, const target_inventory& inventory)
+void job_driver::hand_over(std::function<void()> done)
 {
-    std::vector<std::string> ended;
-    for (auto& task : this->job.tasks) {
-        if (task.state != "placed" || task.target != target)
-            continue;
-        for (const auto& seen : inventory.tasks) {
-            if (seen.attempt != task.attempt || seen.running())
-                continue;
-            task.state = seen.state == "succeeded" ? "done" : "failed";
-            task.result = seen.result;
-            ended.push_back(seen.task);
-        }
+    if (this->state != phase::driving || this->job.finished) {
+        if (this->state == phase::claiming)
+            this->state = phase::over;
+        return done();
     }
-    if (ended.empty())
-        return;
-    this->keep([this, target, ended] {
-        const auto* record = this->registry.find(target);
-        for (const auto& task : ended) {
-            this->log.write("jobs", "task_done_recorded", {{"task", task}, {"target", target}});
-            if (record != nullptr)
-                this->client.forget_task(record->vm.address, task, [](const absl::Status&) {});
-            this->registry.release(target, this->job.team, this->job.demand);
-        }
-        if (this->job.finished() && this->finished) {
-            this->step_timer.stop();
-            this->finished();
-        }
+    this->state = phase::handing_over;
+    this->handed_over = std::move(done);
+    this->job.driver.clear();
+    // Every page, so that nothing is left unkept when the next driver reads it.
+    this->pages.save_all([this] {
+        this->state = phase::over;
+        this->handed_over();
     });
 }
 
-void job_driver::keep(std::function<void()> kept)
+void job_driver::record_end()
+{
+    this->services.metrics.add("jobs_finished");
+    this->services.log.write("jobs", "job_finished",
+                             {{"job", this->job.id}, {"state", this->job.state()}});
+    this->state = phase::over;
+}
+
+std::string job_driver::task_id(std::size_t index) const
+{
+    return fmt::format("{}.{}", this->job.id, index);
+}
+
+std::size_t job_driver::index_of(std::string_view task) const
 {
-    this->writing = true;
-    this->store.put(fmt::format("jobs/{}", this->job.id), this->job.text(), this->revision,
-                    [this, kept = std::move(kept)](absl::StatusOr<std::int64_t> written) {
-                        this->writing = false;
-                        if (!written.ok())
-                            return; // the record in memory is written by the next change
-                        this->revision = *written;
-                        kept();
-                    });
+    const auto digits = task.substr(task.rfind('.') + 1);
+    std::size_t index = this->job.tasks.size();
+    std::from_chars(digits.data(), digits.data() + digits.size(), index);
+    return index;
 }
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/job_drivers.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jobs/job_driver.h"
+#include "loop/timer.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+struct job_services;
+
+/// The jobs that this entry drives.
+class job_drivers {
+public:
+    explicit job_drivers(const job_services& services);
+
+    /// Drive a job that this entry has just created in the store.
+    void begin(job_record record, std::int64_t revision);
+
+    /// Try to take over a job; the store decides who wins.
+    void adopt(job_record record, std::int64_t revision);
+
+    /// A job's cancellation is kept; tell its driver, if it is here.
+    void cancel(std::string_view job);
+
+    /// @return whether this entry drives, or tries to take over, the job
+    [[nodiscard]] bool contains(std::string_view job) const;
+
+    [[nodiscard]] std::size_t size() const;
+
+    /// Give every job up for other entries to take.
+    /// @param done called once each is kept as given up, or lost
+    void hand_over(const std::function<void()>& done);
+
+    /// Drop those that are over and let the others do what is due.
+    void step();
+
+private:
+    void add_handlers();
+    [[nodiscard]] job_driver* find(std::string_view job);
+    job_driver& add(job_record record);
+
+    const job_services& services;
+    bool handing_over = false;
+    std::map<std::string, std::unique_ptr<job_driver>, std::less<>> drivers;
+    timer step_timer;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/jobs/job_record.cpp
+++ b/src/libverbenalever/jobs/job_record.cpp
@@ -2,35 +2,159 @@
 
 #include "scheduling/resources_json.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace verbenalever {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_task, state, target, attempt, result)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_record, id, queue, team, driver, demand, command, tasks)
+namespace {
 
-std::string job_record::text() const
+using nlohmann::json;
+
+constexpr std::size_t most_tasks = 100000;
+
+/// Tasks are arrays without names, since most of a record is tasks.
+json task_json(const job_task& task)
+{
+    if (task.state == "pending" && task.failures == 0 && task.progress_ms == 0)
+        return 0;
+    return json::array(
+        {task.state, task.target, task.attempt, task.result, task.failures, task.progress_ms});
+}
+
+job_task parse_task(const json& item)
 {
-    return nlohmann::json(*this).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (!item.is_array())
+        return {};
+    return {.state = item.at(0).get<std::string>(),
+            .target = item.at(1).get<std::string>(),
+            .attempt = item.at(2).get<std::string>(),
+            .result = item.at(3).get<std::string>(),
+            .failures = item.at(4).get<std::int64_t>(),
+            .progress_ms = item.at(5).get<std::int64_t>()};
+}
+
+template <typename Task>
+std::span<Task> page_span(std::span<Task> tasks, std::size_t page)
+{
+    const auto first = std::min(tasks.size(), page * job_record::page_tasks);
+    const auto length = std::min(job_record::page_tasks, tasks.size() - first);
+    return tasks.subspan(first, length);
+}
+
+void read_tasks(std::span<job_task> tasks, const json& list)
+{
+    for (std::size_t i = 0; i < tasks.size() && i < list.size(); ++i)
+        tasks[i] = parse_task(list[i]);
+}
+
+void add_header(json& page, const job_record& job)
+{
+    page["id"] = job.id;
+    page["queue"] = job.queue;
+    page["team"] = job.team;
+    page["driver"] = job.driver;
+    page["demand"] = job.demand;
+    page["command"] = job.command;
+    page["gang"] = job.gang;
+    page["service"] = job.service;
+    page["repeatable"] = job.repeatable;
+    page["cancelled"] = job.cancelled;
+    page["finished"] = job.finished;
+    page["reason"] = job.reason;
+    page["count"] = job.tasks.size();
+}
+
+job_record parse_header(const json& page)
+{
+    const auto count = page.at("count").get<std::size_t>();
+    if (count > most_tasks)
+        throw std::length_error("a record has too many tasks");
+    return {.id = page.at("id").get<std::string>(),
+            .queue = page.at("queue").get<std::string>(),
+            .team = page.at("team").get<std::string>(),
+            .driver = page.at("driver").get<std::string>(),
+            .writer = page.at("writer").get<std::string>(),
+            .epoch = page.at("epoch").get<std::int64_t>(),
+            .sequence = page.at("sequence").get<std::int64_t>(),
+            .demand = page.at("demand").get<resources>(),
+            .command = page.at("command").get<std::string>(),
+            .gang = page.at("gang").get<bool>(),
+            .service = page.at("service").get<bool>(),
+            .repeatable = page.at("repeatable").get<bool>(),
+            .cancelled = page.at("cancelled").get<bool>(),
+            .finished = page.at("finished").get<bool>(),
+            .reason = page.at("reason").get<std::string>(),
+            .tasks = std::vector<job_task>(count)};
+}
+
+} // namespace
+
+std::size_t job_record::pages() const
+{
+    return std::max<std::size_t>(1, (this->tasks.size() + page_tasks - 1) / page_tasks);
+}
+
+std::string job_record::page_key(std::string_view id, std::size_t page)
+{
+    return page == 0 ? fmt::format("jobs/{}", id) : fmt::format("job_pages/{}/{}", id, page);
+}
+
+std::string job_record::page_text(std::size_t page) const
+{
+    json shown = {{"writer", this->writer}, {"epoch", this->epoch}, {"sequence", this->sequence}};
+    if (page == 0)
+        add_header(shown, *this);
+    auto list = json::array();
+    for (const auto& task : page_span(std::span(this->tasks), page))
+        list.push_back(task_json(task));
+    shown["tasks"] = std::move(list);
+    return shown.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<job_record> job_record::parse(std::string_view text)
 {
     try {
-        return nlohmann::json::parse(text).get<job_record>();
+        const auto page = json::parse(text);
+        auto job = parse_header(page);
+        read_tasks(page_span(std::span(job.tasks), 0), page.at("tasks"));
+        return job;
+    }
+    catch (const std::exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+absl::Status job_record::read_page(std::size_t page, std::string_view text)
+{
+    try {
+        read_tasks(page_span(std::span(this->tasks), page), json::parse(text).at("tasks"));
+        return absl::OkStatus();
     }
-    catch (const nlohmann::json::exception& error) {
+    catch (const std::exception& error) {
         return absl::InvalidArgumentError(error.what());
     }
 }
 
-bool job_record::finished() const
+bool job_record::all_ended() const
+{
+    return std::ranges::all_of(this->tasks, [](const job_task& task) { return task.ended(); });
+}
+
+std::string_view job_record::state() const
 {
-    return std::ranges::all_of(this->tasks, [](const job_task& task) {
-        return task.state == "done" || task.state == "failed";
-    });
+    const auto any = [this](std::string_view state) {
+        return std::ranges::any_of(this->tasks,
+                                   [state](const job_task& task) { return task.state == state; });
+    };
+    if (!this->finished)
+        return any("placed") || any("done") ? "running" : "waiting";
+    if (this->cancelled)
+        return "cancelled";
+    return any("failed") || any("unknown") ? "failed" : "done";
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/jobs/job_record.h
+++ b/src/libverbenalever/jobs/job_record.h
@@ -5,30 +5,57 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace verbenalever {
 
-/// One job as the platform's service keeps it.
+/// One job. The platform's service keeps it as pages: the first holds all but the later tasks.
+///
+/// A page that is absent holds pending tasks only, so one create accepts a job of any size.
 struct job_record {
+    /// Tasks on one page.
+    static constexpr std::size_t page_tasks = 100;
+
     std::string id;
     std::string queue;
     std::string team;
-    std::string driver; ///< the entry that drives it
-    resources demand;   ///< of each task
+    std::string driver;        ///< the entry that drives it; empty once it was given up
+    std::string writer;        ///< the process that wrote the record last
+    std::int64_t epoch = 1;    ///< grows with each change of driver
+    std::int64_t sequence = 0; ///< of the writer's writes to any page of this job
+    resources demand;          ///< of each task
     std::string command;
+    bool gang = false;
+    bool service = false;
+    bool repeatable = true;
+    bool cancelled = false;
+    bool finished = false; ///< every task has ended and is recorded
+    std::string reason;    ///< why it failed or was cancelled
     std::vector<job_task> tasks;
 
-    /// @return the record as JSON
-    [[nodiscard]] std::string text() const;
+    [[nodiscard]] std::size_t pages() const;
+
+    /// @return the store's key of one page
+    [[nodiscard]] static std::string page_key(std::string_view id, std::size_t page);
+
+    /// @return one page as JSON
+    [[nodiscard]] std::string page_text(std::size_t page) const;
 
+    /// Read the first page; tasks of later pages are pending until read_page().
     /// @return INVALID_ARGUMENT when the text is not a record
     [[nodiscard]] static absl::StatusOr<job_record> parse(std::string_view text);
 
+    /// Take in a later page.
+    [[nodiscard]] absl::Status read_page(std::size_t page, std::string_view text);
+
     /// @return whether every task has ended
-    [[nodiscard]] bool finished() const;
+    [[nodiscard]] bool all_ended() const;
+
+    /// @return waiting, running, done, failed or cancelled, for callers
+    [[nodiscard]] std::string_view state() const;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/jobs/job_service.h
+++ b/src/libverbenalever/jobs/job_service.h
@@ -1,50 +1,62 @@
 #pragma once
 
-#include "http/http_server.h"
-#include "jobs/job_driver.h"
-
-#include <map>
-#include <memory>
-#include <string>
+#include "jobs/fleet_view.h"
+#include "jobs/job_acceptance.h"
+#include "jobs/job_adoption.h"
+#include "jobs/job_api.h"
+#include "jobs/job_drivers.h"
+#include "jobs/job_mailbox.h"
+#include "jobs/job_services.h"
+#include "jobs/record_writer.h"
+#include "jobs/task_holder.h"
+#include "scheduling/least_loaded_placement.h"
+
+#include <functional>
+#include <span>
 
 namespace verbenalever {
 
 class access_control;
 class configuration_store;
-class counters;
 class router;
-struct entry_settings;
+class target_client;
+struct vm_record;
 
-/// Accepts jobs once the platform's service has them, drives them, and tells their state.
+/// The jobs of one entry: accepting, driving, holding targets' tasks, and telling callers.
 class job_service {
 public:
     job_service(event_loop& loop, const entry_settings& settings,
-                configuration_store& configuration, access_control& access, kv_client& store,
-                target_registry& registry, target_client& client, counters& metrics,
-                const event_log& log);
-    ~job_service();
-    job_service(const job_service&) = delete;
-    job_service& operator=(const job_service&) = delete;
-
-    /// Add POST /v1/jobs and GET /v1/jobs/{id}.
+                configuration_store& configuration, access_control& access, peer_mesh& mesh,
+                kv_client& store, target_registry& registry, target_client& client,
+                counters& metrics, const event_log& log);
+
+    /// Add the routes under /v1/jobs.
     void add_routes(router& routes);
 
+    /// Begin to hold tasks and to look for jobs without a driver.
+    void start();
+
+    /// Take in the platform's list of VMs.
+    void update(std::span<const vm_record> vms);
+
+    /// Accept nothing more and give all jobs up for other entries.
+    void drain();
+
+    /// @return whether all jobs have been given up
+    [[nodiscard]] bool drained() const;
+
 private:
-    void submit(const http_request& request, http_responder respond);
-    void accept(job_record record, std::int64_t revision);
-    void show(const http_request& request, const std::string& id, http_responder respond);
-
-    event_loop& loop;
-    const entry_settings& settings;
-    configuration_store& configuration;
-    access_control& access;
-    kv_client& store;
-    target_registry& registry;
-    target_client& client;
-    counters& metrics;
-    const event_log& log;
-    std::unique_ptr<placement_policy> placement;
-    std::map<std::string, std::unique_ptr<job_driver>> drivers;
+    fleet_view fleet;
+    job_mailbox mailbox;
+    record_writer records;
+    job_services services;
+    least_loaded_placement placement;
+    task_holder holder;
+    job_drivers drivers;
+    job_adoption adoption;
+    job_acceptance acceptance;
+    job_api api;
+    bool handed_over = false;
 };
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/job_services.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+namespace verbenalever {
+
+class configuration_store;
+class counters;
+class event_log;
+class event_loop;
+class fleet_view;
+class job_mailbox;
+class kv_client;
+class peer_mesh;
+class record_writer;
+class target_registry;
+struct entry_settings;
+
+/// What every driver of an entry works with. All outlive the drivers.
+struct job_services {
+    event_loop& loop;
+    const entry_settings& settings;
+    peer_mesh& mesh;
+    job_mailbox& mailbox;
+    kv_client& store;
+    record_writer& records;
+    const fleet_view& fleet;
+    const target_registry& registry;
+    counters& metrics;
+    const event_log& log;
+    std::string writer; ///< this process's name in records: its entry and its incarnation
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/jobs/job_submission.cpp
+++ b/src/libverbenalever/jobs/job_submission.cpp
@@ -12,7 +12,39 @@
 namespace {
 
 constexpr std::int64_t most_tasks = 5000;
-constexpr std::array<std::string_view, 4> known_members{"queue", "tasks", "demand", "command"};
+constexpr std::size_t longest_id = 200;             ///< bytes
+constexpr std::size_t longest_command = 256 * 1024; ///< bytes, so that a page stays under 1 MB
+constexpr std::array<std::string_view, 8> known_members{
+    "id", "queue", "tasks", "demand", "command", "gang", "service", "repeatable"};
+constexpr std::array<std::string_view, 3> flags{"gang", "service", "repeatable"};
+
+absl::Status check_flags(const nlohmann::json& json)
+{
+    for (const auto& name : flags) {
+        const auto found = json.find(std::string(name));
+        if (found != json.end() && !found->is_boolean())
+            return absl::InvalidArgumentError(fmt::format("'{}' is not true or false", name));
+    }
+    if (json.value("gang", false) && json.value("service", false))
+        return absl::InvalidArgumentError("a job is a gang or a service, not both");
+    if (json.value("service", false) && !json.value("repeatable", true))
+        return absl::InvalidArgumentError("a service's tasks are repeatable");
+    return absl::OkStatus();
+}
+
+absl::Status check_sizes(const nlohmann::json& json)
+{
+    if (json.contains("id") &&
+        (!json["id"].is_string() || json["id"].get_ref<const std::string&>().size() > longest_id))
+        return absl::InvalidArgumentError(
+            fmt::format("'id' is not a text of at most {} bytes", longest_id));
+    if (json.contains("command") && !json["command"].is_object())
+        return absl::InvalidArgumentError("'command' is not an object");
+    if (json.contains("command") && json["command"].dump().size() > longest_command)
+        return absl::InvalidArgumentError(
+            fmt::format("'command' has more than {} bytes", longest_command));
+    return absl::OkStatus();
+}
 
 absl::Status check_members(const nlohmann::json& json)
 {
@@ -29,7 +61,9 @@
     if (const auto tasks = json.value("tasks", std::int64_t{1}); tasks < 1 || tasks > most_tasks)
         return absl::InvalidArgumentError(
             fmt::format("'tasks' is not between 1 and {}", most_tasks));
-    return absl::OkStatus();
+    if (auto status = check_sizes(json); !status.ok())
+        return status;
+    return check_flags(json);
 }
 
 } // namespace
@@ -39,10 +73,14 @@
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (auto status = check_members(json); !status.ok())
         return status;
-    job_submission result{.queue = json["queue"].get<std::string>(),
+    job_submission result{.id = json.value("id", ""),
+                          .queue = json["queue"].get<std::string>(),
                           .tasks = json.value("tasks", std::size_t{1}),
                           .demand = std::nullopt,
-                          .command = json.value("command", nlohmann::json::object()).dump()};
+                          .command = json.value("command", nlohmann::json::object()).dump(),
+                          .gang = json.value("gang", false),
+                          .service = json.value("service", false),
+                          .repeatable = json.value("repeatable", true)};
     if (json.contains("demand")) {
         try {
             result.demand = json["demand"].get<resources>();
--- a/src/libverbenalever/jobs/job_submission.h
+++ b/src/libverbenalever/jobs/job_submission.h
@@ -12,12 +12,17 @@
 
 /// A job as a caller describes it.
 struct job_submission {
+    std::string id; ///< the caller's own; a job submitted again under it is the same job
     std::string queue;
     std::size_t tasks = 1;
     std::optional<resources> demand; ///< of each task; the queue's when absent
     std::string command;             ///< JSON that targets understand
+    bool gang = false;               ///< all tasks start together or none
+    bool service = false;            ///< ended tasks are started again until the job is cancelled
+    bool repeatable = true;          ///< whether a task may be run again
 
-    /// Read {"queue": ..., "tasks": N, "demand": {...}, "command": {...}}.
+    /// Read {"id": ..., "queue": ..., "tasks": N, "demand": {...}, "command": {...},
+    /// "gang": false, "service": false, "repeatable": true}; all but the queue may be absent.
     /// @return INVALID_ARGUMENT with a readable message
     [[nodiscard]] static absl::StatusOr<job_submission> parse(std::string_view text);
 };
--- /dev/null
+++ b/src/libverbenalever/jobs/record_writer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "loop/timer.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace verbenalever {
+
+class counters;
+class kv_client;
+
+/// The one loop of an entry that writes job records, within the entry's part of the store's budget.
+///
+/// A write whose reply is lost is read back: each text names its writer and a sequence number, so
+/// an equal text is this very write. Until that is known, the write is neither done nor refused.
+class record_writer {
+public:
+    /// One write to come.
+    struct write {
+        std::string key;
+        std::int64_t expected = 0;         ///< revision to replace; zero: the key must be absent
+        std::function<std::string()> text; ///< asked for at the write's turn; empty: drop it
+        std::function<void(absl::StatusOr<std::int64_t>)> done; ///< new revision, or ABORTED
+    };
+
+    record_writer(event_loop& loop, kv_client& store, counters& metrics);
+    ~record_writer();
+    record_writer(const record_writer&) = delete;
+    record_writer& operator=(const record_writer&) = delete;
+
+    /// Add a write. It is tried until the store says that it took effect or that it lost.
+    void add(write next);
+
+private:
+    struct attempt {
+        write what;
+        std::string text;
+    };
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    void tick();
+    void put(const attempt_ptr& current);
+    void read_back(const attempt_ptr& current);
+    void retry_later(std::function<void()> action);
+
+    kv_client& store;
+    counters& metrics;
+    std::deque<write> waiting;
+    std::deque<std::pair<monotonic_time, std::function<void()>>> retries;
+    std::size_t in_flight = 0;
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+    timer write_timer;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/reserve_answer.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "jobs/task_place.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// What a holder granted; tasks that are not listed got no room.
+struct reserve_answer {
+    static constexpr const char* type = "reserve_answer";
+
+    std::uint64_t number = 0;
+    std::string job;
+    std::vector<task_place> granted;
+
+    MSGPACK_DEFINE_MAP(number, job, granted)
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/room_finder.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "jobs/granted_task.h"
+#include "loop/clock.h"
+#include "scheduling/resources.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class job_mailbox;
+struct reserve_answer;
+
+/// Asks one holder after the other for room for a job's tasks.
+class room_finder {
+public:
+    using found_callback = std::function<void(std::vector<granted_task>)>;
+
+    room_finder(job_mailbox& mailbox, std::string job, std::string team, resources demand);
+
+    /// @return whether a search is going on
+    [[nodiscard]] bool busy() const;
+
+    /// Search.
+    /// @param holders asked in this order
+    /// @param whole   ask on until every task has room; otherwise stop at the first that gives some
+    /// @param found   what was granted, possibly nothing
+    void search(std::vector<task_key> tasks, std::vector<std::string> holders, bool whole,
+                found_callback found);
+
+    /// Take in an answer. Room from an answer that comes too late is given back.
+    void answer(const std::string& from, const reserve_answer& answer);
+
+    /// Go on to the next holder when one does not answer.
+    void tick(monotonic_time now);
+
+    /// Give back room that will not be used.
+    void release(const std::vector<granted_task>& granted);
+
+private:
+    void ask_next();
+    void finish();
+
+    job_mailbox& mailbox;
+    std::string job;
+    std::string team;
+    resources demand;
+    std::uint64_t number = 0;
+    bool searching = false;
+    bool whole = false;
+    std::vector<task_key> wanted;
+    std::deque<std::string> holders;
+    std::vector<granted_task> granted;
+    monotonic_time answer_due;
+    found_callback found;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/task_place.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "jobs/task_key.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace verbenalever {
+
+/// One start of a task and the target that it is meant for.
+struct task_place {
+    task_key key;
+    std::string target;
+    std::int64_t resume_ms = 0; ///< progress that the start may take up from
+
+    MSGPACK_DEFINE_MAP(key, target, resume_ms)
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/jobs/task_query.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "jobs/task_place.h"
+
+#include <msgpack.hpp>
+
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// Asks an entry what it knows of tasks; it also tells that entry who drives the job.
+struct task_query {
+    static constexpr const char* type = "task_query";
+
+    std::string job;
+    std::vector<task_place> tasks;
+
+    MSGPACK_DEFINE_MAP(job, tasks)
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/targets/target_client.cpp
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -50,7 +50,8 @@
                                        .team = item.value("team", ""),
                                        .demand = item.at("demand").get<resources>(),
                                        .state = item.at("state").get<std::string>(),
-                                       .result = item.value("result", "")});
+                                       .result = item.value("result", ""),
+                                       .progress_ms = item.value("progress_ms", std::int64_t{0})});
         return inventory;
     }
     catch (const nlohmann::json::exception& error) {
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -117,9 +117,17 @@
             target_registry::reserve(target, task.team, task.demand);
     }
     target.inventory_known = true;
+    if (this->inventory_listener)
+        this->inventory_listener(target, inventory);
     this->announce_room();
 }
 
+void target_registry::on_inventory(
+    std::function<void(const target_record&, const target_inventory&)> action)
+{
+    this->inventory_listener = std::move(action);
+}
+
 void target_registry::on_room(std::function<void()> action)
 {
     this->room_listeners.push_back(std::move(action));
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -58,6 +58,10 @@
     /// Replace what is reserved on a target by what its inventory shows.
     void take_inventory(target_record& target, const target_inventory& inventory);
 
+    /// Be told of each inventory that replaced what was reserved.
+    void on_inventory(
+        std::function<void(const target_record& target, const target_inventory& inventory)> action);
+
     /// Be told when room may have come free.
     void on_room(std::function<void()> action);
 
@@ -76,6 +80,7 @@
     std::string availability_zone;
     std::map<std::string, target_record, std::less<>> records;
     std::vector<std::function<void()>> room_listeners;
+    std::function<void(const target_record&, const target_inventory&)> inventory_listener;
     start_guard guard;
 };
 
--- a/src/libverbenalever/targets/target_task.h
+++ b/src/libverbenalever/targets/target_task.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/resources.h"
 
+#include <cstdint>
 #include <string>
 
 namespace verbenalever {
@@ -14,6 +15,7 @@
     resources demand;
     std::string state; ///< running, succeeded, failed, stopped or lapsed
     std::string result;
+    std::int64_t progress_ms = 0; ///< of the last checkpoint
 
     [[nodiscard]] bool running() const
     {
--- a/src/standins/target/target_service.cpp
+++ b/src/standins/target/target_service.cpp
@@ -187,8 +187,9 @@
     const auto now = monotonic_clock::now();
     task.started = now;
     task.exit_code = this->faults.fail_everything ? 1 : integer_of(command, "exit", 0);
+    task.resumed_ms = integer_of(command, "resume_ms", 0);
     const auto run = this->faults.fail_everything ? 0 : integer_of(command, "run_ms", 0);
-    task.ends = now + milliseconds(run);
+    task.ends = now + milliseconds(std::max<std::int64_t>(0, run - task.resumed_ms));
     task.lease_until = now + milliseconds(integer_of(body, "lease_ms", 0));
     this->log.write("target", "task_running",
                     {{"task", id},
@@ -237,7 +238,7 @@
     if (found == this->tasks.end())
         return respond(refusal(404, "no_such_task"));
     auto& task = found->second;
-    task.progress_ms = to_milliseconds(monotonic_clock::now() - task.started);
+    task.progress_ms = task.resumed_ms + to_milliseconds(monotonic_clock::now() - task.started);
     respond(http_response::json(200, nlohmann::json{{"progress_ms", task.progress_ms}}.dump()));
 }
 
--- a/src/standins/target/target_service.h
+++ b/src/standins/target/target_service.h
@@ -43,6 +43,7 @@
         std::string state = "running";
         std::string result;
         std::int64_t progress_ms = 0; ///< of the last checkpoint
+        std::int64_t resumed_ms = 0;  ///< progress that the start took up from
         std::int64_t exit_code = 0;
         verbenalever::monotonic_time started;
         verbenalever::monotonic_time ends;
--- a/src/verbenalever/flags.cpp
+++ b/src/verbenalever/flags.cpp
@@ -9,6 +9,10 @@
 DEFINE_bool(repeatable, false, "the request may run more than once");
 DEFINE_string(request_id, "", "the caller's own id, for safe resends");
 DEFINE_int32(tasks, 1, "number of tasks of the job");
+DEFINE_string(job_id, "", "the caller's own id of the job, for safe resubmission");
+DEFINE_bool(gang, false, "start all tasks of the job together or none");
+DEFINE_bool(service, false, "start ended tasks again until the job is cancelled");
+DEFINE_bool(once, false, "run each task at most once");
 DEFINE_string(demand, "", "what each task takes, as JSON; empty for the queue's own");
 DEFINE_string(command, "{}", "what targets run, as JSON");
 DEFINE_int64(base, -1, "revision that the change was made from; -1 for the one in force");
--- a/src/verbenalever/job_verbs.cpp
+++ b/src/verbenalever/job_verbs.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr milliseconds poll_interval{100};
+/// One call waits at the entry for this long; the job's end is answered at once.
+constexpr int long_poll_ms = 5000;
 
 std::optional<std::string> chosen_job(const session& state, std::span<const std::string> arguments)
 {
@@ -28,6 +29,14 @@
     return job;
 }
 
+void print_summary(const nlohmann::json& job)
+{
+    fmt::print("{}  queue {}  team {}  {} tasks  {}{}{}\n", job.value("job", ""),
+               job.value("queue", ""), job.value("team", ""), job.value("task_count", 0),
+               job.value("state", ""), job.value("reason", "").empty() ? "" : ": ",
+               job.value("reason", ""));
+}
+
 void print_job(const std::string& text)
 {
     if (FLAGS_json) {
@@ -35,18 +44,20 @@
         return;
     }
     const auto job = nlohmann::json::parse(text);
-    fmt::print("{}  queue {}  team {}  {}\n", job.value("job", ""), job.value("queue", ""),
-               job.value("team", ""), job.value("finished", false) ? "finished" : "running");
+    print_summary(job);
+    for (const auto& [state, count] : job["counts"].items())
+        fmt::print("  {} {}", count.get<int>(), state);
+    fmt::print("\n");
     int index = 0;
     for (const auto& task : job["tasks"])
         fmt::print("{:>6}  {:<10}{:<16}{}\n", index++, task.value("state", ""),
                    task.value("target", ""), task.value("result", ""));
 }
 
-bool any_failed(const nlohmann::json& job)
+bool any_not_done(const nlohmann::json& job)
 {
     for (const auto& task : job["tasks"]) {
-        if (task.value("state", "") == "failed")
+        if (task.value("state", "") != "done")
             return true;
     }
     return false;
@@ -61,6 +72,11 @@
         return exit_usage;
     }
     nlohmann::json job = {{"queue", arguments[0]}, {"tasks", FLAGS_tasks}};
+    if (!FLAGS_job_id.empty())
+        job["id"] = FLAGS_job_id;
+    job["gang"] = FLAGS_gang;
+    job["service"] = FLAGS_service;
+    job["repeatable"] = !FLAGS_once;
     job["command"] = nlohmann::json::parse(FLAGS_command, nullptr, false);
     if (!FLAGS_demand.empty())
         job["demand"] = nlohmann::json::parse(FLAGS_demand, nullptr, false);
@@ -95,20 +111,48 @@
         return exit_usage;
     const auto give_up = monotonic_clock::now() + milliseconds(FLAGS_timeout_ms);
     while (true) {
-        const auto result = state.call("GET", fmt::format("/v1/jobs/{}", *job));
+        const auto result =
+            state.call("GET", fmt::format("/v1/jobs/{}?wait={}", *job, long_poll_ms));
         if (!result.success())
             return report_failure(result);
         const auto shown = nlohmann::json::parse(result.body);
         if (shown.value("finished", false)) {
             print_job(result.body);
-            return any_failed(shown) ? exit_failed : exit_ok;
+            return any_not_done(shown) ? exit_failed : exit_ok;
         }
         if (monotonic_clock::now() > give_up) {
             fmt::print(stderr, "verbenalever job wait: {} has not finished\n", *job);
             return exit_unknown;
         }
-        sleep_for(poll_interval);
     }
 }
 
+int run_job_cancel(session& state, std::span<const std::string> arguments)
+{
+    const auto job = chosen_job(state, arguments);
+    if (!job)
+        return exit_usage;
+    const auto result = state.call("POST", fmt::format("/v1/jobs/{}/cancel", *job));
+    if (!result.success())
+        return report_failure(result);
+    fmt::print("{}\n", FLAGS_json ? result.body : "cancelled");
+    return exit_ok;
+}
+
+int run_job_list(session& state, std::span<const std::string> arguments)
+{
+    const auto query = arguments.empty() ? std::string() : "?queue=" + arguments[0];
+    const auto result = state.call("GET", "/v1/jobs" + query);
+    if (!result.success())
+        return report_failure(result);
+    if (FLAGS_json) {
+        fmt::print("{}\n", result.body);
+        return exit_ok;
+    }
+    const auto listed = nlohmann::json::parse(result.body);
+    for (const auto& job : listed["jobs"])
+        print_summary(job);
+    return exit_ok;
+}
+
 } // namespace tool
--- a/src/verbenalever/verb_table.cpp
+++ b/src/verbenalever/verb_table.cpp
@@ -15,9 +15,12 @@
 constexpr std::array verbs{
     verb{"request", "QUEUE", "send one request and print its answer",
          "body deadline_ms repeatable request_id", run_request},
-    verb{"job submit", "QUEUE", "submit a job", "tasks demand command", run_job_submit},
+    verb{"job submit", "QUEUE", "submit a job", "tasks demand command job_id gang service once",
+         run_job_submit},
     verb{"job show", "[JOB]", "show a job's tasks", "json", run_job_show},
     verb{"job wait", "[JOB]", "wait until a job has finished", "json timeout_ms", run_job_wait},
+    verb{"job cancel", "[JOB]", "cancel a job for good", "json", run_job_cancel},
+    verb{"job list", "[QUEUE]", "list the team's jobs", "json", run_job_list},
     verb{"config check", "FILE", "check a configuration file", "", run_config_check},
     verb{"config show", "", "print the configuration in force", "json", run_config_show},
     verb{"config apply", "FILE", "make a file the configuration", "base", run_config_apply},
