--- a/src/libverbenalever/jobs/job_driver.h
+++ b/src/libverbenalever/jobs/job_driver.h
@@ -73,6 +73,8 @@
                      std::vector<std::size_t>& changed);
     void take_not_held(const std::string& from, const task_status& status, std::size_t index,
                        monotonic_time now, std::vector<std::size_t>& changed);
+    [[nodiscard]] bool surely_lapsed(std::size_t index, monotonic_time now) const;
+    void end_lapsed(std::size_t index, monotonic_time now);
     void end_attempt(std::size_t index, const task_status& status, monotonic_time now);
     void count_failure(std::size_t index, const task_status& status, monotonic_time now);
     void start_again(std::size_t index, milliseconds delay, monotonic_time now);
--- a/src/libverbenalever/jobs/job_driver_placement.cpp
+++ b/src/libverbenalever/jobs/job_driver_placement.cpp
@@ -131,6 +131,7 @@
 void job_driver::ask_about_tasks(monotonic_time now)
 {
     std::map<std::string, task_query> queries;
+    std::vector<std::size_t> lapsed;
     for (std::size_t i = 0; i < this->job.tasks.size(); ++i) {
         const auto& task = this->job.tasks[i];
         auto& progress = this->progress[i];
@@ -151,6 +152,11 @@
             queries[progress.holder].tasks.push_back(place);
             continue;
         }
+        if (this->surely_lapsed(i, now)) {
+            this->end_lapsed(i, now);
+            lapsed.push_back(i);
+            continue;
+        }
         const auto zone = this->services.fleet.zone_of(task.target);
         for (const auto& entry : this->services.fleet.entries_of(zone))
             queries[entry].tasks.push_back(place);
@@ -159,6 +165,8 @@
         query.job = this->job.id;
         this->services.mailbox.send(entry, query);
     }
+    if (!lapsed.empty())
+        this->save_ends(lapsed, {});
 }
 
 void job_driver::stop_gang_remains(monotonic_time now)
--- a/src/libverbenalever/jobs/job_driver_reports.cpp
+++ b/src/libverbenalever/jobs/job_driver_reports.cpp
@@ -117,21 +117,42 @@
     if (progress.holder == from)
         progress.holder.clear();
     progress.not_held[from] = {.heard = now, .idle_ms = status.idle_ms};
+    if (!this->surely_lapsed(index, now))
+        return;
+    this->end_lapsed(index, now);
+    changed.push_back(index);
+}
+
+/// A task's lease is renewed only by an entry that holds its target. It has surely lapsed once each
+/// listed entry of the zone says that it has not renewed there for longer than the lease; a target
+/// of a zone without entries, once it has been off the platform's list for as long.
+bool job_driver::surely_lapsed(std::size_t index, monotonic_time now) const
+{
     const auto& target = this->job.tasks[index].target;
+    const auto& not_held = this->progress[index].not_held;
     const auto lapse = this->services.settings.task_lease + lapse_margin;
-    const auto zone = this->services.fleet.zone_of(target);
-    const auto entries = this->services.fleet.entries_of(zone);
-    const bool surely_lapsed = std::ranges::all_of(entries, [&](const std::string& entry) {
-        const auto found = progress.not_held.find(entry);
-        return found != progress.not_held.end() && now - found->second.heard < answer_freshness &&
+    const auto entries = this->services.fleet.entries_of(this->services.fleet.zone_of(target));
+    if (entries.empty()) {
+        const auto gone = this->services.fleet.gone_since(target);
+        return gone < now && now - gone > lapse;
+    }
+    return std::ranges::all_of(entries, [&](const std::string& entry) {
+        const auto found = not_held.find(entry);
+        return found != not_held.end() && now - found->second.heard < answer_freshness &&
                milliseconds(found->second.idle_ms) > lapse;
     });
-    if (!surely_lapsed)
-        return;
+}
+
+void job_driver::end_lapsed(std::size_t index, monotonic_time now)
+{
+    const auto& task = this->job.tasks[index];
     this->services.log.write("jobs", "task_surely_lapsed",
-                             {{"task", status.key.task}, {"target", target}});
-    this->end_attempt(index, {.key = status.key, .target = target, .state = "lapsed"}, now);
-    changed.push_back(index);
+                             {{"task", this->task_id(index)}, {"target", task.target}});
+    this->end_attempt(index,
+                      {.key = {.task = this->task_id(index), .attempt = task.attempt},
+                       .target = task.target,
+                       .state = "lapsed"},
+                      now);
 }
 
 void job_driver::end_attempt(std::size_t index, const task_status& status, monotonic_time now)
--- a/src/libverbenalever/jobs/job_submission.cpp
+++ b/src/libverbenalever/jobs/job_submission.cpp
@@ -88,6 +88,8 @@
         catch (const nlohmann::json::exception& error) {
             return absl::InvalidArgumentError(fmt::format("'demand': {}", error.what()));
         }
+        if (!resources{}.fits_within(*result.demand))
+            return absl::InvalidArgumentError("'demand' has a negative amount");
     }
     return result;
 }
--- a/src/libverbenalever/jobs/task_key.h
+++ b/src/libverbenalever/jobs/task_key.h
@@ -2,8 +2,8 @@
 
 #include <msgpack.hpp>
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace verbenalever {
 
@@ -12,7 +12,11 @@
     std::string task;
     std::string attempt;
 
-    friend auto operator<=>(const task_key&, const task_key&) = default;
+    friend bool operator==(const task_key&, const task_key&) = default;
+    friend bool operator<(const task_key& left, const task_key& right)
+    {
+        return std::tie(left.task, left.attempt) < std::tie(right.task, right.attempt);
+    }
 
     MSGPACK_DEFINE_MAP(task, attempt)
 };
--- a/testsuite/harness/jobs.py
+++ b/testsuite/harness/jobs.py
@@ -84,6 +84,8 @@
             name = f"job-{number}"
             for attempt in range(200):
                 live = [e for e in entries if e in cluster.processes]
+                if not live:
+                    return
                 answer = submit(cluster, live[(number + attempt) % len(live)], id=name, **job)
                 if answer.status == 202:
                     accepted[name] = answer.json()["job"]
