--- a/testsuite/harness/jobs.py
+++ b/testsuite/harness/jobs.py
@@ -8,6 +8,7 @@
 from .cluster import Cluster
 
 KEY = "red-key"
+ROOM_FREE_TIMEOUT_S = 10
 
 
 def submit(cluster, entry, key=KEY, timeout=10.0, **job):
@@ -66,9 +67,30 @@
     assert not twice, twice
 
 
+def reserved_slots(cluster):
+    """Slots that holders count as taken, by target."""
+    taken = {}
+    for entry in cluster.entries:
+        answer = cluster.admin("targets", entry) if entry in cluster.processes else None
+        if answer is not None and answer.status == 200:
+            taken.update({t["name"]: t["reserved"]["slots"] for t in answer.json()["targets"]
+                          if t["may_start"]})
+    return taken
+
+
+def check_room_is_free(cluster):
+    """With all jobs finished, no holder counts room as taken."""
+    try:
+        Cluster.wait(lambda: not any(reserved_slots(cluster).values()), ROOM_FREE_TIMEOUT_S, "")
+    except AssertionError:
+        raise AssertionError(f"room is not given back: {reserved_slots(cluster)}") from None
+
+
 def check_all(cluster, *flags):
+    """To be called once all jobs have finished."""
     cluster.check_trace(*flags)
     check_recorded_once(cluster)
+    check_room_is_free(cluster)
 
 
 def keep_submitting(cluster, entries, jobs, pause_s, **job):
