A holder that loses a target tells the drivers at once

Cause: a driver asked about a running task every 10 s only, so it learnt late that a target had no holder, and no test would have noticed if it had not waited for the task lease: with that wait switched off jobs-targets-killed passed.

Change: a holder whose lease on a target is over says so to the drivers of the tasks there; they then ask all entries of the zone.

--- a/src/libverbenalever/jobs/task_holder.h
+++ b/src/libverbenalever/jobs/task_holder.h
@@ -72,6 +72,7 @@
     [[nodiscard]] task_status status_of(const task_place& place);
 
     void tick();
+    void tell_lost(const std::string& target, held_target& state);
     static void take_lease(const target_record& target, held_target& state);
     void take_first_inventory(const target_record& target, const target_inventory& inventory);
     void expire_reservations(monotonic_time now);
--- a/src/libverbenalever/jobs/task_holder_pass.cpp
+++ b/src/libverbenalever/jobs/task_holder_pass.cpp
@@ -36,9 +36,11 @@
     const auto now = monotonic_clock::now();
     this->expire_reservations(now);
     for (auto& [name, target] : this->registry.all()) {
-        if (!target.held(now))
-            continue;
         auto& state = this->held[name];
+        if (!target.held(now)) {
+            this->tell_lost(name, state);
+            continue;
+        }
         if (state.epoch != target.lease_epoch)
             this->take_lease(target, state);
         const auto interval = state.tasks.empty() ? idle_read_interval : busy_read_interval;
@@ -48,6 +50,21 @@
     }
 }
 
+/// Let drivers look for the next holder at once, or notice that there is none.
+void task_holder::tell_lost(const std::string& target, held_target& state)
+{
+    if (!state.known)
+        return;
+    state.known = false;
+    std::map<std::string, task_report> reports;
+    for (const auto& [task, known] : state.tasks) {
+        if (known.seen.running())
+            reports[job_of(task)].tasks.push_back(this->status_of(
+                {.key = {.task = task, .attempt = known.seen.attempt}, .target = target}));
+    }
+    this->send_reports(std::move(reports));
+}
+
 void task_holder::take_lease(const target_record& target, held_target& state)
 {
     state = {.epoch = target.lease_epoch,
