--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -61,8 +61,8 @@
           usage(this->loop, this->mesh, this->shares, this->settings.heartbeat_interval),
           requests(this->loop, this->settings, this->configuration, this->access, this->registry,
                    this->targets, this->mesh, this->store, this->shares, this->metrics, this->log),
-          jobs(this->loop, this->settings, this->configuration, this->access, this->store,
-               this->registry, this->targets, this->metrics, this->log),
+          jobs(this->loop, this->settings, this->configuration, this->access, this->mesh,
+               this->store, this->registry, this->targets, this->metrics, this->log),
           administration(this->settings, this->configuration, this->access, this->mesh,
                          this->registry),
           vms(this->loop, this->http, this->metrics, this->settings.platform,
@@ -103,6 +103,7 @@
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
         this->usage.start();
+        this->jobs.start();
         this->log.write("daemon", "started",
                         {{"availability_zone", this->settings.availability_zone},
                          {"http", this->settings.http.text()}});
@@ -151,6 +152,7 @@
         this->mesh.set_members(*list);
         this->registry.update(*list);
         this->limits.take_vm_list(*list);
+        this->jobs.update(*list);
         resources fleet;
         for (const auto& vm : *list) {
             if (vm.role == vm_role::target && !vm.leaving)
@@ -170,6 +172,7 @@
         this->log.write("daemon", "drain_started");
         this->requests.drain();
         this->mesh.announce();
+        this->jobs.drain();
         this->drain_timer.start_repeating(drain_check_interval);
     }
 
@@ -182,7 +185,8 @@
             this->handing_over = true;
             this->leases.hand_over([this] { this->handed_over = true; });
         }
-        const bool idle = this->requests.held() == 0 && this->server->pending() == 0;
+        const bool idle =
+            this->requests.held() == 0 && this->server->pending() == 0 && this->jobs.drained();
         if (spent < drain_grace || !this->handed_over || (!idle && !late))
             return;
         this->drain_timer.stop();
--- a/src/libverbenalever/targets/lease_keeper_test.cpp
+++ b/src/libverbenalever/targets/lease_keeper_test.cpp
@@ -178,20 +178,20 @@
 {
     const auto now = monotonic_clock::now();
     const auto lapses_at = now + std::chrono::seconds(30);
-    EXPECT_TRUE(this->registry.may_still_run("t1", "try-1", 4, lapses_at, now));
-    EXPECT_FALSE(this->registry.may_still_run("t1", "try-1", 4, now, now));
+    EXPECT_TRUE(this->registry.may_still_run("t1", "j.0/try-1", 4, lapses_at, now));
+    EXPECT_FALSE(this->registry.may_still_run("t1", "j.0/try-1", 4, now, now));
     this->run_until([this] { return this->arbiter.acquisitions.size() == 1; });
     this->arbiter.acquisitions[0].answer(lease_answer{.granted = true, .epoch = 5});
     const auto held = monotonic_clock::now();
-    EXPECT_TRUE(this->registry.may_still_run("t1", "try-1", 4, lapses_at, held));
+    EXPECT_TRUE(this->registry.may_still_run("t1", "j.0/try-1", 4, lapses_at, held));
     target_registry::begin_inventory(this->target());
     target_inventory inventory;
     inventory.tasks.push_back({.task = "j.0", .attempt = "try-2", .state = "running"});
     this->registry.take_inventory(this->target(), inventory);
-    EXPECT_FALSE(this->registry.may_still_run("t1", "try-1", 4, lapses_at, held));
-    EXPECT_FALSE(this->registry.may_still_run("t1", "try-1", 0, lapses_at, held));
-    EXPECT_TRUE(this->registry.may_still_run("t1", "try-1", 5, lapses_at, held));
-    EXPECT_TRUE(this->registry.may_still_run("t1", "try-2", 4, lapses_at, held));
+    EXPECT_FALSE(this->registry.may_still_run("t1", "j.0/try-1", 4, lapses_at, held));
+    EXPECT_FALSE(this->registry.may_still_run("t1", "j.0/try-1", 0, lapses_at, held));
+    EXPECT_TRUE(this->registry.may_still_run("t1", "j.0/try-1", 5, lapses_at, held));
+    EXPECT_TRUE(this->registry.may_still_run("t1", "j.0/try-2", 4, lapses_at, held));
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/targets/target_ledger.cpp
+++ b/src/libverbenalever/targets/target_ledger.cpp
@@ -40,9 +40,10 @@
 
 void target_ledger::doubt(std::string_view work, std::int64_t epoch)
 {
-    auto node = this->own.extract(this->own.find(work));
-    if (!node)
+    const auto found = this->own.find(work);
+    if (found == this->own.end())
         return;
+    auto node = this->own.extract(found);
     node.mapped().doubt_epoch = epoch;
     this->doubtful.insert(std::move(node));
 }
@@ -60,7 +61,7 @@
         shown[request.request] = {.team = request.team, .demand = {.slots = 1}};
     for (const auto& task : inventory.tasks) {
         if (task.running())
-            shown[task.attempt] = {.team = task.team, .demand = task.demand};
+            shown[work_name(task.task, task.attempt)] = {.team = task.team, .demand = task.demand};
     }
     std::erase_if(this->own, [this, &shown](const auto& entry) {
         // It ran and has ended; whoever reserved it has not heard of it yet.
--- a/src/libverbenalever/targets/target_ledger.h
+++ b/src/libverbenalever/targets/target_ledger.h
@@ -18,7 +18,7 @@
 /// Four kinds add up: work that this entry reserved under an identifier, work that it reserved
 /// without one, work that is in doubt (its start may yet arrive), and work that only the target's
 /// inventory shows, e.g. started by an earlier holder of the lease. The work's identifier is the
-/// request's, or the task's attempt, as the inventory shows it.
+/// request's, or work_name() of a task's start.
 class target_ledger {
 public:
     using team_sums = std::map<std::string, resources, std::less<>>;
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -200,7 +200,7 @@
         record->ledger.doubt(work, record->lease_epoch);
 }
 
-bool target_registry::may_still_run(std::string_view target, std::string_view attempt,
+bool target_registry::may_still_run(std::string_view target, std::string_view work,
                                     std::int64_t epoch, monotonic_time lapses_at,
                                     monotonic_time now) const
 {
@@ -210,7 +210,7 @@
     const auto& record = found->second;
     if (!record.held(now) || !record.inventory_known)
         return now < lapses_at;
-    return epoch == record.lease_epoch || record.ledger.seen_running(attempt);
+    return epoch == record.lease_epoch || record.ledger.seen_running(work);
 }
 
 void target_registry::begin_inventory(target_record& target)
@@ -233,6 +233,8 @@
         this->change_use(target, team, use);
     target.inventory_known = true;
     this->rebuild_index();
+    if (this->inventory_listener)
+        this->inventory_listener(target, inventory);
     this->reconsider();
 }
 
@@ -242,6 +244,12 @@
     this->announce_room();
 }
 
+void target_registry::on_inventory(
+    std::function<void(const target_record&, const target_inventory&)> action)
+{
+    this->inventory_listener = std::move(action);
+}
+
 void target_registry::on_room(std::function<void()> action)
 {
     this->room_listeners.push_back(std::move(action));
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -61,7 +61,7 @@
 
     /// Choose a target with room and reserve the room, in one step.
     /// @param team whose work it is; empty on open queues
-    /// @param work the request or the attempt, as the target's inventory will show it; without it
+    /// @param work the request's id, or work_name() of a task's start; without it
     ///             the reservation can neither be told from others like it nor be in doubt
     /// @return the target's name; nothing when no target may take the work now
     [[nodiscard]] std::optional<std::string> place(placement_policy& policy, std::string_view team,
@@ -82,8 +82,8 @@
     /// @param work the name under which the room was reserved
     void doubt(std::string_view target, std::string_view work);
 
-    /// Say whether an attempt may still run, or start, on a target, so that it must not be started
-    /// elsewhere.
+    /// Say whether a piece of work may still run, or start, on a target, so that it must not be
+    /// started elsewhere.
     ///
     /// Under a lease of this entry the inventory decides, since a start by anyone else would be
     /// refused. Otherwise only time does.
@@ -91,7 +91,7 @@
     ///                  process did
     /// @param lapses_at when its task lease has lapsed if nobody renewed it: the last time at which
     ///                  a start or a renewal may have been sent, and the task lease after it
-    [[nodiscard]] bool may_still_run(std::string_view target, std::string_view attempt,
+    [[nodiscard]] bool may_still_run(std::string_view target, std::string_view work,
                                      std::int64_t epoch, monotonic_time lapses_at,
                                      monotonic_time now) const;
 
@@ -102,6 +102,10 @@
     /// others is added.
     void take_inventory(target_record& target, const target_inventory& inventory);
 
+    /// Be told of each inventory that replaced what was reserved.
+    void on_inventory(
+        std::function<void(const target_record& target, const target_inventory& inventory)> action);
+
     /// Be told when room may have come free.
     void on_room(std::function<void()> action);
 
@@ -130,6 +134,7 @@
     std::string availability_zone;
     std::map<std::string, target_record, std::less<>> records;
     std::vector<std::function<void()>> room_listeners;
+    std::function<void(const target_record&, const target_inventory&)> inventory_listener;
     start_guard guard;
     health_filter healthy;
     use_listener used;
--- a/src/libverbenalever/targets/target_task.h
+++ b/src/libverbenalever/targets/target_task.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/resources.h"
 
+#include <cstdint>
 #include <string>
 
 namespace verbenalever {
@@ -14,6 +15,7 @@
     resources demand;
     std::string state; ///< running, succeeded, failed, stopped or lapsed
     std::string result;
+    std::int64_t progress_ms = 0; ///< of the last checkpoint
 
     [[nodiscard]] bool running() const
     {
@@ -21,4 +23,11 @@
     }
 };
 
+/// @return the name of one start of a task as a piece of work: attempts are unique to their task
+///         only
+[[nodiscard]] inline std::string work_name(const std::string& task, const std::string& attempt)
+{
+    return task + "/" + attempt;
+}
+
 } // namespace verbenalever
