Cause the failures of restrictions with real processes

Also: the stale read case now ends the watches, so that entries with the newer revision read the old one again.

--- a/testsuite/operators-configuration/run.py
+++ b/testsuite/operators-configuration/run.py
@@ -139,7 +139,7 @@
             assert_never_back(self, cluster)
 
     def test_a_stale_read_does_not_bring_an_old_revision_back(self):
-        with Cluster(zones=2, entries=1, targets=1) as cluster:
+        with Cluster(zones=2, entries=1, targets=1, proxy=True) as cluster:
             cluster.platform_faults(stale_reads=True)
             answer = cluster.apply(with_team("green"), entry="entry-a1")
             self.assertEqual(answer.status, 200, answer)
@@ -149,7 +149,13 @@
             cluster.start_entry("entry-b1")  # reads the old revision, then hears of the newer
             cluster.wait_port(cluster.entry("entry-b1"))
             wait_revision(cluster, newer)
-            time.sleep(2)
+            reads = call(cluster.platform, "GET", "/control/calls").json()["reads"]
+            cluster.rules({"link": "platform", "mode": "cut"})  # ends the watches
+            time.sleep(1)
+            cluster.rules()
+            cluster.wait(lambda: call(cluster.platform, "GET", "/control/calls").json()["reads"]
+                         >= reads + 2, 10, "the entries did not read the old revision again")
+            time.sleep(1)
             self.assertEqual({revision(cluster, name) for name in cluster.entries}, {newer})
             assert_never_back(self, cluster)
 
