Give operators one set of verbs for configuration, keys, zones, teams, queues and the time line

Cause: only whole configurations could be applied, keys had to be written into the file by hand, and the time line could be checked but not read.

Change: administration calls for single items, each one compare-and-swap on If-Match or on the revision in force; verbs for all of them; tables or JSON; 'top'; 'timeline show' and 'timeline svg' with filters. Keys are made by the tool, so that the key itself never travels when it is granted.

Found by testsuite/operators-input: a second key with an id in use was accepted (200 where 400 was expected), and withdrawing that id would have withdrawn both. Ids must now be unique and not empty.

--- a/src/libverbenalever/configuration/operator_configuration.cpp
+++ b/src/libverbenalever/configuration/operator_configuration.cpp
@@ -50,11 +50,15 @@
     result.queues.emplace(name, queue);
 }
 
-key_configuration read_key(yaml_mapping& source, bool with_team)
+/// @param ids of the keys read so far; a key is withdrawn by its id, which must name one only
+key_configuration read_key(yaml_mapping& source, bool with_team,
+                           std::set<std::string, std::less<>>& ids)
 {
     key_configuration key{.id = source.text("id"),
                           .team = with_team ? source.text("team") : std::string(),
                           .sha256 = source.text("sha256")};
+    if (source.has("id") && (key.id.empty() || !ids.insert(key.id).second))
+        source.report("id", fmt::format("'{}' is empty or another key's id", key.id));
     const bool hexadecimal = std::ranges::all_of(key.sha256, [](char digit) {
         return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
     });
@@ -65,14 +69,15 @@
 
 void read_keys(operator_configuration& result, yaml_mapping& root)
 {
-    root.elements("keys", [&result](yaml_mapping& source) {
-        auto key = read_key(source, true);
+    std::set<std::string, std::less<>> ids;
+    root.elements("keys", [&result, &ids](yaml_mapping& source) {
+        auto key = read_key(source, true, ids);
         if (!key.team.empty() && !result.teams.contains(key.team))
             source.report("team", fmt::format("there is no team '{}'", key.team));
         result.keys.push_back(std::move(key));
     });
-    root.elements("operator_keys", [&result](yaml_mapping& source) {
-        result.operator_keys.push_back(read_key(source, false));
+    root.elements("operator_keys", [&result, &ids](yaml_mapping& source) {
+        result.operator_keys.push_back(read_key(source, false, ids));
     });
 }
 
--- /dev/null
+++ b/src/libverbenalever/timeline/trace_lanes.cpp
@@ -0,0 +1,126 @@
+#include "timeline/trace_lanes.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace verbenalever {
+
+namespace {
+
+const std::set<std::string_view> fault_events = {
+    "killed",        "peer_silent", "connection_silent",        "faults_set",
+    "rules_changed", "reply_lost",  "request_outcome_unknown",  "change_in_doubt",
+    "rule_set",      "vm_state",    "configuration_unreadable", "fault"};
+
+const std::set<std::string_view> state_events = {"started",
+                                                 "stopped",
+                                                 "drain_started",
+                                                 "lease_acquired",
+                                                 "lease_released",
+                                                 "peer_alive",
+                                                 "availability_zone_state",
+                                                 "configuration_in_force",
+                                                 "job_accepted",
+                                                 "restriction_in_force",
+                                                 "change_accepted"};
+
+std::string work_of(const trace_event& event)
+{
+    const auto task = event.text("task");
+    return event.process + " " + (task.empty() ? event.text("request") : task);
+}
+
+std::string title_of(const trace_event& event)
+{
+    std::string title = event.event;
+    for (const auto& [name, value] : event.fields.items()) {
+        if (name != "mono_us" && name != "wall_us" && name != "process" && name != "slice" &&
+            name != "event")
+            title +=
+                fmt::format(" {}={}", name,
+                            value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    }
+    return title;
+}
+
+} // namespace
+
+trace_lanes::trace_lanes(std::span<const trace_event> events)
+{
+    std::set<std::string> processes;
+    for (const auto& event : events)
+        processes.insert(event.process);
+    for (const auto& process : processes)
+        this->lanes.push_back({.process = process, .bars = {}, .marks = {}});
+    if (!events.empty()) {
+        this->first_us = events.front().mono_us;
+        this->last_us = events.back().mono_us;
+    }
+    for (const auto& event : events) {
+        auto& place = *std::ranges::lower_bound(this->lanes, event.process, {}, &lane::process);
+        if (event.event == "task_running" || event.event == "request_running")
+            this->begin_run(event, place);
+        else if (event.event == "task_ended" || event.event == "request_ended")
+            this->end_run(event, place);
+        else if (fault_events.contains(event.event) || state_events.contains(event.event))
+            place.marks.push_back({.at_us = event.mono_us,
+                                   .fault = fault_events.contains(event.event),
+                                   .title = title_of(event)});
+        if (event.event == "killed")
+            this->end_all_runs(place, event.mono_us);
+    }
+}
+
+const std::vector<trace_lanes::lane>& trace_lanes::all() const
+{
+    return this->lanes;
+}
+
+std::int64_t trace_lanes::start_us() const
+{
+    return this->first_us;
+}
+
+std::int64_t trace_lanes::span_us() const
+{
+    return this->last_us - this->first_us;
+}
+
+void trace_lanes::begin_run(const trace_event& event, lane& place)
+{
+    std::vector<bool> taken(place.rows + 1, false);
+    for (const auto& [work, index] : this->running) {
+        if (work.starts_with(place.process + " "))
+            taken[place.bars[index].row] = true;
+    }
+    const auto row = static_cast<std::size_t>(std::ranges::find(taken, false) - taken.begin());
+    place.rows = std::max(place.rows, row + 1);
+    this->running[work_of(event)] = place.bars.size();
+    place.bars.push_back({.start_us = event.mono_us,
+                          .end_us = this->last_us,
+                          .row = row,
+                          .team = event.text("team"),
+                          .title = title_of(event)});
+}
+
+void trace_lanes::end_run(const trace_event& event, lane& place)
+{
+    if (const auto found = this->running.find(work_of(event)); found != this->running.end()) {
+        place.bars[found->second].end_us = event.mono_us;
+        this->running.erase(found);
+    }
+}
+
+void trace_lanes::end_all_runs(lane& place, std::int64_t at_us)
+{
+    std::erase_if(this->running, [&place, at_us](const auto& run) {
+        if (!run.first.starts_with(place.process + " "))
+            return false;
+        place.bars[run.second].end_us = at_us;
+        return true;
+    });
+}
+
+} // namespace verbenalever
--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -1,44 +1,69 @@
 #include "config_verbs.h"
 
 #include "access/key_digest.h"
-#include "configuration/operator_configuration.h"
+#include "change_report.h"
+#include "configuration/configuration_merge.h"
 #include "exit_codes.h"
 #include "flags.h"
+#include "line_difference.h"
 #include "loop/unique_id.h"
 #include "session.h"
 #include "settings/yaml_file.h"
+#include "table.h"
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <cstdio>
+#include <ctime>
 
 namespace tool {
 
 namespace {
 
+using verbenalever::configuration_source;
+
 constexpr std::size_t key_bytes = 24;
+constexpr std::int64_t microseconds_per_second = 1'000'000;
 
-absl::StatusOr<std::string> read_checked(std::span<const std::string> arguments)
+absl::StatusOr<configuration_source> read_source(std::span<const std::string> arguments,
+                                                 std::size_t index)
 {
-    if (arguments.size() != 1)
-        return absl::InvalidArgumentError("one FILE is needed");
-    auto text = verbenalever::read_file(arguments[0]);
+    if (index >= arguments.size())
+        return configuration_source{};
+    auto text = verbenalever::read_file(arguments[index]);
     if (!text.ok())
         return text.status();
-    const auto checked = verbenalever::operator_configuration::parse(*text, arguments[0]);
-    if (!checked.ok())
-        return checked.status();
-    return text;
+    return configuration_source{.file = arguments[index], .text = *std::move(text)};
+}
+
+/// @return the merged and checked configuration of BASE [OVERLAY]
+absl::StatusOr<std::string> read_merged(std::span<const std::string> arguments)
+{
+    if (arguments.empty() || arguments.size() > 2)
+        return absl::InvalidArgumentError("needed: BASE [OVERLAY]");
+    const auto base = read_source(arguments, 0);
+    if (!base.ok())
+        return base.status();
+    const auto overlay = read_source(arguments, 1);
+    if (!overlay.ok())
+        return overlay.status();
+    return verbenalever::merge_configuration(*base, *overlay);
+}
+
+int report_usage(const absl::Status& status)
+{
+    fmt::print(stderr, "{}\n", std::string(status.message()));
+    return exit_usage;
 }
 
 } // namespace
 
 int run_config_check(session&, std::span<const std::string> arguments)
 {
-    if (const auto text = read_checked(arguments); !text.ok()) {
-        fmt::print(stderr, "{}\n", std::string(text.status().message()));
-        return exit_usage;
-    }
+    if (const auto text = read_merged(arguments); !text.ok())
+        return report_usage(text.status());
     fmt::print("{}: the configuration is valid\n", arguments[0]);
     return exit_ok;
 }
@@ -49,33 +74,69 @@
     if (!result.success())
         return report_failure(result);
     const auto shown = nlohmann::json::parse(result.body);
-    if (FLAGS_json)
+    if (FLAGS_json) {
         fmt::print("{}\n", result.body);
-    else
-        fmt::print("# revision {}\n{}", shown.value("revision", 0), shown.value("text", ""));
+        return exit_ok;
+    }
+    fmt::print("# revision {}\n", shown.value("revision", 0));
+    for (const auto& restriction : shown["restrictions"])
+        fmt::print("# in force, not yet kept: {} {}\n", restriction.value("kind", ""),
+                   restriction.value("subject", ""));
+    fmt::print("{}", shown.value("text", ""));
     return exit_ok;
 }
 
-int run_config_apply(session& state, std::span<const std::string> arguments)
+int run_config_diff(session& state, std::span<const std::string> arguments)
+{
+    const auto text = read_merged(arguments);
+    if (!text.ok())
+        return report_usage(text.status());
+    const auto result = state.call("GET", "/v1/admin/configuration");
+    if (!result.success())
+        return report_failure(result);
+    const auto present = nlohmann::json::parse(result.body);
+    // Both as the YAML library writes them, so that comments and spacing make no difference.
+    const auto difference =
+        line_difference(normalized_yaml(present.value("text", "")), normalized_yaml(*text));
+    fmt::print("# against revision {}\n{}", present.value("revision", 0), difference);
+    return difference.empty() ? exit_ok : exit_failed;
+}
+
+int run_config_history(session& state, std::span<const std::string>)
 {
-    auto text = read_checked(arguments);
-    if (!text.ok()) {
-        fmt::print(stderr, "{}\n", std::string(text.status().message()));
-        return exit_usage;
+    const auto result = state.call("GET", "/v1/admin/configuration/history");
+    if (!result.success())
+        return report_failure(result);
+    if (FLAGS_json) {
+        fmt::print("{}\n", result.body);
+        return exit_ok;
+    }
+    auto rows = nlohmann::json::parse(result.body)["revisions"];
+    for (auto& row : rows) {
+        const auto seconds = static_cast<std::time_t>(row.value("accepted_us", std::int64_t{0}) /
+                                                      microseconds_per_second);
+        row["accepted"] = fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(seconds));
     }
-    auto base = FLAGS_base;
-    if (base < 0) {
+    constexpr std::array columns{column{"revision", "revision"}, column{"made from", "base"},
+                                 column{"accepted", "accepted"}, column{"by", "by"}};
+    print_table(columns, rows);
+    return exit_ok;
+}
+
+int run_config_apply(session& state, std::span<const std::string> arguments)
+{
+    auto text = read_merged(arguments);
+    if (!text.ok())
+        return report_usage(text.status());
+    if (FLAGS_base < 0) {
         const auto present = state.call("GET", "/v1/admin/configuration");
         if (!present.success())
             return report_failure(present);
-        base = nlohmann::json::parse(present.body).value("revision", std::int64_t{0});
+        FLAGS_base = nlohmann::json::parse(present.body).value("revision", std::int64_t{0});
     }
-    const auto result = state.call("PUT", "/v1/admin/configuration", *std::move(text),
-                                   {{"If-Match", fmt::format("{}", base)}});
-    if (!result.success())
-        return report_failure(result);
-    fmt::print("revision {}\n", nlohmann::json::parse(result.body).value("revision", 0));
-    return exit_ok;
+    const auto result = send_change(state, "PUT", "configuration", *std::move(text));
+    FLAGS_base = -1;
+    return report_change(result);
 }
 
 int run_key_make(session&, std::span<const std::string>)
--- a/src/verbenalever/fleet_verbs.cpp
+++ b/src/verbenalever/fleet_verbs.cpp
@@ -3,47 +3,177 @@
 #include "exit_codes.h"
 #include "flags.h"
 #include "session.h"
+#include "table.h"
 
 #include <fmt/format.h>
 
+#include <array>
+#include <cstdio>
+#include <map>
+
 namespace tool {
 
-int run_entries(session& state, std::span<const std::string>)
+namespace {
+
+using verbenalever::milliseconds;
+
+/// One list of the administration API and how it is shown.
+struct shown_list {
+    std::string_view name; ///< of the path and of the member in the answer
+    std::span<const column> columns;
+};
+
+constexpr std::array entry_columns{
+    column{"entry", "name"},  column{"zone", "availability_zone"}, column{"http", "http"},
+    column{"alive", "alive"}, column{"draining", "draining"},      column{"revision", "revision"}};
+constexpr std::array target_columns{column{"target", "name"},
+                                    column{"zone", "availability_zone"},
+                                    column{"rack", "rack"},
+                                    column{"held", "held"},
+                                    column{"starts", "may_start"},
+                                    column{"slots used", "reserved.slots"},
+                                    column{"slots", "capacity.slots"},
+                                    column{"MB used", "reserved.memory_mb"},
+                                    column{"MB", "capacity.memory_mb"}};
+constexpr std::array team_columns{column{"team", "name"}, column{"share", "share"},
+                                  column{"limit", "limit"}};
+constexpr std::array queue_columns{column{"queue", "name"},
+                                   column{"class", "class"},
+                                   column{"priority", "priority"},
+                                   column{"open", "open"},
+                                   column{"stopped", "stopped"},
+                                   column{"deadline ms", "deadline_ms"},
+                                   column{"length limit", "length_limit"}};
+constexpr std::array zone_columns{column{"zone", "name"}, column{"state", "state"},
+                                  column{"drain", "drain"}};
+constexpr std::array key_columns{column{"key", "id"}, column{"team", "team"},
+                                 column{"operator", "operator"}};
+constexpr std::array restriction_columns{column{"restriction", "id"}, column{"kind", "kind"},
+                                         column{"subject", "subject"}, column{"by", "by"}};
+
+constexpr std::array lists{shown_list{"entries", entry_columns},
+                           shown_list{"targets", target_columns},
+                           shown_list{"teams", team_columns},
+                           shown_list{"queues", queue_columns},
+                           shown_list{"availability_zones", zone_columns},
+                           shown_list{"keys", key_columns},
+                           shown_list{"restrictions", restriction_columns}};
+
+int show(session& state, std::string_view name)
 {
-    const auto result = state.call("GET", "/v1/admin/entries");
+    const auto result = state.call("GET", fmt::format("/v1/admin/{}", name));
     if (!result.success())
         return report_failure(result);
     if (FLAGS_json) {
         fmt::print("{}\n", result.body);
         return exit_ok;
     }
-    fmt::print("{:<16}{:<16}{:<24}{:<8}{}\n", "entry", "zone", "http", "alive", "revision");
-    const auto shown = nlohmann::json::parse(result.body);
-    for (const auto& entry : shown["entries"])
-        fmt::print("{:<16}{:<16}{:<24}{:<8}{}\n", entry.value("name", ""),
-                   entry.value("availability_zone", ""), entry.value("http", ""),
-                   entry.value("alive", false) ? "yes" : "no", entry.value("revision", 0));
+    const auto body = nlohmann::json::parse(result.body);
+    for (const auto& list : lists) {
+        if (list.name == name)
+            print_table(list.columns, body[std::string(name)]);
+    }
     return exit_ok;
 }
 
+/// @return what every reachable entry's held targets have running, by team
+nlohmann::json use_of_fleet(session& state, const nlohmann::json& entries)
+{
+    std::map<std::string, std::int64_t> slots;
+    const auto chosen = FLAGS_entry;
+    for (const auto& entry : entries) {
+        if (!entry.value("alive", false))
+            continue;
+        FLAGS_entry = entry.value("http", chosen);
+        const auto result = state.call("GET", "/v1/admin/use");
+        if (!result.success())
+            continue;
+        const auto body = nlohmann::json::parse(result.body);
+        for (const auto& [team, used] : body["teams"].items())
+            slots[team] += used.value("slots", std::int64_t{0});
+    }
+    FLAGS_entry = chosen;
+    auto rows = nlohmann::json::array();
+    for (const auto& [team, used] : slots)
+        rows.push_back({{"team", team.empty() ? "(open queues)" : team}, {"slots", used}});
+    return rows;
+}
+
+int show_fleet(session& state)
+{
+    const auto result = state.call("GET", "/v1/admin/entries");
+    if (!result.success())
+        return report_failure(result);
+    const auto entries = nlohmann::json::parse(result.body)["entries"];
+    print_table(entry_columns, entries);
+    fmt::print("\nzones out\n");
+    if (const int code = show(state, "availability_zones"); code != exit_ok)
+        return code;
+    fmt::print("\ntargets of {}'s zone\n", entries[0].value("name", ""));
+    if (const int code = show(state, "targets"); code != exit_ok)
+        return code;
+    fmt::print("\nrunning, by team\n");
+    constexpr std::array columns{column{"team", "team"}, column{"slots", "slots"}};
+    print_table(columns, use_of_fleet(state, entries));
+    std::fflush(stdout);
+    return exit_ok;
+}
+
+} // namespace
+
+int run_entries(session& state, std::span<const std::string>)
+{
+    return show(state, "entries");
+}
+
 int run_targets(session& state, std::span<const std::string>)
 {
-    const auto result = state.call("GET", "/v1/admin/targets");
+    return show(state, "targets");
+}
+
+int run_teams(session& state, std::span<const std::string>)
+{
+    return show(state, "teams");
+}
+
+int run_queues(session& state, std::span<const std::string>)
+{
+    return show(state, "queues");
+}
+
+int run_zones(session& state, std::span<const std::string>)
+{
+    return show(state, "availability_zones");
+}
+
+int run_key_list(session& state, std::span<const std::string>)
+{
+    return show(state, "keys");
+}
+
+int run_restrictions(session& state, std::span<const std::string>)
+{
+    return show(state, "restrictions");
+}
+
+int run_drain(session& state, std::span<const std::string>)
+{
+    const auto result = state.call("POST", "/v1/admin/drain");
     if (!result.success())
         return report_failure(result);
-    if (FLAGS_json) {
-        fmt::print("{}\n", result.body);
-        return exit_ok;
+    fmt::print("{} is draining\n", FLAGS_entry);
+    return exit_ok;
+}
+
+int run_top(session& state, std::span<const std::string>)
+{
+    for (int shown = 0; FLAGS_times == 0 || shown < FLAGS_times; ++shown) {
+        if (shown > 0)
+            sleep_for(milliseconds(FLAGS_interval_ms));
+        fmt::print("\n");
+        if (const int code = show_fleet(state); code != exit_ok)
+            return code;
     }
-    fmt::print("{:<16}{:<16}{:<12}{:<8}{:<8}{}\n", "target", "zone", "rack", "held", "starts",
-               "slots used");
-    const auto shown = nlohmann::json::parse(result.body);
-    for (const auto& target : shown["targets"])
-        fmt::print("{:<16}{:<16}{:<12}{:<8}{:<8}{}/{}\n", target.value("name", ""),
-                   target.value("availability_zone", ""), target.value("rack", ""),
-                   target.value("held", false) ? "yes" : "no",
-                   target.value("may_start", false) ? "yes" : "no",
-                   target["reserved"].value("slots", 0), target["capacity"].value("slots", 0));
     return exit_ok;
 }
 
--- /dev/null
+++ b/src/verbenalever/table.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace tool {
+
+/// One column of a table: its title and the member that fills it.
+struct column {
+    std::string_view title;
+    std::string_view member; ///< "a.b" for a member of a member
+};
+
+/// Print rows as a table whose columns are as wide as their longest cell.
+void print_table(std::span<const column> columns, const nlohmann::json& rows);
+
+/// @return a cell's text: yes and no for flags, empty when the member is absent
+[[nodiscard]] std::string cell_text(const nlohmann::json& row, std::string_view member);
+
+} // namespace tool
--- a/src/verbenalever/timeline_verbs.cpp
+++ b/src/verbenalever/timeline_verbs.cpp
@@ -3,7 +3,10 @@
 #include "exit_codes.h"
 #include "flags.h"
 #include "timeline/trace_checker.h"
+#include "timeline/trace_filter.h"
 #include "timeline/trace_reader.h"
+#include "timeline/trace_svg.h"
+#include "timeline/trace_text.h"
 
 #include <fmt/format.h>
 
@@ -38,8 +41,41 @@
     return rules;
 }
 
+using trace_writer = std::string (*)(std::span<const verbenalever::trace_event>);
+
+/// Read files, keep the events that the flags ask for and print what @p write makes of them.
+int print_timeline(std::span<const std::string> files, trace_writer write)
+{
+    if (files.empty()) {
+        fmt::print(stderr, "verbenalever: FILEs are needed\n");
+        return exit_usage;
+    }
+    const auto events = verbenalever::read_trace(files);
+    if (!events.ok()) {
+        fmt::print(stderr, "{}\n", std::string(events.status().message()));
+        return exit_usage;
+    }
+    const verbenalever::trace_filter filter{.job = FLAGS_job,
+                                            .task = FLAGS_task,
+                                            .request = FLAGS_request,
+                                            .target = FLAGS_target,
+                                            .team = FLAGS_team};
+    fmt::print("{}", write(filter.select(*events)));
+    return exit_ok;
+}
+
 } // namespace
 
+int run_timeline_show(session&, std::span<const std::string> arguments)
+{
+    return print_timeline(arguments, verbenalever::trace_text);
+}
+
+int run_timeline_svg(session&, std::span<const std::string> arguments)
+{
+    return print_timeline(arguments, verbenalever::trace_svg);
+}
+
 int run_timeline_check(session&, std::span<const std::string> arguments)
 {
     const auto rules = read_rules();
