--- a/testsuite/operators-input/run.py
+++ b/testsuite/operators-input/run.py
@@ -1,6 +1,7 @@
 """Operators' calls and verbs: wrong input is refused and changes nothing; the tool does it all."""
 
 import json
+import pathlib
 import re
 import unittest
 import xml.dom.minidom
@@ -8,6 +9,8 @@
 from harness import Cluster, call
 from harness.cluster import OPERATOR_KEY, default_configuration, digest
 
+OPENAPI = pathlib.Path(__file__).parents[2] / "docs/openapi.yaml"
+
 
 class OperatorsInput(unittest.TestCase):
     def test_wrong_input_to_every_call(self):
@@ -86,6 +89,21 @@
                     self.assertEqual(answer.status, status, (path, answer))
             self.assertEqual(cluster.admin("configuration").json(), before)
 
+    def test_the_openapi_file_names_every_call(self):
+        documented = {}
+        for line in OPENAPI.read_text().splitlines():
+            if found := re.match(r"  (/\S+):$", line):
+                methods = documented.setdefault(found[1], set())
+            elif found := re.match(r"    (get|put|post|patch|delete):$", line):
+                methods.add(found[1].upper())
+        self.assertGreater(len(documented), 10)
+        with Cluster(zones=1, entries=1, targets=1) as cluster:
+            for path, methods in documented.items():
+                real = "/v1/admin" + re.sub(r"{\w+}", "x", path)
+                answer = call(cluster.entry("entry-a1"), "OPTIONS", real, key=OPERATOR_KEY)
+                self.assertEqual(answer.status, 405, (path, answer))
+                self.assertEqual(set(answer.headers["Allow"].split(", ")), methods, path)
+
     def test_wrong_keys_are_limited_and_right_ones_are_not(self):
         with Cluster(zones=1, entries=1, targets=1) as cluster:
             entry = cluster.entry("entry-a1")
