Warn when a zone that is taken out is unknown

Cause: a mistyped zone was answered 'kept' and stayed in service. Refusing it was ruled out: an entry that started during an outage knows few zones, and taking one out must work there.

Change: the answer carries a warning, which the tool prints (testsuite/operators-input). Without it the same verb printed 'kept' alone.

--- a/src/libverbenalever/administration/acceptance.cpp
+++ b/src/libverbenalever/administration/acceptance.cpp
@@ -87,6 +87,8 @@
                            {"not_reached", where.not_reached}};
     if (!accepted.restriction.empty())
         body["restriction"] = accepted.restriction;
+    if (!accepted.warning.empty())
+        body["warning"] = accepted.warning;
     return http_response::json(200, body.dump());
 }
 
--- a/src/libverbenalever/administration/acceptance.h
+++ b/src/libverbenalever/administration/acceptance.h
@@ -23,6 +23,7 @@
     struct change {
         std::int64_t revision = 0; ///< zero for a restriction that is not kept
         std::string restriction;   ///< id; empty for a plain revision
+        std::string warning;       ///< what the operator should look at; empty for nothing
     };
 
     acceptance(event_loop& loop, const entry_settings& settings,
--- a/src/libverbenalever/administration/admin_api.cpp
+++ b/src/libverbenalever/administration/admin_api.cpp
@@ -12,7 +12,7 @@
       keeper(loop, configuration, this->writer),
       answers(loop, settings, configuration, this->spread, mesh),
       documents(configuration, this->writer, this->answers),
-      restrictions(configuration, this->spread, this->keeper, this->answers, log),
+      restrictions(settings, mesh, configuration, this->spread, this->keeper, this->answers, log),
       edits(configuration, this->writer, this->answers), lists(configuration),
       fleet(settings, configuration, mesh, registry, std::move(drain))
 {
--- a/src/libverbenalever/administration/configuration_api.cpp
+++ b/src/libverbenalever/administration/configuration_api.cpp
@@ -89,7 +89,8 @@
                            if (!accepted.ok())
                                return respond(refused_change(accepted.status()));
                            this->answers.respond_when_spread(
-                               {.revision = accepted->revision, .restriction = {}}, wait, respond);
+                               {.revision = accepted->revision, .restriction = {}, .warning = {}},
+                               wait, respond);
                        });
 }
 
--- a/src/libverbenalever/administration/item_edits.cpp
+++ b/src/libverbenalever/administration/item_edits.cpp
@@ -224,7 +224,8 @@
                           if (!accepted.ok())
                               return respond(refused_change(accepted.status()));
                           this->answers.respond_when_spread(
-                              {.revision = accepted->revision, .restriction = {}}, wait, respond);
+                              {.revision = accepted->revision, .restriction = {}, .warning = {}},
+                              wait, respond);
                       });
 }
 
--- a/src/libverbenalever/administration/restriction_api.cpp
+++ b/src/libverbenalever/administration/restriction_api.cpp
@@ -9,7 +9,13 @@
 #include "configuration/restriction_keeper.h"
 #include "http/problem.h"
 #include "loop/unique_id.h"
+#include "membership/peer_mesh.h"
 #include "timeline/event_log.h"
+#include "verbenalever/entry_settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
 
 namespace verbenalever {
 
@@ -44,10 +50,12 @@
 
 } // namespace
 
-restriction_api::restriction_api(configuration_store& configuration, configuration_spread& spread,
+restriction_api::restriction_api(const entry_settings& settings, const peer_mesh& mesh,
+                                 configuration_store& configuration, configuration_spread& spread,
                                  restriction_keeper& keeper, acceptance& answers,
                                  const event_log& log)
-    : configuration(configuration), spread(spread), keeper(keeper), answers(answers), log(log)
+    : settings(settings), mesh(mesh), configuration(configuration), spread(spread), keeper(keeper),
+      answers(answers), log(log)
 {
 }
 
@@ -89,14 +97,27 @@
     wanted.by = request.by;
     wanted.made_us = wall_microseconds();
     const auto id = wanted.id;
+    const auto warning = this->warning_about(wanted);
     if (wanted.kind == "zone_out")
         this->log.write("configuration", "availability_zone_state",
                         {{"availability_zone", wanted.subject}, {"state", "out"}});
     this->configuration.restrict(std::move(wanted));
     this->spread.send_restrictions();
     this->keeper.keep_now();
-    this->answers.respond_when_spread({.revision = 0, .restriction = id}, *wait,
+    this->answers.respond_when_spread({.revision = 0, .restriction = id, .warning = warning}, *wait,
                                       std::move(respond));
 }
 
+std::string restriction_api::warning_about(const restriction& wanted) const
+{
+    // Not refused: an entry that started during an outage knows few zones.
+    const auto in_zone = [&wanted](const auto& peer) {
+        return peer.second.availability_zone == wanted.subject;
+    };
+    if (wanted.kind != "zone_out" || wanted.subject == this->settings.availability_zone ||
+        std::ranges::any_of(this->mesh.peers(), in_zone))
+        return {};
+    return fmt::format("this entry knows no entry in availability zone '{}'", wanted.subject);
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/administration/restriction_api.h
+++ b/src/libverbenalever/administration/restriction_api.h
@@ -11,12 +11,15 @@
 class configuration_spread;
 class configuration_store;
 class event_log;
+class peer_mesh;
 class restriction_keeper;
+struct entry_settings;
 
 /// Changes that only narrow: in force at once, with or without the store.
 class restriction_api {
 public:
-    restriction_api(configuration_store& configuration, configuration_spread& spread,
+    restriction_api(const entry_settings& settings, const peer_mesh& mesh,
+                    configuration_store& configuration, configuration_spread& spread,
                     restriction_keeper& keeper, acceptance& answers, const event_log& log);
 
     void add_routes(admin_routes& routes);
@@ -25,7 +28,10 @@
     void restrict(const admin_request& request, http_responder respond);
     void withdraw_key(const admin_request& request, http_responder respond);
     void put_in_force(const admin_request& request, restriction wanted, http_responder respond);
+    [[nodiscard]] std::string warning_about(const restriction& wanted) const;
 
+    const entry_settings& settings;
+    const peer_mesh& mesh;
     configuration_store& configuration;
     configuration_spread& spread;
     restriction_keeper& keeper;
--- a/src/verbenalever/change_report.cpp
+++ b/src/verbenalever/change_report.cpp
@@ -48,6 +48,8 @@
     fmt::print("{}\n", kept ? fmt::format("kept: revision {}", body.value("revision", 0))
                             : std::string("in force, not yet kept"));
     fmt::print("in force at  {}\n", names_of(body, "in_force"));
+    if (body.contains("warning"))
+        fmt::print(stderr, "warning: {}\n", body.value("warning", ""));
     if (const auto pending = names_of(body, "pending"); !pending.empty())
         fmt::print("pending at   {}\n", pending);
     if (const auto silent = names_of(body, "not_reached"); !silent.empty())
--- a/testsuite/operators-input/run.py
+++ b/testsuite/operators-input/run.py
@@ -155,6 +155,10 @@
             self.assertIn("kept", run("zone", "out", "zone-b", "--drain", "move"))
             self.assertIn("move", run("zones"))
             run("zone", "in", "zone-b")
+            self.assertIn("warning: ", run("zone", "out", "zone-typo"))
+            self.assertNotIn("warning: ", run("zone", "out", "zone-a"))
+            for zone in ("zone-typo", "zone-a"):
+                run("zone", "in", zone)
             run("queue", "stop", "open")
             run("queue", "start", "open")
             run("team", "add", "blue-green")
