--- a/src/libverbenalever/configuration/operator_configuration.cpp
+++ b/src/libverbenalever/configuration/operator_configuration.cpp
@@ -1,5 +1,6 @@
 #include "configuration/operator_configuration.h"
 
+#include "configuration/configuration_edit.h"
 #include "settings/yaml_file.h"
 #include "settings/yaml_mapping.h"
 
@@ -17,23 +18,13 @@
 constexpr std::array<std::string_view, 7> placements{
     "", "best_fit", "spread", "least_loaded", "two_choices", "random_fit", "first_fit"};
 constexpr std::array<std::string_view, 2> zone_states{"in", "out"};
-constexpr std::int64_t most_units = 1'000'000'000;
+constexpr std::array zone_drains{zone_drain_let_end, zone_drain_move};
+constexpr std::int64_t most_units = unlimited_units;
 constexpr std::int64_t longest_queue = 1'000'000;
 constexpr double most_processors = 1e6;
 constexpr double thousandths = 1000;
 constexpr std::size_t sha256_hex_length = 64;
 
-resources read_resources(yaml_mapping& source, std::int64_t fallback)
-{
-    return {.slots = source.integer("slots", 0, most_units, fallback),
-            .processors_milli = static_cast<std::int64_t>(
-                source.number("processors", 0, most_processors,
-                              static_cast<double>(fallback) / thousandths) *
-                thousandths),
-            .memory_mb = source.megabytes("memory", fallback),
-            .accelerators = source.integer("accelerators", 0, most_units, fallback)};
-}
-
 void read_team(operator_configuration& result, const std::string& name, yaml_mapping& source)
 {
     team_configuration team{.name = name, .limit = std::nullopt};
@@ -63,11 +54,15 @@
     result.queues.emplace(name, queue);
 }
 
-key_configuration read_key(yaml_mapping& source, bool with_team)
+/// @param ids of the keys read so far; a key is withdrawn by its id, which must name one only
+key_configuration read_key(yaml_mapping& source, bool with_team,
+                           std::set<std::string, std::less<>>& ids)
 {
     key_configuration key{.id = source.text("id"),
                           .team = with_team ? source.text("team") : std::string(),
                           .sha256 = source.text("sha256")};
+    if (source.has("id") && (key.id.empty() || !ids.insert(key.id).second))
+        source.report("id", fmt::format("'{}' is empty or another key's id", key.id));
     const bool hexadecimal = std::ranges::all_of(key.sha256, [](char digit) {
         return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
     });
@@ -78,19 +73,42 @@
 
 void read_keys(operator_configuration& result, yaml_mapping& root)
 {
-    root.elements("keys", [&result](yaml_mapping& source) {
-        auto key = read_key(source, true);
+    std::set<std::string, std::less<>> ids;
+    root.elements("keys", [&result, &ids](yaml_mapping& source) {
+        auto key = read_key(source, true, ids);
         if (!key.team.empty() && !result.teams.contains(key.team))
             source.report("team", fmt::format("there is no team '{}'", key.team));
         result.keys.push_back(std::move(key));
     });
-    root.elements("operator_keys", [&result](yaml_mapping& source) {
-        result.operator_keys.push_back(read_key(source, false));
+    root.elements("operator_keys", [&result, &ids](yaml_mapping& source) {
+        result.operator_keys.push_back(read_key(source, false, ids));
     });
 }
 
+void read_zone(operator_configuration& result, const std::string& name, yaml_mapping& source)
+{
+    const auto state = source.choice("state", zone_states, "in");
+    const auto drain = source.choice("drain", zone_drains, std::string(zone_drain_let_end));
+    if (state != "out")
+        return;
+    result.availability_zones_out.insert(name);
+    if (drain == zone_drain_move)
+        result.availability_zones_moving.insert(name);
+}
+
 } // namespace
 
+resources read_resources(yaml_mapping& source, std::int64_t fallback)
+{
+    return {.slots = source.integer("slots", 0, most_units, fallback),
+            .processors_milli = static_cast<std::int64_t>(
+                source.number("processors", 0, most_processors,
+                              static_cast<double>(fallback) / thousandths) *
+                thousandths),
+            .memory_mb = source.megabytes("memory", fallback),
+            .accelerators = source.integer("accelerators", 0, most_units, fallback)};
+}
+
 absl::StatusOr<operator_configuration> operator_configuration::parse(std::string_view text,
                                                                      std::string_view file)
 {
@@ -98,7 +116,15 @@
     if (!node.ok())
         return node.status();
     yaml_problems problems{std::string(file)};
-    yaml_mapping root(*node, "", problems);
+    auto result = operator_configuration::read(*node, problems);
+    if (!problems.empty())
+        return problems.status();
+    return result;
+}
+
+operator_configuration operator_configuration::read(const YAML::Node& node, yaml_problems& problems)
+{
+    yaml_mapping root(node, "", problems);
     operator_configuration result;
     result.policy = root.choice("policy", policies, result.policy);
     root.each("teams", [&result](const std::string& name, yaml_mapping& source) {
@@ -109,12 +135,9 @@
     });
     read_keys(result, root);
     root.each("availability_zones", [&result](const std::string& name, yaml_mapping& source) {
-        if (source.choice("state", zone_states, "in") == "out")
-            result.availability_zones_out.insert(name);
+        read_zone(result, name, source);
     });
     root.finish();
-    if (!problems.empty())
-        return problems.status();
     return result;
 }
 
--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -63,8 +63,8 @@
                    this->targets, this->mesh, this->store, this->shares, this->metrics, this->log),
           jobs(this->loop, this->settings, this->configuration, this->access, this->mesh,
                this->store, this->registry, this->targets, this->metrics, this->log),
-          administration(this->settings, this->configuration, this->access, this->mesh,
-                         this->registry),
+          administration(this->loop, this->settings, this->configuration, this->access, this->store,
+                         this->mesh, this->registry, this->log, [this] { this->drain(); }),
           vms(this->loop, this->http, this->metrics, this->settings.platform,
               [this](std::string_view text, std::int64_t read_at_us) {
                   if (text.empty())
@@ -100,6 +100,7 @@
         this->limits.start();
         this->mesh.on_superseded([this] { this->drain(); });
         this->configuration.start();
+        this->administration.start();
         this->vms.start(this->settings.vm_list_interval);
         this->leases.start();
         this->usage.start();
@@ -138,7 +139,7 @@
 
     void describe(heartbeat& message) const
     {
-        message.configuration_revision = this->configuration.current().revision;
+        message.configuration_revision = this->configuration.kept().revision;
         message.free_slots = this->registry.free_slots();
         message.draining = this->draining;
         this->vm_list.describe(message);
