--- a/testsuite/operators-restrictions/run.py
+++ b/testsuite/operators-restrictions/run.py
@@ -1,6 +1,5 @@
 """Restrictions: in force at once at every reachable entry, with the store up, down or cut."""
 
-import time
 import unittest
 
 from harness import Cluster, call
@@ -108,34 +107,6 @@
             self.assertEqual(undone.status, 200, undone)
             cluster.wait(lambda: not any(map(stopped, cluster.entries)), 14, "still stopped")
 
-    def test_a_zone_taken_out_under_load(self):
-        for down in ("", "refuse"):
-            with self.subTest(down), Cluster(zones=2, entries=1, targets=2) as cluster:
-                load = cluster.start_load(100, 14, entries=["entry-a1"], work_ms=5)
-                time.sleep(1)
-                cluster.platform_faults(down=down)
-                answer = admin(cluster, "entry-b1", "POST", "restrictions",
-                               {"kind": "zone_out", "subject": "zone-a", "drain": "let-end"})
-                self.assertEqual(answer.status, 200, answer)
-                out_us = cluster.events("availability_zone_state")[-1]["mono_us"]
-                cluster.wait(lambda: cluster.startable() == {"target-b1", "target-b2"},
-                             FEW_SECONDS, "targets of the zone may still be started on")
-                time.sleep(FEW_SECONDS + 1)
-                cluster.platform_faults()
-                wait_kept(cluster, cluster.entries)
-                back = admin(cluster, "entry-b1", "POST", "availability_zones/zone-a/in")
-                self.assertEqual(back.status, 200, back)
-                cluster.wait(lambda: cluster.startable() == set(cluster.targets), 14,
-                             "the zone is not back")
-                load.communicate()
-                starts = [e["mono_us"] for e in cluster.events("request_running")
-                          if e["process"].startswith("target-a")]
-                in_us = cluster.events("availability_zone_state")[-1]["mono_us"]
-                self.assertTrue([s for s in starts if s < out_us])
-                late = [s for s in starts if out_us + FEW_SECONDS * 1_000_000 < s < in_us]
-                self.assertEqual(late, [])
-                cluster.check_trace()
-
     def test_a_lowered_limit_narrows_and_raising_it_needs_the_store(self):
         with Cluster(zones=1, entries=2, targets=1) as cluster:
             def limit(name):
