--- a/src/libverbenalever/http/http_client.cpp
+++ b/src/libverbenalever/http/http_client.cpp
@@ -75,6 +75,19 @@
     return absl::UnavailableError(message);
 }
 
+std::int64_t transferred_bytes(CURL* handle)
+{
+    long request_headers = 0;
+    long response_headers = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_headers);
+    curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &response_headers);
+    curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    return request_headers + response_headers + uploaded + downloaded;
+}
+
 void configure(transfer& current)
 {
     CURL* handle = current.handle;
@@ -237,6 +250,7 @@
         long status = 0;
         curl_easy_getinfo(current->handle, CURLINFO_RESPONSE_CODE, &status);
         current->result.status = static_cast<int>(status);
+        current->result.bytes = transferred_bytes(current->handle);
         current->result.transport = to_status(code, current->call);
         this->release(*current);
         current->done(std::move(current->result));
--- a/src/libverbenalever/http/http_result.h
+++ b/src/libverbenalever/http/http_result.h
@@ -4,6 +4,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
     /// cannot have acted on it.
     bool may_have_been_sent = false;
 
+    /// Bytes of the request and the response, with their headers.
+    std::int64_t bytes = 0;
+
     int status = 0;
     std::vector<http_header> headers;
     std::string body;
--- a/src/libverbenalever/platform/vm_list_client.cpp
+++ b/src/libverbenalever/platform/vm_list_client.cpp
@@ -85,6 +85,7 @@
 
 void vm_list_client::answered(const http_result& result, std::int64_t read_at_us)
 {
+    this->metrics.add("vm_list_bytes", result.bytes);
     this->failed = !result.transport.ok();
     if (result.transport.ok() && result.status == status_not_modified)
         return this->received({}, read_at_us);
--- a/src/libverbenalever/targets/target_client.cpp
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -106,9 +106,11 @@
                          std::string body, done_callback done)
 {
     this->metrics.add("target_calls");
-    this->http.start(
-        this->prepare(target, method, path, std::move(body)),
-        [done = std::move(done)](const http_result& result) { done(status_of(result)); });
+    this->http.start(this->prepare(target, method, path, std::move(body)),
+                     [this, done = std::move(done)](const http_result& result) {
+                         this->metrics.add("target_control_bytes", result.bytes);
+                         done(status_of(result));
+                     });
 }
 
 void target_client::acquire_lease(const endpoint& target, std::string_view holder,
@@ -121,6 +123,7 @@
     call.timeout = limit;
     this->http.start(std::move(call),
                      [this, target, done = std::move(done)](const http_result& result) {
+                         this->metrics.add("target_control_bytes", result.bytes);
                          if (absl::IsDeadlineExceeded(result.transport))
                              this->suspect_connections(target);
                          done(parse_lease(result));
@@ -169,7 +172,10 @@
     this->metrics.add("target_inventory_calls");
     this->http.start(
         this->prepare(target, "GET", "/tasks", ""),
-        [done = std::move(done)](const http_result& result) { done(parse_inventory(result)); });
+        [this, done = std::move(done)](const http_result& result) {
+            this->metrics.add("target_control_bytes", result.bytes);
+            done(parse_inventory(result));
+        });
 }
 
 std::uint64_t target_client::send_request(const endpoint& target, std::string_view request,
