Offer a target that only its named entry cannot reach to the other entries

Cause: the division names one entry for a target, and nobody else asked for it when the way between just these two was cut. Change: after a target lease without any answer the entry named offers the target to the others in turn; the one that gets it keeps it for a minute although it is not named. Failed first with the offer switched off: ownership-partial-cut ('nobody takes a target that only the entry named for it cannot reach'). Passes with it.

--- a/src/libverbenalever/targets/lease_keeper.cpp
+++ b/src/libverbenalever/targets/lease_keeper.cpp
@@ -28,6 +28,9 @@
 /// A division stands this many heartbeats before a lease is given to the entry it names.
 constexpr int settling_heartbeats = 3;
 
+/// How long an entry keeps a target that the entry named for it cannot reach.
+constexpr std::chrono::seconds keep_unreachable{60};
+
 /// An unanswered call is given up in time for another one before the lease ends.
 milliseconds answer_limit(const entry_settings& settings)
 {
@@ -43,7 +46,7 @@
       registry(registry), metrics(metrics), log(log), tick_timer(loop, [this] { this->tick(); })
 {
     this->mesh.on<lease_offer>([this](const std::string& from, const lease_offer& message) {
-        this->take_offer(from, message.targets);
+        this->take_offer(from, message);
     });
 }
 
@@ -76,6 +79,7 @@
         auto& call = this->calls[name];
         if (!call.in_flight && call.due <= now && this->wanted(target, call, now))
             this->ask(target, call);
+        this->offer_unreachable(target, call, now);
     }
     this->inventories.tick(now);
     if (!this->moving_group && !this->stopping)
@@ -119,7 +123,14 @@
         return;
     }
     const auto now = monotonic_clock::now();
+    if (answer.ok()) {
+        call.unanswered_since = {};
+        call.offers = 0;
+    }
     if (!answer.ok()) {
+        call.offered = false;
+        if (call.unanswered_since == monotonic_time())
+            call.unanswered_since = asked;
         if (absl::IsDeadlineExceeded(answer.status()))
             call.due = now;
     }
@@ -160,11 +171,35 @@
         const auto named = this->division.named(name);
         if (!target.held(now) || named.empty() || named == this->settings.name)
             continue;
-        return this->division.same_group(name);
+        auto targets = this->division.same_group(name);
+        std::erase_if(targets, [this, now](const std::string& member) {
+            const auto call = this->calls.find(member);
+            return call != this->calls.end() && now < call->second.kept_until;
+        });
+        if (!targets.empty())
+            return targets;
     }
     return {};
 }
 
+void lease_keeper::offer_unreachable(const target_record& target, lease_call& call,
+                                     monotonic_time now)
+{
+    const auto& name = target.vm.name;
+    if (this->stopping || target.held(now) || call.unanswered_since == monotonic_time() ||
+        now - call.unanswered_since < this->settings.target_lease ||
+        this->division.named(name) != this->settings.name)
+        return;
+    auto others = this->mesh.live_in_zone();
+    std::erase(others, this->settings.name);
+    call.unanswered_since = now;
+    if (others.empty())
+        return;
+    this->metrics.add("targets_offered_as_unreachable");
+    this->mesh.send(others[call.offers++ % others.size()],
+                    lease_offer{.targets = {name}, .unreachable = true});
+}
+
 void lease_keeper::move_misplaced_group()
 {
     const auto now = monotonic_clock::now();
@@ -243,18 +278,23 @@
     this->stopped();
 }
 
-void lease_keeper::take_offer(const std::string& from, const std::vector<std::string>& targets)
+void lease_keeper::take_offer(const std::string& from, const lease_offer& offer)
 {
     if (this->stopping)
         return;
     this->log.write("targets", "leases_offered",
-                    {{"from", from}, {"targets", static_cast<std::int64_t>(targets.size())}});
-    for (const auto& name : targets) {
+                    {{"from", from},
+                     {"targets", static_cast<std::int64_t>(offer.targets.size())},
+                     {"unreachable", offer.unreachable}});
+    const auto now = monotonic_clock::now();
+    for (const auto& name : offer.targets) {
         if (this->registry.find(name) == nullptr)
             continue;
         auto& call = this->calls[name];
         call.offered = true;
-        call.due = monotonic_clock::now();
+        call.due = now;
+        if (offer.unreachable)
+            call.kept_until = now + keep_unreachable;
     }
     this->tick();
 }
--- a/src/libverbenalever/targets/lease_keeper.h
+++ b/src/libverbenalever/targets/lease_keeper.h
@@ -20,9 +20,11 @@
 class target_arbiter;
 class target_registry;
 struct entry_settings;
+struct lease_offer;
 struct target_record;
 
 /// Takes and renews the leases of the targets that fall to this entry, and gives back the others.
+/// A target that this entry is named for and cannot reach is offered to the others in turn.
 ///
 /// A division of the zone's targets among its live entries says who asks; the arbiter decides. A
 /// lease counts from before the renewal was sent, so that it ends here no later than there. One
@@ -51,6 +53,9 @@
         monotonic_time due;
         bool in_flight = false;
         bool offered = false;            ///< ask although another entry is named
+        monotonic_time kept_until;       ///< not moved before: the entry named cannot reach it
+        monotonic_time unanswered_since; ///< no call was answered from then on
+        std::size_t offers = 0;          ///< made since then
         std::function<void()> give_back; ///< set while the lease is to be given back
     };
 
@@ -67,7 +72,8 @@
     void give_back(target_record& target, std::function<void()> done);
     void release(target_record& target);
     void give_back_next();
-    void take_offer(const std::string& from, const std::vector<std::string>& targets);
+    void take_offer(const std::string& from, const lease_offer& offer);
+    void offer_unreachable(const target_record& target, lease_call& call, monotonic_time now);
 
     const entry_settings& settings;
     peer_mesh& mesh;
--- a/src/libverbenalever/targets/lease_offer.h
+++ b/src/libverbenalever/targets/lease_offer.h
@@ -7,13 +7,14 @@
 
 namespace verbenalever {
 
-/// Tells an entry that the leases of these targets were just given back for it to take.
+/// Tells an entry that the leases of these targets are free for it to take.
 struct lease_offer {
     static constexpr const char* type = "lease_offer";
 
     std::vector<std::string> targets;
+    bool unreachable = false; ///< the sender is named for them and cannot reach them
 
-    MSGPACK_DEFINE_MAP(targets)
+    MSGPACK_DEFINE_MAP(targets, unreachable)
 };
 
 } // namespace verbenalever
