Take the lease of a target whose clock went back

Cause: a grant with a smaller epoch than the last was dropped as an answer out of order. A target that restarted with its clock behind was then never started on again. Answers cannot be out of order: one call for a target's lease is in flight, and one given up is never heard of again. Failed first: takes_the_smaller_epoch_of_a_target_whose_clock_went_back (three checks); passes now.

--- a/src/libverbenalever/targets/lease_keeper.cpp
+++ b/src/libverbenalever/targets/lease_keeper.cpp
@@ -158,8 +158,8 @@
 
 void lease_keeper::granted(target_record& target, std::int64_t epoch, monotonic_time valid_until)
 {
-    if (epoch < target.lease_epoch)
-        return;
+    // Another epoch is a newer lease even when it is smaller: one call is in flight at a time, and
+    // a target that restarted counts from its own clock.
     const bool renewed = epoch == target.lease_epoch;
     target.lease_epoch = epoch;
     target.lease_valid_until = std::max(target.lease_valid_until, valid_until);
--- a/src/libverbenalever/targets/lease_keeper_test.cpp
+++ b/src/libverbenalever/targets/lease_keeper_test.cpp
@@ -147,6 +147,24 @@
     EXPECT_LT(monotonic_clock::now() - failed, milliseconds(1000));
 }
 
+TEST_F(lease_keeper_of_one_target, takes_the_smaller_epoch_of_a_target_whose_clock_went_back)
+{
+    this->run_until([this] { return this->arbiter.acquisitions.size() == 1; });
+    this->arbiter.acquisitions[0].answer(lease_answer{.granted = true, .epoch = 5});
+    target_registry::begin_inventory(this->target());
+    this->registry.take_inventory(this->target(), {});
+    ASSERT_TRUE(this->registry.claim("t1", "red", {.slots = 1}, "r1"));
+    this->registry.doubt("t1", "r1");
+    this->run_until([this] { return this->arbiter.acquisitions.size() == 2; });
+    this->arbiter.acquisitions[1].answer(lease_answer{.granted = true, .epoch = 2});
+    EXPECT_EQ(this->target().lease_epoch, 2);
+    EXPECT_FALSE(this->registry.may_start(this->target(), monotonic_clock::now()))
+        << "its inventory was not read under this lease";
+    target_registry::begin_inventory(this->target());
+    this->registry.take_inventory(this->target(), {});
+    EXPECT_TRUE(this->registry.claim("t1", "red", {.slots = 1}, "r2"));
+}
+
 TEST_F(lease_keeper_of_one_target, stops_starting_when_another_entry_has_the_lease)
 {
     this->run_until([this] { return this->arbiter.acquisitions.size() == 1; });
--- a/src/libverbenalever/targets/target_ledger.cpp
+++ b/src/libverbenalever/targets/target_ledger.cpp
@@ -90,7 +90,7 @@
 void target_ledger::settle(std::int64_t epoch)
 {
     std::erase_if(this->doubtful, [this, epoch](const auto& entry) {
-        return entry.second.doubt_epoch < epoch && !this->running.contains(entry.first);
+        return entry.second.doubt_epoch != epoch && !this->running.contains(entry.first);
     });
 }
 
--- a/src/libverbenalever/targets/target_ledger.h
+++ b/src/libverbenalever/targets/target_ledger.h
@@ -30,7 +30,7 @@
     bool release(std::string_view work, std::string_view team, const resources& demand);
 
     /// Keep a reservation whose work may still start or run, until an inventory read under a
-    /// lease newer than @p epoch does not show it.
+    /// later lease than that of @p epoch does not show it.
     /// @param work an identifier, not empty
     void doubt(std::string_view work, std::int64_t epoch);
 
