A job ends when its last end is kept, not when an earlier one is

Cause: a single-page job is marked finished in memory together with its last end. If the write of an earlier end was still on its way, its completion found the mark and dropped the driver, and the last write was never sent: the job stood still in the store.

Ruled out: a lost reply taken for another's write (no job_lost event), a reading of an inventory that never came back (the target was still being read).

Change: only the save that carries the mark ends the job. A lost job is looked for again at once. A planned stop answers callers who wait for a job. While the store is down one submission at a time asks it, the others are refused at once. Holders drop what they know of jobs without tasks there.

Run: the new case test_ends_that_come_while_an_earlier_end_is_written fails on the daemon before this change and passes after.

--- a/src/libverbenalever/jobs/job_acceptance.cpp
+++ b/src/libverbenalever/jobs/job_acceptance.cpp
@@ -26,7 +26,8 @@
 
 constexpr int status_accepted = 202;
 constexpr milliseconds store_retry_after{2000};
-/// After a failed call, submissions are refused without asking the store for this long.
+/// After a failed call, submissions are refused without asking the store for this long; then one
+/// at a time asks.
 constexpr milliseconds store_pause{500};
 /// A look-up older than this is done again; far shorter than finished jobs rest.
 constexpr milliseconds longest_look_up{10000};
@@ -95,7 +96,8 @@
     if (!team.ok())
         return respond(not_run_response(team.status(), "key_refused"));
     const auto demand = submission->demand.value_or(queue->second.demand);
-    if (monotonic_clock::now() < this->store_down_until)
+    const bool pausing = monotonic_clock::now() < this->store_down_until;
+    if (this->store_suspect && (pausing || this->probing))
         return respond(store_down_response());
     if (auto fits = this->services.fleet.could_run(demand, submission->tasks, submission->gang);
         !fits.ok())
@@ -113,6 +115,8 @@
                        .repeatable = submission->repeatable,
                        .tasks = std::vector<job_task>(submission->tasks)};
     current->respond = std::move(respond);
+    current->probe = this->store_suspect;
+    this->probing = this->probing || current->probe;
     this->look_up(current);
 }
 
@@ -126,12 +130,15 @@
         [this, current, guard = std::weak_ptr(this->alive)](absl::StatusOr<kv_entry> entry) {
             if (guard.expired())
                 return;
-            if (entry.ok() && entry->value != blocked_text)
-                return this->answer_existing(current, *entry);
+            if (current->probe)
+                this->probing = false;
             if (!entry.ok() && !absl::IsNotFound(entry.status())) {
                 this->store_failed();
                 return current->respond(store_down_response());
             }
+            this->store_suspect = false;
+            if (entry.ok() && entry->value != blocked_text)
+                return this->answer_existing(current, *entry);
             // After a pause of this process the job may have come and gone: look again.
             if (monotonic_clock::now() - current->looked_up > longest_look_up)
                 return this->look_up(current);
@@ -233,6 +240,7 @@
 
 void job_acceptance::store_failed()
 {
+    this->store_suspect = true;
     this->store_down_until = monotonic_clock::now() + store_pause;
 }
 
--- a/src/libverbenalever/jobs/job_acceptance.h
+++ b/src/libverbenalever/jobs/job_acceptance.h
@@ -39,6 +39,7 @@
         std::string text;
         std::int64_t expected = 0; ///< revision of the key, zero while it is absent
         monotonic_time looked_up;
+        bool probe = false; ///< it is the one submission that tries while the store is suspect
         http_responder respond;
     };
     using acceptance_ptr = std::shared_ptr<acceptance>;
@@ -58,6 +59,8 @@
     access_control& access;
     job_drivers& drivers;
     bool stopped = false;
+    bool store_suspect = false; ///< the last call that tells of it failed
+    bool probing = false;       ///< a submission is finding out whether the store is back
     monotonic_time store_down_until;
     std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
--- a/src/libverbenalever/jobs/job_api.cpp
+++ b/src/libverbenalever/jobs/job_api.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr milliseconds longest_wait{30000};
+/// One watch of the store lasts no longer, so that a planned stop is noticed in between.
+constexpr milliseconds longest_watch{5000};
 /// Cancellations of one wave under way at a time, so that it leaves the store room for other work.
 constexpr std::size_t wave_width = 8;
 
@@ -72,6 +74,11 @@
                });
 }
 
+void job_api::drain()
+{
+    this->draining = true;
+}
+
 void job_api::show(const http_request& request, const std::string& id, http_responder respond)
 {
     const auto team = this->access.team_of(request);
@@ -95,7 +102,7 @@
             auto job = entry.ok() ? job_record::parse(entry->value) : entry.status();
             if (!job.ok() || job->team != current->team)
                 return current->respond(no_such_job(current->id));
-            if (job->finished || monotonic_clock::now() >= current->until)
+            if (job->finished || this->draining || monotonic_clock::now() >= current->until)
                 return this->show_tasks(current, *std::move(job));
             this->wait(current, entry->revision);
         });
@@ -106,7 +113,7 @@
     const auto left =
         std::chrono::duration_cast<milliseconds>(current->until - monotonic_clock::now());
     this->services.store.watch(job_record::page_key(current->id, 0), since,
-                               std::max(left, milliseconds(1)),
+                               std::clamp(left, milliseconds(1), longest_watch),
                                [this, current, guard = std::weak_ptr(this->alive)](
                                    const absl::StatusOr<kv_listing>& changes) {
                                    if (guard.expired())
--- a/src/libverbenalever/jobs/job_api.h
+++ b/src/libverbenalever/jobs/job_api.h
@@ -27,6 +27,9 @@
     /// Add the GET routes under /v1/jobs and those that cancel.
     void add_routes(router& routes);
 
+    /// Answer callers who wait with what is known, so that a planned stop need not wait for them.
+    void drain();
+
 private:
     /// One caller waiting for a job.
     struct inquiry {
@@ -52,6 +55,7 @@
 
     const job_services& services;
     access_control& access;
+    bool draining = false;
     std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
--- a/src/libverbenalever/jobs/job_driver.cpp
+++ b/src/libverbenalever/jobs/job_driver.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_driver.h"
 
 #include "jobs/job_mailbox.h"
+#include "jobs/job_notice.h"
 #include "jobs/job_services.h"
 #include "jobs/task_order.h"
 #include "platform/kv_client.h"
@@ -85,6 +86,9 @@
     this->services.log.write("jobs", "job_lost", {{"job", this->job.id}});
     this->services.metrics.add("jobs_lost_to_another_driver");
     this->state = phase::over;
+    // Should the record still be in this entry's name, adoption takes it up again.
+    this->services.mailbox.send(this->services.settings.name,
+                                job_notice{.job = this->job.id, .what = "released"});
     if (this->handed_over)
         this->handed_over();
 }
--- a/src/libverbenalever/jobs/job_driver_reports.cpp
+++ b/src/libverbenalever/jobs/job_driver_reports.cpp
@@ -227,13 +227,14 @@
         this->mark_finished();
     if (ends_now || !this->job.reason.empty())
         saved.push_back(0);
-    this->pages.save(saved, [this, changed, recorded = std::move(recorded)] {
+    // Not job.finished: a later save may have set it in memory while this one was being written.
+    this->pages.save(saved, [this, ends_now, changed, recorded = std::move(recorded)] {
         for (const auto index : changed)
             this->progress[index].recorded = this->job.tasks[index].state != "placed";
         this->forget(recorded);
-        if (this->job.finished)
+        if (ends_now)
             return this->record_end();
-        if (!this->job.all_ended())
+        if (this->job.pages() == 1 || !this->job.all_ended())
             return;
         this->pages.save_all([this] {
             if (this->job.finished)
--- a/src/libverbenalever/jobs/job_service.cpp
+++ b/src/libverbenalever/jobs/job_service.cpp
@@ -60,6 +60,7 @@
 void job_service::drain()
 {
     this->acceptance.stop();
+    this->api.drain();
     this->adoption.stop();
     this->drivers.hand_over([this] { this->handed_over = true; });
 }
--- a/src/libverbenalever/jobs/task_holder.h
+++ b/src/libverbenalever/jobs/task_holder.h
@@ -86,6 +86,7 @@
                        const std::set<std::string>& present,
                        std::map<std::string, task_report>& reports);
     void renew_tasks(const std::string& target, held_target& state);
+    void forget_idle_jobs(monotonic_time now);
     void release_room(const std::string& target, std::int64_t epoch, const std::string& team,
                       const resources& demand);
     void send_reports(std::map<std::string, task_report> reports);
@@ -103,6 +104,7 @@
     std::map<task_key, reservation> reservations;
     std::map<std::string, held_target, std::less<>> held;
     std::map<std::string, std::string> drivers; ///< of jobs, as last heard
+    monotonic_time next_forgetting;
     monotonic_time born = monotonic_clock::now();
     std::shared_ptr<int> alive = std::make_shared<int>(0);
     timer pass_timer;
--- a/src/libverbenalever/jobs/task_holder_pass.cpp
+++ b/src/libverbenalever/jobs/task_holder_pass.cpp
@@ -23,6 +23,7 @@
 /// Ended tasks that no driver has claimed for this long are looked up in the store.
 constexpr milliseconds unclaimed_limit{20000};
 constexpr int renewals_in_lease = 4;
+constexpr milliseconds forget_interval{30000};
 
 std::string job_of(const std::string& task)
 {
@@ -35,6 +36,7 @@
 {
     const auto now = monotonic_clock::now();
     this->expire_reservations(now);
+    this->forget_idle_jobs(now);
     for (auto& [name, target] : this->registry.all()) {
         auto& state = this->held[name];
         if (!target.held(now)) {
@@ -95,6 +97,23 @@
     }
 }
 
+/// Keep the drivers of those jobs only that have tasks or room here.
+void task_holder::forget_idle_jobs(monotonic_time now)
+{
+    if (now < this->next_forgetting)
+        return;
+    this->next_forgetting = now + forget_interval;
+    std::set<std::string> busy;
+    for (const auto& [key, room] : this->reservations)
+        busy.insert(room.job);
+    for (const auto& [name, state] : this->held) {
+        for (const auto& [task, known] : state.tasks)
+            busy.insert(job_of(task));
+    }
+    std::erase_if(this->drivers,
+                  [&busy](const auto& entry) { return !busy.contains(entry.first); });
+}
+
 void task_holder::read(target_record& target, held_target& state)
 {
     state.reading = true;
--- a/testsuite/jobs-store-faults/run.py
+++ b/testsuite/jobs-store-faults/run.py
@@ -37,6 +37,15 @@
             second = submit(self.cluster, self.names[0], id=f"while-{down}")
             self.assertEqual((second.status, second.json()["outcome"]), (503, "not_run"), second)
             self.assertLess(time.monotonic() - begun, REFUSED_AT_ONCE_S)
+            time.sleep(1)
+            probe = threading.Thread(target=submit, args=(self.cluster, self.names[0]))
+            probe.start()
+            time.sleep(0.2)
+            begun = time.monotonic()
+            third = submit(self.cluster, self.names[0], id=f"while-{down}")
+            self.assertEqual((third.status, third.json()["outcome"]), (503, "not_run"), third)
+            self.assertLess(time.monotonic() - begun, REFUSED_AT_ONCE_S)
+            probe.join()
             self.cluster.platform_faults()
         time.sleep(1)
         self.assertEqual(self.cluster.events("task_running"), [])
@@ -84,6 +93,16 @@
             runs = [e for e in self.cluster.events("task_running") if e["task"] == task]
             self.assertEqual(len(runs), 1, task)
 
+    def test_ends_that_come_while_an_earlier_end_is_written(self):
+        jobs = [accept(self.cluster, name, tasks=8, command={"run_ms": 1500})
+                for name in self.names * 2]
+        self.cluster.wait(lambda: len(self.cluster.events("task_running")) >= 48, 10, "not started")
+        self.cluster.platform_faults(delay_ms=900)
+        for shown in wait_finished(self.cluster, jobs, 25):
+            self.assertEqual(states(shown), {"done": 8})
+        finished = [e["job"] for e in self.cluster.events("job_finished")]
+        self.assertEqual(sorted(finished), sorted(jobs))
+
     def test_slow_store_and_outage_while_tasks_run(self):
         self.cluster.platform_faults(delay_ms=400)
         thread, accepted = keep_submitting(self.cluster, self.names, 6, 0.1, tasks=8,
