--- a/src/libverbenalever/jobs/task_holder.h
+++ b/src/libverbenalever/jobs/task_holder.h
@@ -87,6 +87,7 @@
                        std::map<std::string, task_report>& reports);
     void renew_tasks(const std::string& target, held_target& state);
     void release_room(const std::string& target, const target_task& task);
+    void forget_idle_jobs(monotonic_time now);
     void send_reports(std::map<std::string, task_report> reports);
     void refuse(const std::string& to, const std::string& job, const task_place& place);
     void forget_if_recorded(const std::string& target, const std::string& task);
@@ -102,6 +103,7 @@
     std::map<task_key, reservation> reservations;
     std::map<std::string, held_target, std::less<>> held;
     std::map<std::string, std::string> drivers; ///< of jobs, as last heard
+    monotonic_time next_forgetting;
     monotonic_time born = monotonic_clock::now();
     std::shared_ptr<int> alive = std::make_shared<int>(0);
     timer pass_timer;
