--- a/src/libverbenalever/platform/kv_client.cpp
+++ b/src/libverbenalever/platform/kv_client.cpp
@@ -101,15 +101,16 @@
 }
 
 void kv_client::put(std::string_view key, std::string value, std::int64_t expected,
-                    callback<std::int64_t> done, std::int64_t lease)
+                    callback<std::int64_t> done, const kv_write_options& options)
 {
     this->metrics.add("kv_writes");
-    const auto binding = lease == 0 ? std::string() : fmt::format("?lease={}", lease);
+    const auto binding =
+        options.lease == 0 ? std::string() : fmt::format("?lease={}", options.lease);
     http_call call{.method = "PUT",
                    .url = fmt::format("{}/kv/{}{}", this->base, key, binding),
                    .headers = {condition(expected)},
                    .body = std::move(value),
-                   .timeout = call_timeout};
+                   .timeout = options.timeout == milliseconds(0) ? call_timeout : options.timeout};
     this->http.start(std::move(call), [done = std::move(done)](const http_result& result) {
         done(parse_written(result));
     });
--- a/src/libverbenalever/platform/kv_client.h
+++ b/src/libverbenalever/platform/kv_client.h
@@ -3,6 +3,7 @@
 #include "loop/clock.h"
 #include "loop/endpoint.h"
 #include "platform/kv_listing.h"
+#include "platform/kv_write_options.h"
 
 #include <absl/status/statusor.h>
 
@@ -31,10 +32,9 @@
     void list(std::string_view prefix, callback<kv_listing> done);
 
     /// Write if the key's revision is still @p expected (zero: the key must be absent).
-    /// @param done  the new revision
-    /// @param lease the key is removed when this lease ends; zero for none
+    /// @param done the new revision
     void put(std::string_view key, std::string value, std::int64_t expected,
-             callback<std::int64_t> done, std::int64_t lease = 0);
+             callback<std::int64_t> done, const kv_write_options& options = {});
 
     /// Ask for a lease that keys can be bound to.
     /// @param done its number
--- a/src/libverbenalever/requests/final_answer.cpp
+++ b/src/libverbenalever/requests/final_answer.cpp
@@ -22,7 +22,7 @@
                           .code = code,
                           .message = message,
                           .retry_after = retry_after};
-    return {.outcome = attempt_outcome::not_run, .response = refusal.response()};
+    return {.outcome = attempt_outcome::not_run, .response = refusal.response(), .code = code};
 }
 
 request_answer unknown_answer(const attempt_result& result)
@@ -32,7 +32,8 @@
                           .code = result.code,
                           .message = "no answer came; the request may have run",
                           .retry_after = std::nullopt};
-    return {.outcome = attempt_outcome::unknown, .response = failure.response()};
+    return {
+        .outcome = attempt_outcome::unknown, .response = failure.response(), .code = result.code};
 }
 
 request_answer taken_answer(const std::string& holder)
@@ -46,6 +47,7 @@
                            .retry_after = std::nullopt};
     request_answer answer{.outcome = attempt_outcome::unknown,
                           .response = conflict.response(),
+                          .code = conflict.code,
                           .given_to_resends = false};
     answer.response.headers.push_back({"Taken-By", holder});
     return answer;
--- a/src/libverbenalever/requests/request_answer.h
+++ b/src/libverbenalever/requests/request_answer.h
@@ -4,6 +4,7 @@
 #include "requests/attempt_result.h"
 
 #include <functional>
+#include <string_view>
 
 namespace verbenalever {
 
@@ -11,6 +12,7 @@
 struct request_answer {
     attempt_outcome outcome = attempt_outcome::unknown;
     http_response response;
+    std::string_view code;        ///< stable word for the reason, when not answered
     bool given_to_resends = true; ///< whether a later resend gets it again
 };
 
--- a/src/libverbenalever/requests/request_claims.cpp
+++ b/src/libverbenalever/requests/request_claims.cpp
@@ -16,6 +16,8 @@
 /// Claims made within this time share one lease.
 constexpr std::chrono::minutes lease_use{5};
 constexpr int writes_limit = 2;
+/// After this the write is read back, while its request still has time left.
+constexpr milliseconds write_timeout{250};
 
 std::string store_key(const std::string& key)
 {
@@ -87,14 +89,13 @@
     const auto expected = claim.expected;
     const auto lease = claim.lease;
     --claim.writes_left;
-    this->store.put(
-        key, value.dump(), expected,
-        [this, claim = std::move(claim)](const absl::StatusOr<std::int64_t>& revision) {
-            if (revision.ok())
-                return claim.done(result::claimed, this->address);
-            this->read_back(claim);
-        },
-        lease);
+    this->store.put(key, value.dump(), expected,
+                    [this, claim = std::move(claim)](const absl::StatusOr<std::int64_t>& revision) {
+                        if (revision.ok())
+                            return claim.done(result::claimed, this->address);
+                        this->read_back(claim);
+                    },
+                    {.lease = lease, .timeout = write_timeout});
 }
 
 void request_claims::read_back(attempt claim)
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -117,7 +117,7 @@
     if (load.waiting() >= queue.length_limit)
         return not_run_answer(status_too_many, "queue_full", "the queue is full",
                               load.retry_after());
-    if (request.arrival + load.estimated_wait() + load.service.mean() > request.work.deadline)
+    if (request.arrival + load.estimated_wait() + load.service.nearly_all() > request.work.deadline)
         return not_run_answer(status_unavailable, "wait_past_deadline",
                               "the wait would be longer than the deadline allows",
                               load.retry_after());
@@ -193,7 +193,7 @@
 {
     const auto& request = this->requests.at(work.id);
     found = {};
-    const auto service = this->loads[work.queue].service.mean();
+    const auto service = this->loads[work.queue].service.nearly_all();
     found.too_late = monotonic_clock::now() + service > work.deadline;
     if (found.too_late)
         return true;
@@ -369,6 +369,7 @@
     this->log.write("requests", event,
                     {{"request", request.work.id},
                      {"status", answer.response.status},
+                     {"code", answer.code},
                      {"attempts", request.attempts}});
 }
 
--- a/src/libverbenalever/requests/response_time.cpp
+++ b/src/libverbenalever/requests/response_time.cpp
@@ -9,6 +9,7 @@
 
 constexpr double mean_gain = 1.0 / 8;
 constexpr double deviation_gain = 1.0 / 4;
+constexpr double deviations_to_nearly_all = 4;
 constexpr double deviations_to_timeout = 8;
 constexpr int samples_needed = 20;
 constexpr microseconds shortest_timeout{100'000};
@@ -28,9 +29,10 @@
     this->mean_us += mean_gain * error;
 }
 
-microseconds response_time::mean() const
+microseconds response_time::nearly_all() const
 {
-    return microseconds(static_cast<std::int64_t>(this->mean_us));
+    const auto bound = this->mean_us + deviations_to_nearly_all * this->deviation_us;
+    return microseconds(static_cast<std::int64_t>(bound));
 }
 
 std::optional<microseconds> response_time::timeout() const
--- a/src/libverbenalever/requests/response_time.h
+++ b/src/libverbenalever/requests/response_time.h
@@ -11,8 +11,8 @@
 public:
     void add(microseconds sample);
 
-    /// @return the smoothed mean; zero before the first sample
-    [[nodiscard]] microseconds mean() const;
+    /// @return a time within which nearly all answers come; zero before the first sample
+    [[nodiscard]] microseconds nearly_all() const;
 
     /// @return a time past which an answer is unlikely to come; nothing before enough samples
     [[nodiscard]] std::optional<microseconds> timeout() const;
--- a/src/libverbenalever/targets/target_health.cpp
+++ b/src/libverbenalever/targets/target_health.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds decay_interval{500};
 /// Tallies below this are dropped.
 constexpr double forgotten = 0.05;
+/// A tally stands for at most this much work, so that long good service does not hide a failure.
+constexpr double longest_tally = 16;
 /// Ended work needed on a target before it is judged, and elsewhere before it serves to judge by.
 constexpr double judged_from = 4;
 constexpr double compared_from = 2;
@@ -56,8 +58,9 @@
         return this->probe_ended(target, failed, now);
     auto& by_target = this->by_source[std::string(source)];
     auto& count = by_target[std::string(target)];
-    count.ended += 1;
-    count.failed += failed ? 1 : 0;
+    const auto kept = std::min(1.0, (longest_tally - 1) / std::max(count.ended, 1.0));
+    count.ended = count.ended * kept + 1;
+    count.failed = count.failed * kept + (failed ? 1 : 0);
     if (!failed || !this->is_sick(target) || !this->may_be_withdrawn())
         return false;
     this->probations[std::string(target)] = {.probe_due = now + first_probe,
--- a/src/libverbenalever/targets/target_health_test.cpp
+++ b/src/libverbenalever/targets/target_health_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_TRUE(test.health.admits("good", test.now));
 }
 
+TEST(target_health, long_good_service_does_not_hide_a_failure)
+{
+    bench test;
+    for (int round = 0; round < 1000; ++round) {
+        test.end("good", "queue", false);
+        test.end("turns", "queue", false);
+    }
+    int failures = 0;
+    while (!test.health.on_probation("turns") && failures < 100) {
+        test.end("turns", "queue", true);
+        ++failures;
+    }
+    EXPECT_LE(failures, 16);
+}
+
 TEST(target_health, a_source_that_fails_everywhere_condemns_no_target)
 {
     bench test;
