--- a/src/libverbenalever/requests/request_admission.cpp
+++ b/src/libverbenalever/requests/request_admission.cpp
@@ -5,6 +5,8 @@
 #include "http/http_request.h"
 #include "http/problem.h"
 #include "loop/unique_id.h"
+#include "requests/final_answer.h"
+#include "requests/queue_load.h"
 
 #include <fmt/format.h>
 
@@ -17,6 +19,9 @@
 
 constexpr milliseconds longest_deadline{600'000};
 constexpr std::size_t caller_id_limit = 128;
+constexpr milliseconds retry_after_drain{1000};
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
 
 absl::StatusOr<milliseconds> requested_deadline(const http_request& request, milliseconds otherwise)
 {
@@ -103,4 +108,25 @@
                         .tried = {}};
 }
 
+std::optional<request_answer>
+request_admission::refusal(const held_request& request, const queue_load& load, bool draining) const
+{
+    const auto& queue = this->configuration.current().queues.find(request.work.queue)->second;
+    if (queue.stopped)
+        return not_run_answer(status_unavailable, "queue_stopped", "the queue takes no work now",
+                              retry_after_drain);
+    if (draining)
+        return not_run_answer(status_unavailable, "entry_draining", "this entry is leaving",
+                              retry_after_drain);
+    if (load.waiting() >= queue.length_limit)
+        return not_run_answer(status_too_many, "queue_full", "the queue is full",
+                              load.retry_after());
+    const auto answered_by = request.arrival + load.estimated_wait() + load.service.nearly_all();
+    if (answered_by > request.work.deadline)
+        return not_run_answer(status_unavailable, "wait_past_deadline",
+                              "the wait would be longer than the deadline allows",
+                              load.retry_after());
+    return std::nullopt;
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/requests/request_admission.h
+++ b/src/libverbenalever/requests/request_admission.h
@@ -3,6 +3,7 @@
 #include "http/http_response.h"
 #include "requests/held_request.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -10,9 +11,11 @@
 
 class access_control;
 class configuration_store;
+class queue_load;
 struct http_request;
 
-/// Reads a caller's request: queue, key, deadline, whether it is repeatable, the caller's id.
+/// Reads a caller's request (queue, key, deadline, whether it is repeatable, the caller's id) and
+/// decides whether it may be queued.
 class request_admission {
 public:
     request_admission(const configuration_store& configuration, const access_control& access);
@@ -21,6 +24,12 @@
     [[nodiscard]] std::variant<held_request, http_response> read(const http_request& request,
                                                                  const std::string& queue) const;
 
+    /// @param load     of the request's queue
+    /// @param draining whether this entry is leaving
+    /// @return why the request must not be queued; nothing when it may be
+    [[nodiscard]] std::optional<request_answer>
+    refusal(const held_request& request, const queue_load& load, bool draining) const;
+
 private:
     const configuration_store& configuration;
     const access_control& access;
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -3,6 +3,7 @@
 #include "configuration/configuration_store.h"
 #include "http/router.h"
 #include "requests/final_answer.h"
+#include "requests/request_report.h"
 #include "scheduling/fifo_queue.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
@@ -16,14 +17,12 @@
 namespace {
 
 constexpr milliseconds tick_interval{10};
-constexpr milliseconds retry_after_drain{1000};
 constexpr milliseconds retry_after_claim{1000};
 constexpr milliseconds shortest_back_off{10};
 constexpr int attempts_limit = 5;
 /// Retries of what may have run, as a share of first attempts, and how many may be saved up.
 constexpr double retry_share = 0.1;
 constexpr double retry_burst = 20;
-constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
 
 } // namespace
@@ -94,7 +93,8 @@
                      {"team", request.work.team},
                      {"queue", request.work.queue},
                      {"repeatable", request.work.repeatable}});
-    const auto refusal = this->refusal_at_arrival(request);
+    const auto refusal =
+        this->admission.refusal(request, this->loads[request.work.queue], this->draining);
     const auto number = request.number;
     auto& held = this->requests.emplace(number, std::move(request)).first->second;
     if (refusal)
@@ -104,26 +104,6 @@
     this->claim(held);
 }
 
-std::optional<request_answer> request_service::refusal_at_arrival(const held_request& request)
-{
-    const auto& queue = this->configuration.current().queues.find(request.work.queue)->second;
-    const auto& load = this->loads[request.work.queue];
-    if (queue.stopped)
-        return not_run_answer(status_unavailable, "queue_stopped", "the queue takes no work now",
-                              retry_after_drain);
-    if (this->draining)
-        return not_run_answer(status_unavailable, "entry_draining", "this entry is leaving",
-                              retry_after_drain);
-    if (load.waiting() >= queue.length_limit)
-        return not_run_answer(status_too_many, "queue_full", "the queue is full",
-                              load.retry_after());
-    if (request.arrival + load.estimated_wait() + load.service.nearly_all() > request.work.deadline)
-        return not_run_answer(status_unavailable, "wait_past_deadline",
-                              "the wait would be longer than the deadline allows",
-                              load.retry_after());
-    return std::nullopt;
-}
-
 void request_service::claim(held_request& request)
 {
     const auto key = request.resend_key();
@@ -343,7 +323,7 @@
 {
     const auto node = this->requests.extract(number);
     const auto& request = node.mapped();
-    this->report(request, answer);
+    report_answer(request, answer, this->metrics, this->log);
     if (const auto key = request.resend_key(); !key.empty()) {
         if (request.claim_begun && answer.outcome == attempt_outcome::not_run)
             this->claims.release(key, this->resends.writer(key));
@@ -352,25 +332,4 @@
     request.respond(answer);
 }
 
-void request_service::report(const held_request& request, const request_answer& answer)
-{
-    /// The counter and the event of an outcome.
-    struct names {
-        const char* counter;
-        const char* event;
-    };
-    static const std::map<attempt_outcome, names> names_of = {
-        {attempt_outcome::answered, {"requests_answered", "request_answered"}},
-        {attempt_outcome::not_run, {"requests_not_run", "request_not_run"}},
-        {attempt_outcome::unknown, {"requests_outcome_unknown", "request_outcome_unknown"}},
-    };
-    const auto& [counter, event] = names_of.at(answer.outcome);
-    this->metrics.add(counter);
-    this->log.write("requests", event,
-                    {{"request", request.work.id},
-                     {"status", answer.response.status},
-                     {"code", answer.code},
-                     {"attempts", request.attempts}});
-}
-
 } // namespace verbenalever
--- a/src/libverbenalever/requests/request_service.h
+++ b/src/libverbenalever/requests/request_service.h
@@ -66,7 +66,6 @@
 
     void take(const http_request& request, const std::string& queue, const http_responder& respond);
     void begin(held_request request);
-    [[nodiscard]] std::optional<request_answer> refusal_at_arrival(const held_request& request);
     void claim(held_request& request);
     void claimed(std::uint64_t number, const std::string& key, const std::string& writer,
                  request_claims::result result, const std::string& holder);
@@ -83,7 +82,6 @@
     void give_up(held_request& request, int status, std::string_view code,
                  std::string_view message);
     void finish(std::uint64_t number, const request_answer& answer);
-    void report(const held_request& request, const request_answer& answer);
 
     const configuration_store& configuration;
     target_registry& registry;
--- a/src/verbenalever/flags.cpp
+++ b/src/verbenalever/flags.cpp
@@ -19,6 +19,7 @@
 DEFINE_string(queues, "", "comma-separated QUEUE=WEIGHT list");
 DEFINE_string(keys, "", "comma-separated keys, used in turn");
 DEFINE_int32(work_ms, 0, "time that the target works on each request");
+DEFINE_bool(request_ids, false, "give each request of the load an id of its own");
 DEFINE_uint32(seed, 1, "seed of the arrival times");
 DEFINE_bool(csv, false, "print CSV");
 DEFINE_string(limits, "", "comma-separated TEAM=SLOTS upper limits to check");
--- a/src/verbenalever/flags.h
+++ b/src/verbenalever/flags.h
@@ -21,6 +21,7 @@
 DECLARE_string(queues);
 DECLARE_string(keys);
 DECLARE_int32(work_ms);
+DECLARE_bool(request_ids);
 DECLARE_uint32(seed);
 DECLARE_bool(csv);
 DECLARE_string(limits);
--- a/src/verbenalever/load_generator.cpp
+++ b/src/verbenalever/load_generator.cpp
@@ -1,12 +1,16 @@
 #include "load_generator.h"
 
 #include "flags.h"
+#include "loop/unique_id.h"
 #include "session.h"
 
 #include <fmt/format.h>
 
 #include <charconv>
 
+#include <sys/timerfd.h>
+#include <unistd.h>
+
 namespace tool {
 
 using verbenalever::http_call;
@@ -19,6 +23,8 @@
 namespace {
 
 constexpr double microseconds_per_millisecond = 1000;
+constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
+constexpr std::size_t run_id_bytes = 8;
 
 std::vector<std::string> split(std::string_view text)
 {
@@ -41,8 +47,11 @@
 load_generator::load_generator(session& state)
     : state(state), random(FLAGS_seed), entries(split(FLAGS_to.empty() ? FLAGS_entry : FLAGS_to)),
       keys(split(FLAGS_keys.empty() ? FLAGS_key : FLAGS_keys)),
-      send_timer(state.loop(), [this] { this->send_due(); })
+      run_id(verbenalever::random_hex(run_id_bytes)),
+      timer_descriptor(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)),
+      timer_watcher(state.loop(), this->timer_descriptor, [this](bool, bool) { this->due(); })
 {
+    this->timer_watcher.watch(true, false);
     for (const auto& part : split(FLAGS_queues.empty() ? "default" : FLAGS_queues)) {
         const auto equals = part.find('=');
         mix_part parsed{.queue = part.substr(0, equals)};
@@ -52,6 +61,19 @@
     }
 }
 
+load_generator::~load_generator()
+{
+    this->timer_watcher.watch(false, false);
+    ::close(this->timer_descriptor);
+}
+
+void load_generator::due()
+{
+    std::uint64_t expirations = 0;
+    if (::read(this->timer_descriptor, &expirations, sizeof expirations) > 0)
+        this->send_due();
+}
+
 void load_generator::run()
 {
     this->next_due = monotonic_clock::now();
@@ -82,9 +104,14 @@
 void load_generator::schedule()
 {
     if (this->next_due < this->end) {
-        const auto wait =
-            std::chrono::duration_cast<microseconds>(this->next_due - monotonic_clock::now());
-        this->send_timer.start_once(std::max(wait, microseconds(0)));
+        const auto wait = std::chrono::duration_cast<std::chrono::nanoseconds>(
+            this->next_due - monotonic_clock::now());
+        // Zero would disarm the timer.
+        const auto left = std::max(wait, std::chrono::nanoseconds(1)).count();
+        const itimerspec setting{.it_interval = {},
+                                 .it_value = {.tv_sec = left / nanoseconds_per_second,
+                                              .tv_nsec = left % nanoseconds_per_second}};
+        ::timerfd_settime(this->timer_descriptor, 0, &setting, nullptr);
     }
     else if (this->outstanding == 0) {
         this->state.loop().stop();
@@ -122,6 +149,8 @@
             {"Authorization", "Bearer " + this->keys[number % this->keys.size()]});
     if (FLAGS_deadline_ms > 0)
         call.headers.push_back({"Deadline-Ms", fmt::format("{}", FLAGS_deadline_ms)});
+    if (FLAGS_request_ids)
+        call.headers.push_back({"Request-Id", fmt::format("load-{}-{}", this->run_id, number)});
     ++this->outstanding;
     ++this->results[queue].sent;
     this->state.client().start(std::move(call), [this, queue, due](const http_result& result) {
--- a/src/verbenalever/load_generator.h
+++ b/src/verbenalever/load_generator.h
@@ -2,7 +2,7 @@
 
 #include "http/http_result.h"
 #include "loop/clock.h"
-#include "loop/timer.h"
+#include "loop/io_watcher.h"
 #include "timeline/latency_histogram.h"
 
 #include <cstdint>
@@ -16,11 +16,15 @@
 class session;
 
 /// Sends requests at Poisson arrival times, whether or not earlier ones were answered, and counts
-/// each latency from the time at which the request was due.
+/// each latency from the time at which the request was due. A timer descriptor gives the arrival
+/// times, since the loop's own timers have a grain of a millisecond.
 class load_generator {
 public:
     /// Take everything from the flags of the load verb.
     explicit load_generator(session& state);
+    ~load_generator();
+    load_generator(const load_generator&) = delete;
+    load_generator& operator=(const load_generator&) = delete;
 
     /// Send for the duration asked for, then wait for what is outstanding.
     void run();
@@ -46,6 +50,7 @@
         double weight = 1;
     };
 
+    void due();
     void send_due();
     void send(verbenalever::monotonic_time due);
     void ended(const std::string& queue, verbenalever::monotonic_time due,
@@ -63,7 +68,9 @@
     std::uint64_t outstanding = 0;
     verbenalever::monotonic_time next_due;
     verbenalever::monotonic_time end;
-    verbenalever::timer send_timer;
+    std::string run_id; ///< part of each request's own id
+    int timer_descriptor;
+    verbenalever::io_watcher timer_watcher;
 };
 
 } // namespace tool
--- a/testsuite/requests-forward/run.py
+++ b/testsuite/requests-forward/run.py
@@ -81,6 +81,24 @@
             {"link": "a-entry", "mode": "freeze"}, {"link": "b-entry", "mode": "freeze"}))
         self.assertEqual(answer.status, 200, answer)
 
+    def test_answer_after_the_deadline(self):
+        with cluster_of() as cluster, concurrent.futures.ThreadPoolExecutor() as pool:
+            wait_for_room(cluster)
+            fill(cluster, pool, 3000)
+            forwarded = pool.submit(send, cluster, 200, deadline_ms=600)
+            cluster.wait(lambda: cluster.events("request_forwarded"), 5, "not forwarded")
+            cluster.wait(lambda: len(cluster.events("request_running")) == 3, 5, "not running")
+            cluster.pause("entry-b1")
+            answer = forwarded.result()
+            cluster.resume("entry-b1")
+            self.assertEqual((answer.status, answer.json()["outcome"]), (504, "unknown"))
+            cluster.wait(lambda: cluster.metric("entry-a1", "forward_answers_late") == 1, 5,
+                         "the late answer did not come")
+            # It reaches no other request.
+            body = '{"mine": 1}'
+            self.assertEqual(send(cluster, body=body, deadline_ms=8000).json()["echo"], body)
+            cluster.check_trace()
+
     def test_zone_out_of_service(self):
         with cluster_of() as cluster:
             wait_for_room(cluster)
--- a/testsuite/requests-outcomes/run.py
+++ b/testsuite/requests-outcomes/run.py
@@ -50,6 +50,15 @@
             self.assertLess(time.monotonic() - started, 1.5)
             self.assertEqual((answer.status, answer.json()["outcome"]), (504, "unknown"))
 
+    def test_hanging_target_repeatable(self):
+        with Cluster(zones=1, entries=1, targets=2) as cluster:
+            # Enough answers to know what is usual, and enough retries for what hangs.
+            self.assertEqual({send(cluster, Repeatable="true").status for _ in range(30)}, {200})
+            cluster.target_faults("target-a1", hang=True)
+            answers = [send(cluster, Repeatable="true", Deadline_Ms="2000") for _ in range(4)]
+            self.assertEqual([a.status for a in answers], [200] * 4)
+            self.assertEqual({a.json()["target"] for a in answers}, {"target-a2"})
+
     def test_slot_of_an_unanswered_request_stays_taken(self):
         with Cluster(zones=1, entries=1, targets=1, slots=1) as cluster:
             answer = send(cluster, work_ms=2500, Deadline_Ms="200")
