--- a/src/libverbenalever/targets/target_client.cpp
+++ b/src/libverbenalever/targets/target_client.cpp
@@ -171,12 +171,11 @@
                                    std::function<void(absl::StatusOr<target_inventory>)> done)
 {
     this->metrics.add("target_inventory_calls");
-    this->http.start(
-        this->prepare(target, "GET", "/tasks", ""),
-        [this, done = std::move(done)](const http_result& result) {
-            this->metrics.add("target_control_bytes", result.bytes);
-            done(parse_inventory(result));
-        });
+    this->http.start(this->prepare(target, "GET", "/tasks", ""),
+                     [this, done = std::move(done)](const http_result& result) {
+                         this->metrics.add("target_control_bytes", result.bytes);
+                         done(parse_inventory(result));
+                     });
 }
 
 std::uint64_t target_client::send_request(const endpoint& target, std::string_view request,
