Place requests by expected finish from measured rates, as a choice

Cause: least loaded sends as much to a slow target as to the others.

Change: target_rates measures each target's slowness against its queue's mean and counts silence; expected_finish_placement takes the best of eight random candidates.

--- a/src/libverbenalever/configuration/operator_configuration.cpp
+++ b/src/libverbenalever/configuration/operator_configuration.cpp
@@ -14,8 +14,9 @@
 
 constexpr std::array<std::string_view, 3> policies{"share", "strict", "fifo"};
 constexpr std::array<std::string_view, 3> work_classes{"urgent", "batch", "service"};
-constexpr std::array<std::string_view, 7> placements{
-    "", "best_fit", "spread", "least_loaded", "two_choices", "random_fit", "first_fit"};
+constexpr std::array<std::string_view, 8> placements{
+    "",           "best_fit",  "spread",         "least_loaded", "two_choices",
+    "random_fit", "first_fit", "expected_finish"};
 constexpr std::array<std::string_view, 2> zone_states{"in", "out"};
 constexpr std::int64_t most_units = 1'000'000'000;
 constexpr std::int64_t longest_queue = 1'000'000;
--- a/src/libverbenalever/requests/held_request.h
+++ b/src/libverbenalever/requests/held_request.h
@@ -22,7 +22,8 @@
     monotonic_time arrival;
     monotonic_time deadline;
     http_responder respond;
-    std::string target; ///< where it was sent, empty while queued
+    monotonic_time sent; ///< to its target
+    std::string target;  ///< where it was sent, empty while queued
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/requests/request_service.cpp
+++ b/src/libverbenalever/requests/request_service.cpp
@@ -7,6 +7,7 @@
 #include "loop/unique_id.h"
 #include "scheduling/policy_factory.h"
 #include "scheduling/queue_policy.h"
+#include "scheduling/target_rates.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
@@ -123,6 +124,7 @@
                    .arrival = now,
                    .deadline = now + *deadline,
                    .respond = std::move(respond),
+                   .sent = {},
                    .target = {}});
 }
 
@@ -176,6 +178,8 @@
 {
     const auto* record = this->registry.find(target);
     request.target = target;
+    request.sent = monotonic_clock::now();
+    this->placements.rates().sent(target, request.sent);
     const auto left = std::chrono::ceil<milliseconds>(request.deadline - monotonic_clock::now());
     this->log.write("requests", "request_sent",
                     {{"request", request.id}, {"target", target}, {"team", request.team}});
@@ -191,6 +195,12 @@
     auto& request = this->requests.at(number);
     const bool refused = result.transport.ok() && result.status == status_conflict;
     const bool not_sent = !result.transport.ok() && !result.may_have_been_sent;
+    const auto now = monotonic_clock::now();
+    if (result.success())
+        this->placements.rates().answered(request.target, request.queue,
+                                          std::chrono::ceil<milliseconds>(now - request.sent), now);
+    else
+        this->placements.rates().lost(request.target);
     if (result.success()) {
         this->metrics.add("requests_answered");
         this->log.write("requests", "request_answered", {{"request", request.id}});
--- /dev/null
+++ b/src/libverbenalever/scheduling/expected_finish_placement.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "scheduling/least_loaded_placement.h"
+#include "scheduling/placement_policy.h"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+
+namespace verbenalever {
+
+class target_rates;
+
+/// Takes the candidate that is expected to finish first by its measured rate, of a few random ones;
+/// among equals the one with the most free room.
+class expected_finish_placement final : public placement_policy {
+public:
+    /// @param rates measured rates of the targets
+    expected_finish_placement(std::shared_ptr<const target_rates> rates, std::uint64_t seed);
+
+    [[nodiscard]] std::optional<std::size_t>
+    choose(const placement_index& index, const resources& demand, candidate_filter admits) override;
+
+private:
+    std::shared_ptr<const target_rates> rates;
+    std::mt19937_64 random;
+    least_loaded_placement otherwise;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/scheduling/placement_candidate.h
+++ b/src/libverbenalever/scheduling/placement_candidate.h
@@ -13,6 +13,7 @@
     resources capacity;
     resources free;
     std::string_view rack;
+    std::string_view target; ///< its name
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/scheduling/placement_policy_test.cpp
+++ b/src/libverbenalever/scheduling/placement_policy_test.cpp
@@ -1,8 +1,11 @@
 #include "scheduling/placement_policy.h"
 
+#include "configuration/operator_configuration.h"
 #include "scheduling/placement_index.h"
+#include "scheduling/placement_table.h"
 #include "scheduling/policy_factory.h"
 #include "scheduling/spread_placement.h"
+#include "scheduling/target_rates.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -121,6 +124,59 @@
         EXPECT_EQ(by_rack[rack], 3) << rack;
 }
 
+/// @return how many of a hundred requests go to the target whose answers take @p factor as long
+int sent_to_slow_target(const std::string& policy_name, int factor)
+{
+    constexpr const char* names[] = {"a", "b", "c", "d"};
+    std::vector<placement_candidate> candidates;
+    for (std::size_t i = 0; i < 4; ++i)
+        candidates.push_back({.index = i,
+                              .capacity = {.slots = 4},
+                              .free = {.slots = 4},
+                              .rack = racks[0],
+                              .target = names[i]});
+    placement_index index;
+    index.assign(candidates);
+    verbenalever::placement_table table;
+    table.configure(*verbenalever::operator_configuration::parse(
+        "queues: {urgent: {placement: " + policy_name + "}}", "test"));
+    auto now = verbenalever::monotonic_time(std::chrono::hours(1));
+    int slow = 0;
+    for (int request = 0; request < 300; ++request) {
+        const auto chosen =
+            *table.of("urgent").choose(index, {.slots = 1}, [](std::size_t) { return true; });
+        table.rates().sent(names[chosen], now);
+        const auto took = verbenalever::milliseconds(chosen == 0 ? 10 * factor : 10);
+        now += took;
+        table.rates().answered(names[chosen], "urgent", took, now);
+        slow += request >= 200 && chosen == 0 ? 1 : 0;
+    }
+    return slow;
+}
+
+TEST(placement_policies, expected_finish_avoids_a_slow_target)
+{
+    EXPECT_LE(sent_to_slow_target("expected_finish", 4), 20);
+    EXPECT_GT(sent_to_slow_target("random_fit", 4), 10);
+}
+
+TEST(target_rates, count_silence_against_a_target_and_forgive_it)
+{
+    verbenalever::target_rates rates;
+    const verbenalever::monotonic_time begin(std::chrono::hours(1));
+    for (int i = 0; i < 50; ++i) {
+        rates.sent("a", begin);
+        rates.answered("a", "urgent", verbenalever::milliseconds(10), begin);
+    }
+    EXPECT_NEAR(rates.slowness("a"), 1, 0.01);
+    rates.sent("a", begin);
+    rates.sent("b", begin + verbenalever::milliseconds(500));
+    EXPECT_GT(rates.slowness("a"), 10);
+    rates.answered("a", "urgent", verbenalever::milliseconds(10),
+                   begin + verbenalever::milliseconds(501));
+    EXPECT_NEAR(rates.slowness("a"), 1, 0.01);
+}
+
 TEST(placement_policies, work_without_accelerators_leaves_them_free)
 {
     placement_index index;
--- a/src/libverbenalever/scheduling/placement_table.cpp
+++ b/src/libverbenalever/scheduling/placement_table.cpp
@@ -3,10 +3,14 @@
 #include "configuration/operator_configuration.h"
 #include "scheduling/placement_policy.h"
 #include "scheduling/policy_factory.h"
+#include "scheduling/target_rates.h"
 
 namespace verbenalever {
 
-placement_table::placement_table() : otherwise(make_placement_policy("least_loaded")) {}
+placement_table::placement_table()
+    : measured(std::make_shared<target_rates>()), otherwise(make_placement_policy("least_loaded"))
+{
+}
 
 placement_table::~placement_table() = default;
 
@@ -21,10 +25,15 @@
         if (known.policy != nullptr && known.name == policy)
             continue;
         known.name = policy;
-        known.policy = make_placement_policy(policy);
+        known.policy = make_placement_policy(policy, this->measured);
     }
 }
 
+target_rates& placement_table::rates()
+{
+    return *this->measured;
+}
+
 placement_policy& placement_table::of(std::string_view queue) const
 {
     const auto known = this->by_queue.find(queue);
--- a/src/libverbenalever/scheduling/placement_table.h
+++ b/src/libverbenalever/scheduling/placement_table.h
@@ -8,6 +8,7 @@
 namespace verbenalever {
 
 class placement_policy;
+class target_rates;
 struct operator_configuration;
 
 /// The placement policy of each queue, as the configuration names it.
@@ -24,12 +25,16 @@
     /// @return the policy of @p queue; the one for urgent work when it is not known
     [[nodiscard]] placement_policy& of(std::string_view queue) const;
 
+    /// @return the targets' rates, to which answers are told
+    [[nodiscard]] target_rates& rates();
+
 private:
     struct entry {
         std::string name;
         std::unique_ptr<placement_policy> policy;
     };
 
+    std::shared_ptr<target_rates> measured;
     std::unique_ptr<placement_policy> otherwise;
     std::map<std::string, entry, std::less<>> by_queue;
 };
--- a/src/libverbenalever/scheduling/policy_factory.cpp
+++ b/src/libverbenalever/scheduling/policy_factory.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/operator_configuration.h"
 #include "scheduling/best_fit_placement.h"
+#include "scheduling/expected_finish_placement.h"
 #include "scheduling/fifo_queue.h"
 #include "scheduling/first_fit_placement.h"
 #include "scheduling/least_loaded_placement.h"
@@ -90,8 +91,12 @@
     return placement_makers.front().first;
 }
 
-std::unique_ptr<placement_policy> make_placement_policy(std::string_view name)
+std::unique_ptr<placement_policy> make_placement_policy(std::string_view name,
+                                                        std::shared_ptr<const target_rates> rates)
 {
+    if (name == "expected_finish" && rates != nullptr)
+        return std::make_unique<expected_finish_placement>(std::move(rates),
+                                                           std::random_device()());
     for (const auto& [known, make] : placement_makers) {
         if (known == name)
             return make();
--- a/src/libverbenalever/scheduling/policy_factory.h
+++ b/src/libverbenalever/scheduling/policy_factory.h
@@ -7,6 +7,7 @@
 
 class placement_policy;
 class queue_policy;
+class target_rates;
 class share_ledger;
 struct operator_configuration;
 struct queue_configuration;
@@ -28,6 +29,8 @@
 [[nodiscard]] std::string_view placement_name(const queue_configuration& queue);
 
 /// Make a placement policy by its name in the configuration; an unknown name gives least_loaded.
-[[nodiscard]] std::unique_ptr<placement_policy> make_placement_policy(std::string_view name);
+/// @param rates measured rates of the targets; without, expected_finish is least_loaded
+[[nodiscard]] std::unique_ptr<placement_policy>
+make_placement_policy(std::string_view name, std::shared_ptr<const target_rates> rates = nullptr);
 
 } // namespace verbenalever
--- a/src/libverbenalever/targets/target_registry.cpp
+++ b/src/libverbenalever/targets/target_registry.cpp
@@ -150,7 +150,8 @@
         candidates.push_back({.index = this->indexed.size(),
                               .capacity = target.vm.capacity,
                               .free = target.free(),
-                              .rack = target.vm.rack});
+                              .rack = target.vm.rack,
+                              .target = target.vm.name});
         this->indexed.push_back(&target);
     }
     this->index.assign(std::move(candidates));
