--- a/src/libverbenalever/scheduling/queue_policy_test.cpp
+++ b/src/libverbenalever/scheduling/queue_policy_test.cpp
@@ -15,7 +15,6 @@
 using verbenalever::milliseconds;
 using verbenalever::monotonic_time;
 using verbenalever::operator_configuration;
-using verbenalever::queue_policy;
 using verbenalever::queued_work;
 using verbenalever::share_ledger;
 using verbenalever::start_verdict;
--- a/src/libverbenalever/scheduling/share_queue_test.cpp
+++ b/src/libverbenalever/scheduling/share_queue_test.cpp
@@ -14,10 +14,8 @@
 using verbenalever::milliseconds;
 using verbenalever::monotonic_time;
 using verbenalever::queued_work;
-using verbenalever::resources;
 using verbenalever::share_ledger;
 using verbenalever::share_queue;
-using verbenalever::start_verdict;
 
 constexpr monotonic_time begin{std::chrono::hours(1)};
 constexpr double aim_distance = 0.05;
--- a/src/libverbenalever/scheduling/strict_queue_test.cpp
+++ b/src/libverbenalever/scheduling/strict_queue_test.cpp
@@ -76,10 +76,10 @@
 TEST(strict_queue, gives_aged_work_no_more_than_its_part)
 {
     auto queue = make_queue();
-    constexpr int each = 4000;
-    for (int i = 0; i < each; ++i) {
-        queue.push(make_work(static_cast<std::uint64_t>(i), 2, begin));
-        queue.push(make_work(static_cast<std::uint64_t>(each + i), 0, begin + aging));
+    constexpr std::uint64_t each = 4000;
+    for (std::uint64_t i = 0; i < each; ++i) {
+        queue.push(make_work(i, 2, begin));
+        queue.push(make_work(each + i, 0, begin + aging));
     }
     std::map<std::string, int> started;
     for (int i = 0; i < 800; ++i)
