--- a/src/libverbenalever/requests/target_sender.cpp
+++ b/src/libverbenalever/requests/target_sender.cpp
@@ -1,6 +1,7 @@
 #include "requests/target_sender.h"
 
 #include "requests/request_work.h"
+#include "scheduling/target_rates.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
@@ -68,7 +69,9 @@
     const auto* record = this->registry.find(target);
     const auto epoch = record->lease_epoch;
     const auto limit = std::max(std::chrono::ceil<milliseconds>(timeout), milliseconds(1));
-    this->health.started(target, monotonic_clock::now());
+    const auto sent = monotonic_clock::now();
+    this->health.started(target, sent);
+    this->placements.rates().sent(target, sent);
     this->log.write("requests", "request_sent",
                     {{"request", work.id}, {"target", target}, {"team", work.team}});
     // The body stays with the caller of send(); what is needed at the end is small.
@@ -80,9 +83,9 @@
                             .demand = work.demand,
                             .deadline = work.deadline};
     this->client.send_request(record->vm.address, work.id, work.team, epoch, work.body, limit,
-                              [this, kept, target, done = std::move(done)](http_result got) {
+                              [this, kept, target, sent, done = std::move(done)](http_result got) {
                                   auto result = target_sender::classify(kept, std::move(got));
-                                  this->ended(kept, target, result);
+                                  this->ended(kept, target, sent, result);
                                   done(std::move(result));
                               });
 }
@@ -107,11 +110,17 @@
             .code = {}};
 }
 
-void target_sender::ended(const request_work& work, const std::string& target,
+void target_sender::ended(const request_work& work, const std::string& target, monotonic_time sent,
                           const attempt_result& result)
 {
     const bool refused = result.code == "target_refused";
     const bool failed = result.outcome != attempt_outcome::answered || result.failed();
+    const auto now = monotonic_clock::now();
+    if (failed)
+        this->placements.rates().lost(target);
+    else
+        this->placements.rates().answered(target, work.queue,
+                                          std::chrono::ceil<milliseconds>(now - sent), now);
     if (!refused &&
         this->health.ended(target, work.queue + "/" + work.team, failed, monotonic_clock::now())) {
         this->metrics.add("target_health_changes");
