--- a/testsuite/measure/jobs_rate.py
+++ b/testsuite/measure/jobs_rate.py
@@ -1,11 +1,12 @@
 """What jobs cost the store and how long faults hold them up.
 
-Run: VERBENALEVER_BUILD=build PYTHONPATH=testsuite python3 testsuite/measure/jobs_rate.py [rate] [adoption] [zone]
+Run: VERBENALEVER_BUILD=build PYTHONPATH=testsuite python3 testsuite/measure/jobs_rate.py [rate] [single] [adoption] [zone]
 Each prints one JSON line.
 """
 
 import json
 import sys
+import threading
 import time
 
 from harness import Cluster
@@ -24,7 +25,8 @@
     return call(cluster.platform, "GET", "/control/calls").json()
 
 
-def rate():
+def rate(tasks=TASKS):
+    """Starts at a steady rate; one submitter for each entry."""
     with Cluster(zones=3, entries=3, targets=4, slots=16) as cluster:
         entries = list(cluster.entries)
         time.sleep(5)
@@ -33,11 +35,20 @@
         before = calls(cluster)
         begun = time.monotonic()
         jobs = []
-        while time.monotonic() - begun < SECONDS:
-            due = begun + len(jobs) * TASKS / STARTS_PER_S
-            time.sleep(max(0, due - time.monotonic()))
-            jobs.append(accept(cluster, entries[len(jobs) % len(entries)], tasks=TASKS,
-                               command={"run_ms": 800}))
+
+        def submit_at(entry):
+            pause = tasks * len(entries) / STARTS_PER_S
+            due = time.monotonic()
+            while due - begun < SECONDS:
+                time.sleep(max(0, due - time.monotonic()))
+                jobs.append(accept(cluster, entry, tasks=tasks, command={"run_ms": 800}))
+                due += pause
+
+        threads = [threading.Thread(target=submit_at, args=(entry,)) for entry in entries]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
         after = calls(cluster)
         spent = time.monotonic() - begun
         wait_finished(cluster, jobs, 60)
@@ -50,7 +61,7 @@
         per_s = {k: (after.get(k, 0) - before.get(k, 0)) / spent for k in after}
         print(json.dumps({
             "measure": "rate", "entries": len(entries), "tasks": len(started),
-            "starts_per_s": round(len(jobs) * TASKS / spent, 1), "tasks_per_job": TASKS,
+            "starts_per_s": round(len(jobs) * tasks / spent, 1), "tasks_per_job": tasks,
             "writes_per_s": round(per_s["writes"], 1), "reads_per_s": round(per_s["reads"], 1),
             "idle_reads_per_s": round(idle.get("reads", 0), 1),
             "share_of_writes": round(per_s["writes"] / STORE_WRITES_PER_S, 3),
@@ -103,4 +114,4 @@
 
 
 for name in sys.argv[1:] or ["rate", "adoption", "zone"]:
-    {"rate": rate, "adoption": adoption, "zone": zone}[name]()
+    {"rate": rate, "single": lambda: rate(1), "adoption": adoption, "zone": zone}[name]()
