--- a/src/libverbenalever/membership/peer_mesh.cpp
+++ b/src/libverbenalever/membership/peer_mesh.cpp
@@ -273,9 +273,12 @@
 {
     const auto found = this->states.find(from);
     const auto known = found == this->states.end() ? 0 : found->second.incarnation;
-    by.send(this->frame_of(
+    const auto frame = this->frame_of(
         heartbeat_ack::type,
-        pack_message(heartbeat_ack{.incarnation = this->incarnation, .known_incarnation = known})));
+        pack_message(heartbeat_ack{.incarnation = this->incarnation, .known_incarnation = known}));
+    this->metrics.add("peer_messages_sent");
+    this->metrics.add("peer_bytes_sent", static_cast<std::int64_t>(frame.size()));
+    by.send(frame);
 }
 
 void peer_mesh::acknowledged(const heartbeat_ack& message)
