--- a/src/libverbenalever/configuration/restriction_test.cpp
+++ b/src/libverbenalever/configuration/restriction_test.cpp
@@ -12,7 +12,6 @@
 
 using verbenalever::configuration_document;
 using verbenalever::operator_configuration;
-using verbenalever::resources;
 using verbenalever::restriction;
 using verbenalever::restriction_set;
 using verbenalever::unlimited_units;
@@ -94,8 +93,9 @@
     restriction_set backward;
     for (const auto& member : members)
         forward.add(member);
-    for (auto it = members.rbegin(); it != members.rend(); ++it)
-        backward.add(*it);
+    const std::vector<restriction> reversed(members.rbegin(), members.rend());
+    for (const auto& member : reversed)
+        backward.add(member);
     std::set<std::string> ids;
     for (const auto& member : members)
         ids.insert(member.id);
--- a/src/libverbenalever/scheduling/placement_index.cpp
+++ b/src/libverbenalever/scheduling/placement_index.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 namespace verbenalever {
 
@@ -63,7 +62,8 @@
 bool placement_index::has_room(const resources& demand) const
 {
     const auto least = this->room(demand);
-    for (const auto& [room, position] : this->order | std::views::reverse) {
+    for (auto entry = this->order.rbegin(); entry != this->order.rend(); ++entry) {
+        const auto& [room, position] = *entry;
         if (room < least)
             return false;
         if (demand.fits_within(this->all[position].free))
