Place jobs' tasks by their queue's policy; one estimate of drain, one of what fits

Cause: jobs took the least loaded target whatever the configuration said; queue_load stood beside drain_rate, and fleet_view beside fleet_capacity, each with the same logic.

Ruled out: passing the policy's name in each reservation (the holder has the configuration itself).

Change: reserve_request names the queue and the holder asks its placement table; queue_load keeps the length and asks drain_rate; fleet_view asks fleet_capacity. Checks and bounds are as they were.

--- a/src/libverbenalever/jobs/fleet_view.cpp
+++ b/src/libverbenalever/jobs/fleet_view.cpp
@@ -1,7 +1,5 @@
 #include "jobs/fleet_view.h"
 
-#include <fmt/format.h>
-
 #include <set>
 
 namespace verbenalever {
@@ -9,6 +7,7 @@
 void fleet_view::update(std::span<const vm_record> vms)
 {
     std::set<std::string_view> listed;
+    std::vector<resources> capacities;
     this->entries.clear();
     for (const auto& vm : vms) {
         if (vm.role == vm_role::entry) {
@@ -16,11 +15,11 @@
             continue;
         }
         listed.insert(vm.name);
-        this->targets[vm.name] = {.availability_zone = vm.availability_zone,
-                                  .capacity = vm.capacity,
-                                  .listed = true,
-                                  .gone = {}};
+        capacities.push_back(vm.capacity);
+        this->targets[vm.name] = {
+            .availability_zone = vm.availability_zone, .listed = true, .gone = {}};
     }
+    this->idle.assign(capacities);
     for (auto& [name, target] : this->targets) {
         if (target.listed && !listed.contains(name)) {
             target.listed = false;
@@ -55,21 +54,9 @@
 
 absl::Status fleet_view::could_run(const resources& demand, std::size_t tasks, bool together) const
 {
-    std::size_t room = 0;
-    for (const auto& [name, target] : this->targets) {
-        auto left = target.capacity;
-        while (target.listed && room < tasks && demand.fits_within(left)) {
-            ++room;
-            left -= demand;
-        }
-    }
-    if (room == 0)
-        return absl::FailedPreconditionError("no target is large enough for one task");
-    if (together && room < tasks)
-        return absl::FailedPreconditionError(
-            fmt::format("the whole fleet, idle, has room for {} of the {} tasks at the same time",
-                        room, tasks));
-    return absl::OkStatus();
+    if (this->idle.empty())
+        return absl::FailedPreconditionError("no target is listed");
+    return this->idle.check(demand, together ? static_cast<std::int64_t>(tasks) : 1);
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/jobs/fleet_view.h
+++ b/src/libverbenalever/jobs/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include "loop/clock.h"
 #include "platform/vm_record.h"
+#include "scheduling/fleet_capacity.h"
 #include "scheduling/resources.h"
 
 #include <absl/status/status.h>
@@ -37,11 +38,11 @@
 private:
     struct known_target {
         std::string availability_zone;
-        resources capacity;
         bool listed = true;
         monotonic_time gone;
     };
 
+    fleet_capacity idle; ///< of the targets on the list
     std::map<std::string, known_target, std::less<>> targets;
     std::map<std::string, std::string, std::less<>> entries; ///< to their availability zones
 };
--- a/src/libverbenalever/jobs/job_driver.cpp
+++ b/src/libverbenalever/jobs/job_driver.cpp
@@ -24,7 +24,7 @@
 job_driver::job_driver(const job_services& services, job_record record)
     : services(services), job(std::move(record)), progress(this->job.tasks.size()),
       pages(this->job, services.records, services.writer),
-      finder(services.mailbox, this->job.id, this->job.team, this->job.demand),
+      finder(services.mailbox, this->job.id, this->job.queue, this->job.team, this->job.demand),
       random_state(static_cast<std::uint32_t>(std::hash<std::string>()(this->job.id)))
 {
     this->pages.on_lost([this] { this->lose(); });
--- a/src/libverbenalever/jobs/job_service.cpp
+++ b/src/libverbenalever/jobs/job_service.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_service.h"
 
+#include "configuration/configuration_store.h"
+
 #include "http/router.h"
 #include "loop/unique_id.h"
 #include "verbenalever/entry_settings.h"
@@ -31,10 +33,13 @@
                                               .log = log,
                                               .writer = fmt::format("{}/{}", settings.name,
                                                                     random_hex(incarnation_bytes))},
-      holder(loop, settings, this->mailbox, store, registry, client, this->placement, metrics, log),
+      holder(loop, settings, this->mailbox, store, registry, client, this->placements, metrics,
+             log),
       drivers(this->services), adoption(this->services, this->drivers),
       acceptance(this->services, configuration, access, this->drivers), api(this->services, access)
 {
+    configuration.on_change(
+        [this](const operator_configuration& changed) { this->placements.configure(changed); });
 }
 
 void job_service::add_routes(router& routes)
--- a/src/libverbenalever/jobs/reserve_request.h
+++ b/src/libverbenalever/jobs/reserve_request.h
@@ -17,11 +17,12 @@
 
     std::uint64_t number = 0; ///< the driver's own, echoed in the answer
     std::string job;
+    std::string queue; ///< decides how a target is chosen
     std::string team;
     resources demand; ///< of each task
     std::vector<task_key> tasks;
 
-    MSGPACK_DEFINE_MAP(number, job, team, demand, tasks)
+    MSGPACK_DEFINE_MAP(number, job, queue, team, demand, tasks)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/jobs/room_finder.cpp
+++ b/src/libverbenalever/jobs/room_finder.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-room_finder::room_finder(job_mailbox& mailbox, std::string job, std::string team, resources demand)
-    : mailbox(mailbox), job(std::move(job)), team(std::move(team)), demand(demand),
-      number(static_cast<std::uint64_t>(monotonic_microseconds()))
+room_finder::room_finder(job_mailbox& mailbox, std::string job, std::string queue, std::string team,
+                         resources demand)
+    : mailbox(mailbox), job(std::move(job)), queue(std::move(queue)), team(std::move(team)),
+      demand(demand), number(static_cast<std::uint64_t>(monotonic_microseconds()))
 {
 }
 
@@ -49,6 +50,7 @@
     this->answer_due = monotonic_clock::now() + answer_timeout;
     this->mailbox.send(holder, reserve_request{.number = this->number,
                                                .job = this->job,
+                                               .queue = this->queue,
                                                .team = this->team,
                                                .demand = this->demand,
                                                .tasks = this->wanted});
--- a/src/libverbenalever/jobs/room_finder.h
+++ b/src/libverbenalever/jobs/room_finder.h
@@ -20,7 +20,8 @@
 public:
     using found_callback = std::function<void(std::vector<granted_task>)>;
 
-    room_finder(job_mailbox& mailbox, std::string job, std::string team, resources demand);
+    room_finder(job_mailbox& mailbox, std::string job, std::string queue, std::string team,
+                resources demand);
 
     /// @return whether a search is going on
     [[nodiscard]] bool busy() const;
@@ -47,6 +48,7 @@
 
     job_mailbox& mailbox;
     std::string job;
+    std::string queue;
     std::string team;
     resources demand;
     std::uint64_t number = 0;
--- a/src/libverbenalever/requests/queue_load.h
+++ b/src/libverbenalever/requests/queue_load.h
@@ -2,9 +2,9 @@
 
 #include "loop/clock.h"
 #include "requests/response_time.h"
+#include "scheduling/drain_rate.h"
 
 #include <cstddef>
-#include <optional>
 
 namespace verbenalever {
 
@@ -14,6 +14,8 @@
 /// and says nothing about capacity.
 class queue_load {
 public:
+    queue_load();
+
     void joined(monotonic_time now);
     void left(monotonic_time now, bool started);
 
@@ -29,12 +31,9 @@
     response_time service;
 
 private:
-    void advance(monotonic_time now);
-
     std::size_t length = 0;
     monotonic_time last;
-    double busy_seconds = 0; ///< decayed time in which something waited
-    double departures = 0;   ///< decayed starts in that time
+    drain_rate rate;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/scheduling/fleet_capacity.cpp
+++ b/src/libverbenalever/scheduling/fleet_capacity.cpp
@@ -32,6 +32,11 @@
     }
 }
 
+bool fleet_capacity::empty() const
+{
+    return this->kinds.empty();
+}
+
 absl::Status fleet_capacity::check(const resources& demand, std::int64_t tasks) const
 {
     if (this->kinds.empty())
--- a/src/libverbenalever/scheduling/fleet_capacity.h
+++ b/src/libverbenalever/scheduling/fleet_capacity.h
@@ -17,6 +17,9 @@
     /// @param targets declared capacity of each target that is not leaving, over all zones
     void assign(std::span<const resources> targets);
 
+    /// @return whether no target is known
+    [[nodiscard]] bool empty() const;
+
     /// @param tasks how many have to run at the same time
     /// @return FAILED_PRECONDITION with "fits_nowhere: ..." and the reason when the work can never
     ///         run; OK also while no target is known
