--- a/src/libverbenalever/limits/allotment_model_test.cpp
+++ b/src/libverbenalever/limits/allotment_model_test.cpp
@@ -15,7 +15,7 @@
 
 using verbenalever::allotment_book;
 using verbenalever::allotment_record;
-using verbenalever::allotment_wish;
+using verbenalever::allotment_request;
 using verbenalever::allotted_target;
 using verbenalever::plan_allotments;
 
@@ -119,11 +119,11 @@
             return;
         const auto held = this->held_by(entry);
         const bool gives_up = amount == 0;
-        const allotment_wish wish{.limit = {.slots = limit_slots},
-                                  .demand = {.slots = gives_up ? 0 : amount},
-                                  .give_up = {.slots = gives_up ? 2 : 0},
-                                  .entries = entry_count};
-        auto next = plan_allotments(book.record(), held, wish).value_or(book.record());
+        const allotment_request request{.limit = {.slots = limit_slots},
+                                        .demand = {.slots = gives_up ? 0 : amount},
+                                        .give_up = {.slots = gives_up ? 2 : 0},
+                                        .entries = entry_count};
+        auto next = plan_allotments(book.record(), held, request).value_or(book.record());
         next.writer = "e" + std::to_string(entry);
         next.sequence = ++this->sequence;
         book.write_started(next, held);
@@ -215,14 +215,25 @@
     EXPECT_EQ(next.usable(taken, {.slots = 6}).slots, 4);
 }
 
+/// A book whose entry holds target "t" and has written its amount of four.
+struct written_book {
+    allotment_book book;
+    allotment_record kept{.writer = "e0", .sequence = 1, .amounts = {}};
+    allotted_target held{.name = "t", .epoch = 1, .use = {}, .free = {.slots = 4}};
+};
+
+written_book book_of_four()
+{
+    written_book result;
+    result.kept.set("t", {.slots = 4});
+    result.book.write_started(result.kept, std::vector{result.held});
+    result.book.write_kept(1);
+    return result;
+}
+
 TEST(allotments, keep_a_lowered_amount_until_a_newer_revision_is_seen)
 {
-    allotment_book book;
-    allotment_record kept{.writer = "e0", .sequence = 1};
-    kept.set("t", {.slots = 4});
-    const allotted_target held{.name = "t", .epoch = 1, .free = {.slots = 4}};
-    book.write_started(kept, std::vector{held});
-    book.write_kept(1);
+    auto [book, kept, held] = book_of_four();
     auto lower = kept;
     lower.set("t", {.slots = 1});
     book.write_started(lower, std::vector{held});
@@ -235,12 +246,7 @@
 
 TEST(allotments, keep_the_lowest_of_several_writes_that_may_take_effect)
 {
-    allotment_book book;
-    allotment_record kept{.writer = "e0", .sequence = 1};
-    kept.set("t", {.slots = 4});
-    const allotted_target held{.name = "t", .epoch = 1, .free = {.slots = 4}};
-    book.write_started(kept, std::vector{held});
-    book.write_kept(1);
+    auto [book, kept, held] = book_of_four();
     for (const std::int64_t amount : {1, 3}) {
         auto lower = kept;
         lower.set("t", {.slots = amount});
--- a/src/libverbenalever/limits/allotment_planner.cpp
+++ b/src/libverbenalever/limits/allotment_planner.cpp
@@ -61,14 +61,14 @@
 }
 
 /// @return an entry's even portion of the limit, rounded up
-resources portion_of(const allotment_wish& wish)
+resources portion_of(const allotment_request& request)
 {
-    const auto entries = std::max<std::int64_t>(wish.entries, 1);
+    const auto entries = std::max<std::int64_t>(request.entries, 1);
     const resources rounding{.slots = entries - 1,
                              .processors_milli = entries - 1,
                              .memory_mb = entries - 1,
                              .accelerators = entries - 1};
-    return divide(wish.limit + rounding, entries);
+    return divide(request.limit + rounding, entries);
 }
 
 /// @return what the held targets have together
@@ -82,24 +82,24 @@
 
 /// @return what the held targets have together above this entry's portion
 resources excess_of(const allotment_record& record, std::span<const allotted_target> held,
-                    const allotment_wish& wish)
+                    const allotment_request& request)
 {
-    return positive_part(only_limited(together(record, held) - portion_of(wish), wish.limit));
+    return positive_part(only_limited(together(record, held) - portion_of(request), request.limit));
 }
 
 /// Hand back unused amounts that other entries lack: half of what is unused, but enough for one
 /// start where there is as much. While starts wait here too, only what is above the even portion.
-void give_up(plan& plan, std::span<const allotted_target> held, const allotment_wish& wish)
+void give_up(plan& plan, std::span<const allotted_target> held, const allotment_request& request)
 {
-    const bool waiting_here = wish.demand != resources{};
-    auto still_lacking = only_limited(wish.give_up, plan.limit);
+    const bool waiting_here = request.demand != resources{};
+    auto still_lacking = only_limited(request.give_up, plan.limit);
     if (waiting_here)
-        still_lacking = least_of(still_lacking, excess_of(plan.next, held, wish));
+        still_lacking = least_of(still_lacking, excess_of(plan.next, held, request));
     for (const auto& target : held) {
         const auto unused = plan.unused(target);
         const auto half = divide(unused, cautious_parts);
         const auto given =
-            least_of(greatest_of(half, least_of(unused, wish.give_up)), still_lacking);
+            least_of(greatest_of(half, least_of(unused, request.give_up)), still_lacking);
         plan.take_back(target, given);
         still_lacking -= given;
     }
@@ -115,22 +115,22 @@
 }
 
 /// Make room for at least one start, and some more, on targets that could take it.
-void make_room(plan& plan, std::span<const allotted_target> held, const allotment_wish& wish)
+void make_room(plan& plan, std::span<const allotted_target> held, const allotment_request& request)
 {
-    const auto demand = only_limited(wish.demand, plan.limit);
+    const auto demand = only_limited(request.demand, plan.limit);
     if (!demand.fits_within(plan.left))
-        collect_stranded(plan, held, wish.demand);
+        collect_stranded(plan, held, request.demand);
     const auto portion = greatest_of(
-        demand, divide(plan.left, cautious_parts * std::max<std::int64_t>(wish.entries, 1)));
+        demand, divide(plan.left, cautious_parts * std::max<std::int64_t>(request.entries, 1)));
     auto budget = least_of(portion, plan.left);
-    if (wish.entries > 1) {
-        const auto below = positive_part(portion_of(wish) - together(plan.next, held));
-        budget = least_of(budget, only_limited(below, wish.limit));
+    if (request.entries > 1) {
+        const auto below = positive_part(portion_of(request) - together(plan.next, held));
+        budget = least_of(budget, only_limited(below, request.limit));
     }
     const auto per_target =
         greatest_of(demand, divide(portion, std::max<std::int64_t>(std::ssize(held), 1)));
     for (const auto& target : held) {
-        if (!wish.demand.fits_within(target.free) || !demand.fits_within(budget))
+        if (!request.demand.fits_within(target.free) || !demand.fits_within(budget))
             continue;
         const auto wanted =
             least_of(per_target, greatest_of(demand, only_limited(target.free, plan.limit)));
@@ -144,24 +144,24 @@
 
 std::optional<allotment_record> plan_allotments(const allotment_record& record,
                                                 std::span<const allotted_target> held,
-                                                const allotment_wish& wish)
+                                                const allotment_request& request)
 {
     const auto total = record.total();
     plan plan{.next = record,
-              .left = positive_part(only_limited(wish.limit, wish.limit) - total),
-              .limit = wish.limit};
-    const bool above_limit = !only_limited(total, wish.limit).fits_within(wish.limit);
+              .left = positive_part(only_limited(request.limit, request.limit) - total),
+              .limit = request.limit};
+    const bool above_limit = !only_limited(total, request.limit).fits_within(request.limit);
     if (above_limit) {
         shrink(plan, held, total);
-        plan.left = positive_part(only_limited(wish.limit, wish.limit) - plan.next.total());
+        plan.left = positive_part(only_limited(request.limit, request.limit) - plan.next.total());
     }
     cover_use(plan, held);
     const auto covered = plan.next.amounts;
-    if (wish.give_up != resources{})
-        give_up(plan, held, wish);
+    if (request.give_up != resources{})
+        give_up(plan, held, request);
     const bool gave_up = plan.next.amounts != covered;
-    if (wish.demand != resources{} && !wish.cover_only && !above_limit && !gave_up)
-        make_room(plan, held, wish);
+    if (request.demand != resources{} && !request.cover_only && !above_limit && !gave_up)
+        make_room(plan, held, request);
     if (plan.next.amounts == record.amounts)
         return std::nullopt;
     return plan.next;
@@ -169,10 +169,10 @@
 
 std::map<std::string, resources, std::less<>> plan_ceilings(const allotment_record& record,
                                                             std::span<const allotted_target> held,
-                                                            const allotment_wish& wish)
+                                                            const allotment_request& request)
 {
     std::map<std::string, resources, std::less<>> ceilings;
-    auto to_free = least_of(excess_of(record, held, wish), wish.give_up);
+    auto to_free = least_of(excess_of(record, held, request), request.give_up);
     for (const auto& target : held) {
         const auto amount = record.amount_of(target.name);
         const auto freed = least_of(amount, to_free);
--- a/src/libverbenalever/limits/allotment_planner.h
+++ b/src/libverbenalever/limits/allotment_planner.h
@@ -10,7 +10,7 @@
 namespace verbenalever {
 
 /// What one entry wants of a team's allotments.
-struct allotment_wish {
+struct allotment_request {
     resources limit;
     resources demand;         ///< room for at least one start of this size; zero for none
     resources give_up;        ///< what other entries lack; zero for nothing
@@ -24,13 +24,13 @@
 /// @return the next version, or nothing when there is nothing to gain from a write
 [[nodiscard]] std::optional<allotment_record> plan_allotments(const allotment_record& record,
                                                               std::span<const allotted_target> held,
-                                                              const allotment_wish& wish);
+                                                              const allotment_request& request);
 
 /// Decide to what the use of the held targets is bound while others lack room: an entry that has
 /// more than its even portion of the limit lets the excess come free.
 /// @return ceilings by target; empty when this entry has no more than its portion
 [[nodiscard]] std::map<std::string, resources, std::less<>>
 plan_ceilings(const allotment_record& record, std::span<const allotted_target> held,
-              const allotment_wish& wish);
+              const allotment_request& request);
 
 } // namespace verbenalever
--- a/src/libverbenalever/limits/allotment_planner_test.cpp
+++ b/src/libverbenalever/limits/allotment_planner_test.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 using verbenalever::allotment_record;
-using verbenalever::allotment_wish;
+using verbenalever::allotment_request;
 using verbenalever::allotted_target;
 using verbenalever::plan_allotments;
 using verbenalever::plan_ceilings;
@@ -72,11 +72,11 @@
 
 TEST(plan_ceilings, binds_use_to_the_even_portion_while_others_lack_room)
 {
-    const allotment_wish wish{.limit = limit, .demand = one, .give_up = one, .entries = 2};
-    const auto ceilings = plan_ceilings(record_of(6, 0), held("a", 6), wish);
+    const allotment_request request{.limit = limit, .demand = one, .give_up = one, .entries = 2};
+    const auto ceilings = plan_ceilings(record_of(6, 0), held("a", 6), request);
     ASSERT_TRUE(ceilings.contains("a"));
     EXPECT_EQ(ceilings.at("a").slots, 5);
-    EXPECT_TRUE(plan_ceilings(record_of(3, 3), held("a", 3), wish).empty());
+    EXPECT_TRUE(plan_ceilings(record_of(3, 3), held("a", 3), request).empty());
 }
 
 } // namespace
--- a/src/libverbenalever/limits/limit_keeper.cpp
+++ b/src/libverbenalever/limits/limit_keeper.cpp
@@ -66,9 +66,10 @@
         [this](const target_record& target, std::string_view team, const resources& demand) {
             return this->may_start(target, team, demand);
         });
-    this->mesh.on<allotment_wanted>([this](const std::string& from, const allotment_wanted& wish) {
-        this->take_wish(from, wish);
-    });
+    this->mesh.on<allotment_wanted>(
+        [this](const std::string& from, const allotment_wanted& wanted) {
+            this->take_peer_demand(from, wanted);
+        });
     this->tick_timer.start_repeating(tick_interval);
     this->list();
 }
@@ -90,7 +91,7 @@
             continue;
         state.limit = *settings.limit;
         state.raises_from = monotonic_clock::now() + settling_time;
-        this->wanting.insert(team);
+        this->pending.insert(team);
     }
     if (is_new)
         this->list();
@@ -112,22 +113,22 @@
     if ((here.use + demand).fits_within(state.book.usable(here, state.limit)))
         return true;
     if (state.demand == resources{})
-        this->wanting.insert(found->first);
+        this->pending.insert(found->first);
     state.demand = greatest_of(state.demand, demand);
-    state.refused = monotonic_clock::now();
+    state.refused_at = monotonic_clock::now();
     this->metrics.add("starts_held_by_limit");
     return false;
 }
 
-void limit_keeper::take_wish(const std::string& from, const allotment_wanted& wish)
+void limit_keeper::take_peer_demand(const std::string& from, const allotment_wanted& wanted)
 {
-    const auto found = this->teams.find(wish.team);
+    const auto found = this->teams.find(wanted.team);
     if (found == this->teams.end())
         return;
-    found->second.lacking = wish.demand;
-    found->second.wished = monotonic_clock::now();
-    found->second.asking[from] = found->second.wished;
-    this->wanting.insert(wish.team);
+    found->second.peer_demand = wanted.demand;
+    found->second.peer_demand_at = monotonic_clock::now();
+    found->second.asking[from] = found->second.peer_demand_at;
+    this->pending.insert(wanted.team);
 }
 
 void limit_keeper::list()
@@ -174,14 +175,14 @@
     std::size_t writing = 0;
     for (const auto& [team, state] : this->teams)
         writing += state.book.writing() ? 1 : 0;
-    auto looked_at = std::move(this->wanting);
-    this->wanting.clear();
-    for (const auto& team : looked_at) {
+    auto teams_due = std::move(this->pending);
+    this->pending.clear();
+    for (const auto& team : teams_due) {
         const auto found = this->teams.find(team);
         if (found == this->teams.end())
             continue;
         if (found->second.book.writing() || writing >= writes_in_flight) {
-            this->wanting.insert(team);
+            this->pending.insert(team);
             continue;
         }
         this->serve(team, found->second);
@@ -195,18 +196,18 @@
     const bool settling = now < state.raises_from;
     const bool above_limit =
         !only_limited(state.book.total(), state.limit).fits_within(state.limit);
-    if (state.demand != resources{} && now - state.refused > demand_lifetime) {
+    if (state.demand != resources{} && now - state.refused_at > demand_lifetime) {
         state.demand = {};
         this->registry.reconsider(); // whoever still waits asks again
     }
-    if (now - state.wished > demand_lifetime)
-        state.lacking = {};
+    if (now - state.peer_demand_at > demand_lifetime)
+        state.peer_demand = {};
     std::erase_if(state.asking,
                   [now](const auto& peer) { return now - peer.second > asking_lifetime; });
     this->plan_and_write(team, state, settling);
-    const bool lacking = state.lacking != resources{};
-    if (settling || above_limit || lacking || state.demand != resources{})
-        this->wanting.insert(team);
+    const bool peers_wait = state.peer_demand != resources{};
+    if (settling || above_limit || peers_wait || state.demand != resources{})
+        this->pending.insert(team);
 }
 
 void limit_keeper::plan_and_write(const std::string& team, team_state& state, bool settling)
@@ -214,18 +215,18 @@
     const auto held = this->held_targets(team);
     const auto base = this->without_gone_targets(state.book.record());
     const bool lacked = state.demand != resources{};
-    const allotment_wish wish{.limit = state.limit,
-                              .demand = state.demand,
-                              .give_up = state.lacking,
-                              .entries = 1 + std::ssize(state.asking),
-                              .cover_only = settling};
-    state.book.set_ceilings(plan_ceilings(base, held, wish));
-    auto next = plan_allotments(base, held, wish);
+    const allotment_request request{.limit = state.limit,
+                                    .demand = state.demand,
+                                    .give_up = state.peer_demand,
+                                    .entries = 1 + std::ssize(state.asking),
+                                    .cover_only = settling};
+    state.book.set_ceilings(plan_ceilings(base, held, request));
+    auto next = plan_allotments(base, held, request);
     const bool gone = base.amounts != state.book.record().amounts;
     if (!next && (gone || (lacked && this->needs_fence(state, held))))
         next = base;
     if (next && !base.total().fits_within(next->total()))
-        state.lacking = {}; // some is given up; whoever lacks more asks again
+        state.peer_demand = {}; // some is given up; whoever lacks more asks again
     if (next)
         this->write(team, state, *std::move(next), held);
     else if (lacked && !settling)
--- a/src/libverbenalever/limits/limit_keeper.h
+++ b/src/libverbenalever/limits/limit_keeper.h
@@ -49,11 +49,11 @@
     struct team_state {
         allotment_book book;
         resources limit;
-        monotonic_time raises_from; ///< when every entry has accounted for what ran before
-        resources demand;           ///< of starts that were refused; zero for none
-        monotonic_time refused;     ///< when the last one was
-        resources lacking;          ///< what a peer asked for; zero for nothing
-        monotonic_time wished;      ///< when it did
+        monotonic_time raises_from;    ///< when every entry has accounted for what ran before
+        resources demand;              ///< of starts that were refused; zero for none
+        monotonic_time refused_at;     ///< when the last one was
+        resources peer_demand;         ///< what a peer asked for; zero for nothing
+        monotonic_time peer_demand_at; ///< when it did
         monotonic_time asked_peers;
         std::map<std::string, monotonic_time>
             asking; ///< peers that want the team's limit, and when
@@ -62,7 +62,7 @@
     void take_configuration(const operator_configuration& configuration);
     [[nodiscard]] bool may_start(const target_record& target, std::string_view team,
                                  const resources& demand);
-    void take_wish(const std::string& from, const allotment_wanted& wish);
+    void take_peer_demand(const std::string& from, const allotment_wanted& wanted);
     void list();
     void follow(std::int64_t since);
     void observe(const kv_listing& listing);
@@ -87,7 +87,7 @@
     counters& metrics;
     const event_log& log;
     std::map<std::string, team_state, std::less<>> teams;
-    std::set<std::string> wanting; ///< teams to look at on the next tick
+    std::set<std::string> pending; ///< teams to look at on the next tick
     std::int64_t sequence = 0;
     std::map<std::string, monotonic_time, std::less<>> last_listed; ///< targets, by name
     monotonic_time first_list;
--- a/src/standins/target/target_service.cpp
+++ b/src/standins/target/target_service.cpp
@@ -204,31 +204,41 @@
     respond({.status = status_created, .headers = {}, .body = "{}"});
 }
 
+target_service::task_state* target_service::fenced_task(const nlohmann::json& body,
+                                                        const std::string& id,
+                                                        const responder& respond)
+{
+    if (this->epoch_is_old(integer_of(body, "epoch", 0))) {
+        respond(refusal(status_conflict, "epoch_too_old"));
+        return nullptr;
+    }
+    const auto found = this->tasks.find(id);
+    if (found == this->tasks.end()) {
+        respond(refusal(404, "no_such_task"));
+        return nullptr;
+    }
+    return &found->second;
+}
+
 void target_service::renew_task(const request_type& request, const std::string& id,
                                 const responder& respond)
 {
     const auto body = parse_object(request.body);
-    if (this->epoch_is_old(integer_of(body, "epoch", 0)))
-        return respond(refusal(status_conflict, "epoch_too_old"));
-    const auto found = this->tasks.find(id);
-    if (found == this->tasks.end())
-        return respond(refusal(404, "no_such_task"));
-    found->second.lease_until =
-        monotonic_clock::now() + milliseconds(integer_of(body, "lease_ms", 0));
+    auto* task = this->fenced_task(body, id, respond);
+    if (task == nullptr)
+        return;
+    task->lease_until = monotonic_clock::now() + milliseconds(integer_of(body, "lease_ms", 0));
     respond({});
 }
 
 void target_service::stop_task(const request_type& request, const std::string& id,
                                const responder& respond)
 {
-    const auto body = parse_object(request.body);
-    if (this->epoch_is_old(integer_of(body, "epoch", 0)))
-        return respond(refusal(status_conflict, "epoch_too_old"));
-    const auto found = this->tasks.find(id);
-    if (found == this->tasks.end())
-        return respond(refusal(404, "no_such_task"));
-    if (found->second.state == "running")
-        this->finish_task(id, found->second, "stopped");
+    auto* task = this->fenced_task(parse_object(request.body), id, respond);
+    if (task == nullptr)
+        return;
+    if (task->state == "running")
+        this->finish_task(id, *task, "stopped");
     respond({});
 }
 
--- a/src/standins/target/target_service.h
+++ b/src/standins/target/target_service.h
@@ -54,6 +54,10 @@
     void acquire_lease(const request_type& request, const responder& respond);
     void release_lease(const request_type& request, const responder& respond);
     void start_task(const request_type& request, const responder& respond);
+
+    /// @return the task, or null after the refusal was sent: the epoch is old or there is no task
+    [[nodiscard]] task_state* fenced_task(const nlohmann::json& body, const std::string& id,
+                                          const responder& respond);
     void renew_task(const request_type& request, const std::string& id, const responder& respond);
     void stop_task(const request_type& request, const std::string& id, const responder& respond);
     void checkpoint_task(const std::string& id, const responder& respond);
--- a/testsuite/measure/control_cost.py
+++ b/testsuite/measure/control_cost.py
@@ -1,11 +1,13 @@
 """What control costs an entry without any load, as its targets and the other entries grow.
 
-Run: VERBENALEVER_BUILD=build PYTHONPATH=testsuite python3 testsuite/measure/control_cost.py
+Run: VERBENALEVER_BUILD=build PYTHONPATH=testsuite python3 testsuite/measure/control_cost.py \
+     [HEARTBEAT_INTERVAL TARGET_LEASE_RENEWAL TARGET_LEASE]   e.g. 1500ms 2s 5s
 One JSON line for each size, means over the entries; then the slopes between the sizes.
 """
 
 import json
 import os
+import sys
 import time
 
 from harness import Cluster, call, faults
@@ -15,6 +17,7 @@
 SECONDS = 10
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+TIMES = dict(zip(("heartbeat_interval", "target_lease_renewal", "target_lease"), sys.argv[1:]))
 COUNTED = ("peer_messages_sent", "peer_bytes_sent", "target_lease_calls", "target_control_bytes",
            "vm_list_reads", "vm_list_bytes")
 
@@ -33,7 +36,7 @@
 
 
 def measure(entries, targets):
-    with Cluster(zones=1, entries=entries, targets=targets) as cluster:
+    with Cluster(zones=1, entries=entries, targets=targets, times=TIMES) as cluster:
         faults.settle(cluster)
         before = {entry: sample(cluster, entry) for entry in cluster.entries}
         begun = time.monotonic()
