Give back the room of tasks that lapsed while their target could not be reached

When the holder takes a target's lease again, it gave back the room of tasks that the first inventory did not name; tasks that the inventory names as lapsed were passed over. The ledger healed it only if one of its own readings, up to 20 s apart, had seen them running.

Ruled out: the rarer reading of idle targets (these have tasks, and are read every 500 ms).

Change: whatever was counted and does not run on under the same attempt gives its room back. lint.sh finds the stand-ins' shared header.

--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -9,7 +9,7 @@
 
 # A source is linted again when it, a header of ours that it includes, or the rules have changed.
 lint_one() {
-  files=$(g++ -std=c++20 -MM -MT x -DMSGPACK_NO_BOOST -Isrc/include -Isrc/libverbenalever "$1" |
+  files=$(g++ -std=c++20 -MM -MT x -DMSGPACK_NO_BOOST -Isrc/include -Isrc/libverbenalever -Isrc/standins "$1" |
     sed 's/^x://' | tr -d '\\\n')
   stamp="$stamps/$(cat .clang-tidy $files | sha256sum | cut -c1-32)"
   [ -e "$stamp" ] && return 0
--- a/src/libverbenalever/jobs/task_holder_pass.cpp
+++ b/src/libverbenalever/jobs/task_holder_pass.cpp
@@ -100,8 +100,11 @@
             .seen = task, .since = monotonic_clock::now(), .counted = task.running()};
     state.known = true;
     for (const auto& [task, known] : before) {
-        if (known.counted && !state.tasks.contains(task))
-            this->release_room(target.vm.name, known.seen); // it ended under another holder
+        const auto now_seen = state.tasks.find(task);
+        const bool runs_on = now_seen != state.tasks.end() && now_seen->second.counted &&
+                             now_seen->second.seen.attempt == known.seen.attempt;
+        if (known.counted && !runs_on)
+            this->release_room(target.vm.name, known.seen); // it ended while nobody looked
     }
 }
 
