One answer to a written change, for whole configurations and single items

Cause: configuration_api and item_edits each had the same callback: refuse, or respond once the change is in force.

Ruled out: putting it into acceptance, which knows nothing of refusals.

Change: answer_change(). Behaviour, bounds and checks as they were.

--- a/src/libverbenalever/administration/configuration_api.cpp
+++ b/src/libverbenalever/administration/configuration_api.cpp
@@ -39,6 +39,18 @@
         .response();
 }
 
+std::function<void(const absl::StatusOr<configuration_document>&)>
+answer_change(acceptance& answers, milliseconds wait, http_responder respond)
+{
+    return [&answers, wait,
+            respond = std::move(respond)](const absl::StatusOr<configuration_document>& accepted) {
+        if (!accepted.ok())
+            return respond(refused_change(accepted.status()));
+        answers.respond_when_spread(
+            {.revision = accepted->revision, .restriction = {}, .warning = {}}, wait, respond);
+    };
+}
+
 configuration_api::configuration_api(configuration_store& configuration,
                                      configuration_writer& writer, acceptance& answers)
     : configuration(configuration), writer(writer), answers(answers)
@@ -84,14 +96,7 @@
     if (!wait.ok())
         return respond(not_run_response(wait.status(), "bad_query"));
     this->writer.apply({.base = *base, .text = request.http.body, .by = request.by, .settles = {}},
-                       [this, wait = *wait, respond = std::move(respond)](
-                           const absl::StatusOr<configuration_document>& accepted) {
-                           if (!accepted.ok())
-                               return respond(refused_change(accepted.status()));
-                           this->answers.respond_when_spread(
-                               {.revision = accepted->revision, .restriction = {}, .warning = {}},
-                               wait, respond);
-                       });
+                       answer_change(this->answers, *wait, std::move(respond)));
 }
 
 void configuration_api::show_history(http_responder respond)
--- a/src/libverbenalever/administration/configuration_api.h
+++ b/src/libverbenalever/administration/configuration_api.h
@@ -2,6 +2,11 @@
 
 #include "administration/admin_request.h"
 #include "http/http_server.h"
+#include "loop/clock.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
 
 namespace verbenalever {
 
@@ -32,4 +37,9 @@
 /// @return the response to a change that was not accepted; outcome "unknown" when that is not sure
 [[nodiscard]] http_response refused_change(const absl::Status& status);
 
+/// @return what to do when a change was written: respond with the refusal, or once the change is in
+///         force at every entry or @p wait has passed
+[[nodiscard]] std::function<void(const absl::StatusOr<configuration_document>&)>
+answer_change(acceptance& answers, milliseconds wait, http_responder respond);
+
 } // namespace verbenalever
--- a/src/libverbenalever/administration/item_edits.cpp
+++ b/src/libverbenalever/administration/item_edits.cpp
@@ -219,14 +219,7 @@
     if (!wait.ok())
         return respond(not_run_response(wait.status(), "bad_query"));
     this->writer.edit(*base, request.by, std::move(settles), change,
-                      [this, wait = *wait, respond = std::move(respond)](
-                          const absl::StatusOr<configuration_document>& accepted) {
-                          if (!accepted.ok())
-                              return respond(refused_change(accepted.status()));
-                          this->answers.respond_when_spread(
-                              {.revision = accepted->revision, .restriction = {}, .warning = {}},
-                              wait, respond);
-                      });
+                      answer_change(this->answers, *wait, std::move(respond)));
 }
 
 } // namespace verbenalever
