--- a/src/libverbenalever/configuration/configuration_store.cpp
+++ b/src/libverbenalever/configuration/configuration_store.cpp
@@ -1,6 +1,6 @@
 #include "configuration/configuration_store.h"
 
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
--- a/src/libverbenalever/configuration/configuration_writer.cpp
+++ b/src/libverbenalever/configuration/configuration_writer.cpp
@@ -4,7 +4,7 @@
 #include "configuration/configuration_store.h"
 #include "loop/timer.h"
 #include "loop/unique_id.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/event_log.h"
 
 #include <fmt/format.h>
--- /dev/null
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "loop/timer.h"
+#include "ports/store_transaction.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class event_loop;
+class event_log;
+class metadata_store;
+struct store_result;
+
+/// Writes of the coordinator, in order, several to a transaction, one transaction at a time.
+///
+/// Each transaction also rewrites the fence key, on condition that it is as the last one left it.
+/// So a transaction takes effect once however often it is sent, none overtakes another, and none
+/// takes effect after another process has taken the fence.
+class commit_chain {
+public:
+    /// @return the value to write, or nothing to delete the key; asked when the write is sent
+    using producer = std::function<std::optional<std::string>()>;
+    using callback = std::function<void()>;
+
+    /// @param fence_key      the key that guards all writes
+    /// @param holder         names this tenure; not used by any other process or tenure
+    /// @param fence_revision of the fence key as this tenure wrote it
+    /// @param lost           called once when another process has taken the fence
+    commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
+                 std::string fence_key, std::string holder, std::int64_t fence_revision,
+                 std::function<void()> lost);
+
+    /// Write a key soon. Writes of one key that wait together become one.
+    /// @param urgent goes before writes that are not
+    /// @param done   called when it is kept; never when the fence is lost
+    void put(const std::string& key, producer value, bool urgent, callback done,
+             std::int64_t lease = 0);
+
+    /// Take back a write that has not been sent. @return false when it has, or never was given
+    bool withdraw(const std::string& key);
+
+    /// @return when the store last confirmed that this process holds the fence
+    [[nodiscard]] milliseconds confirmed_at() const
+    {
+        return this->confirmed;
+    }
+
+    /// @return whether writes wait or are on their way
+    [[nodiscard]] bool busy() const
+    {
+        return this->sent.has_value() || !this->waiting.empty();
+    }
+
+    /// @return whether the last transaction sent has had no answer for long
+    [[nodiscard]] bool stalled() const;
+
+    /// @return transactions sent, for metrics
+    [[nodiscard]] std::int64_t transactions() const
+    {
+        return this->sequence;
+    }
+
+private:
+    struct pending_write {
+        producer value;
+        std::int64_t lease = 0;
+        std::vector<callback> done;
+    };
+    struct transaction {
+        store_transaction change;
+        std::string fence_value;
+        std::vector<callback> done;
+        milliseconds first_sent{0};
+        milliseconds last_sent{0};
+    };
+
+    void flush();
+    void compose();
+    void transmit();
+    void settle(const store_result& result);
+    void commit(std::int64_t revision);
+    void send_again(milliseconds wait);
+
+    event_loop& loop;
+    metadata_store& store;
+    const event_log& log;
+    std::string fence_key;
+    std::string holder;
+    std::int64_t fence_revision;
+    std::function<void()> lost;
+
+    std::map<std::string, pending_write> waiting;
+    std::deque<std::string> urgent_order;
+    std::deque<std::string> order;
+    std::optional<transaction> sent;
+    std::int64_t sequence = 0;
+    milliseconds confirmed;
+    milliseconds last_started{0};
+    milliseconds timeout;
+    timer flush_timer;
+    timer resend_timer;
+    bool ended = false;
+    std::shared_ptr<bool> alive;
+
+public:
+    ~commit_chain();
+    commit_chain(const commit_chain&) = delete;
+    commit_chain& operator=(const commit_chain&) = delete;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -0,0 +1,312 @@
+#include "coordination/leadership.h"
+
+#include "coordination/commit_chain.h"
+#include "loop/unique_id.h"
+#include "membership/message_codec.h"
+#include "ports/metadata_store.h"
+#include "timeline/event_log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+namespace verbenalever {
+
+namespace {
+
+/// A quarter of the lease, so that three renewals may be lost.
+constexpr milliseconds renewal_interval{500};
+/// Longest time that one watch waits at the store.
+constexpr milliseconds watch_wait{20'000};
+/// Wait before a read or a watch that failed is tried again.
+constexpr milliseconds retry_wait{250};
+/// Candidates stand at random moments within this time, so that mostly one does.
+constexpr int stand_spread_ms = 80;
+/// A coordinator that is still heard gets this long to write its key again before others stand.
+constexpr milliseconds regain_time{1500};
+
+milliseconds random_spread()
+{
+    static std::mt19937 generator{std::random_device{}()};
+    return milliseconds(std::uniform_int_distribution<int>(0, stand_spread_ms)(generator));
+}
+
+} // namespace
+
+leadership::leadership(event_loop& loop, metadata_store& store, const event_log& log,
+                       std::string prefix, coordinator_record self, callbacks notify)
+    : loop(loop), store(store), log(log), leader_key(prefix + "leader"),
+      fence_key(prefix + "fence"), self(std::move(self)), notify(std::move(notify)),
+      watch_timer(loop, [this] { this->watched_revision == 0 ? this->read() : this->watch(); }),
+      stand_timer(loop, [this] { this->stand(); }), renew_timer(loop, [this] { this->renew(); }),
+      former_timer(loop, [this] {
+          this->former_chain.reset();
+          this->read();
+      })
+{
+}
+
+leadership::~leadership()
+{
+    *this->alive = false;
+}
+
+void leadership::start()
+{
+    this->read();
+}
+
+milliseconds leadership::unconfirmed_for() const
+{
+    if (!this->leads())
+        return milliseconds::max();
+    return boot_time() - std::max(this->renewed, this->chain->confirmed_at());
+}
+
+bool leadership::certain() const
+{
+    return this->unconfirmed_for() < lease_time;
+}
+
+void leadership::read()
+{
+    this->store.list(this->leader_key, {}, [this, alive = this->alive](auto page) {
+        if (!*alive)
+            return;
+        if (!page.ok()) {
+            this->watch_timer.start_once(retry_wait);
+            return;
+        }
+        this->watched_revision = page->revision;
+        store_item found{.key = this->leader_key, .value = {}, .revision = 0, .removed = true};
+        if (!page->items.empty())
+            found = page->items.front();
+        this->take(found);
+        if (!this->watching)
+            this->watch();
+    });
+}
+
+void leadership::watch()
+{
+    this->watching = true;
+    this->store.watch(this->leader_key, this->watched_revision, watch_wait,
+                      [this, alive = this->alive](auto changes) {
+                          if (!*alive)
+                              return;
+                          this->watching = false;
+                          if (!changes.ok()) {
+                              // After a gap in the history only a fresh read tells the present.
+                              this->watched_revision = 0;
+                              this->watch_timer.start_once(absl::IsOutOfRange(changes.status())
+                                                               ? milliseconds(0)
+                                                               : retry_wait);
+                              return;
+                          }
+                          this->watched_revision = changes->revision;
+                          if (!changes->items.empty())
+                              this->take(changes->items.back());
+                          this->watch();
+                      });
+}
+
+void leadership::take(const store_item& item)
+{
+    std::optional<coordinator_record> now;
+    if (!item.removed) {
+        if (auto record = unpack_message<coordinator_record>(item.value); record.ok())
+            now = *std::move(record);
+        else
+            this->log.write("coordination", "leader_record_unreadable", {{"key", item.key}});
+    }
+    if (this->leads()) {
+        if (now && now->tenure != this->tenure)
+            this->step_down("another process is coordinator");
+        else if (!now)
+            this->regain();
+        if (this->leads())
+            return;
+    }
+    this->known = now;
+    this->notify.changed(now);
+    if (now) {
+        this->stand_timer.stop();
+        return;
+    }
+    // A coordinator that is alive takes its key back by itself once it can.
+    this->stand_after(random_spread() +
+                      (this->notify.coordinator_heard() ? regain_time : milliseconds(0)));
+}
+
+void leadership::stand_after(milliseconds wait)
+{
+    if (!this->retired && !this->standing && !this->leads())
+        this->stand_timer.start_once(wait);
+}
+
+void leadership::stand()
+{
+    if (this->retired || this->standing || this->leads() || this->known)
+        return;
+    this->standing = true;
+    this->store.grant_lease(lease_time, [this, alive = this->alive](auto granted) {
+        if (!*alive)
+            return;
+        if (granted.ok()) {
+            this->claim(*granted);
+            return;
+        }
+        this->standing = false;
+        this->stand_after(retry_wait + random_spread());
+    });
+}
+
+void leadership::claim(std::int64_t lease)
+{
+    if (this->known || this->retired) {
+        this->standing = false;
+        return;
+    }
+    auto record = this->self;
+    record.tenure = fmt::format("{}-{}-{}", this->self.vm, random_hex(4), ++this->tenures);
+    store_transaction change;
+    change.conditions.push_back({this->leader_key, 0});
+    change.writes.push_back({this->leader_key, pack_message(record), lease});
+    change.writes.push_back({this->fence_key, record.tenure, 0});
+    this->renewed = boot_time();
+    this->store.transact(std::move(change), [this, alive = this->alive, lease,
+                                             tenure = record.tenure](store_result result) {
+        if (*alive)
+            this->judge_claim(lease, tenure, result);
+    });
+}
+
+void leadership::judge_claim(std::int64_t lease, const std::string& tenure,
+                             const store_result& result)
+{
+    if (result.how == store_result::outcome::committed) {
+        this->tenure = tenure;
+        this->win(lease, result.revision);
+        return;
+    }
+    if (result.how != store_result::outcome::unknown) {
+        this->standing = false;
+        for (const auto& item : result.current) {
+            if (item.key == this->leader_key && item.revision != 0)
+                this->take(item);
+        }
+        if (this->known)
+            return;
+        this->stand_after(retry_wait + random_spread());
+        return;
+    }
+    this->store.read(this->leader_key, [this, alive = this->alive, lease, tenure](auto item) {
+        if (!*alive)
+            return;
+        if (!item.ok()) {
+            this->judge_claim(lease, tenure, {.how = store_result::outcome::rejected});
+            return;
+        }
+        if (*item) {
+            const auto record = unpack_message<coordinator_record>((*item)->value);
+            if (record.ok() && record->tenure == tenure) {
+                this->tenure = tenure;
+                this->win(lease, (*item)->revision);
+                return;
+            }
+        }
+        this->judge_claim(lease, tenure, {.how = store_result::outcome::rejected});
+    });
+}
+
+void leadership::win(std::int64_t lease, std::int64_t term)
+{
+    this->standing = false;
+    this->lease = lease;
+    this->chain = std::make_unique<commit_chain>(
+        this->loop, this->store, this->log, this->fence_key, this->tenure, term,
+        [this] { this->step_down("another process holds the fence"); });
+    this->renew_timer.start_repeating(renewal_interval);
+    this->log.write("coordination", "leadership_won", {{"term", term}, {"tenure", this->tenure}});
+    auto record = this->self;
+    record.tenure = this->tenure;
+    this->known = record;
+    this->notify.won(term, *this->chain);
+    this->notify.changed(this->known);
+}
+
+void leadership::renew()
+{
+    if (this->renewing || !this->leads())
+        return;
+    this->renewing = true;
+    const auto sent = boot_time();
+    this->store.keep_lease(this->lease,
+                           [this, alive = this->alive, sent, tenure = this->tenure](auto status) {
+                               if (!*alive)
+                                   return;
+                               this->renewing = false;
+                               if (!this->leads() || tenure != this->tenure)
+                                   return;
+                               if (status.ok())
+                                   this->renewed = sent;
+                               else if (absl::IsNotFound(status))
+                                   this->regain();
+                           });
+}
+
+void leadership::regain()
+{
+    if (this->renewing)
+        return;
+    this->renewing = true;
+    this->log.write("coordination", "lease_ended", {{"tenure", this->tenure}});
+    this->store.grant_lease(
+        lease_time, [this, alive = this->alive, tenure = this->tenure](auto granted) {
+            if (!*alive)
+                return;
+            this->renewing = false;
+            if (!granted.ok() || !this->leads() || tenure != this->tenure)
+                return;
+            this->lease = *granted;
+            auto record = this->self;
+            record.tenure = this->tenure;
+            // The chain's condition proves that nobody has taken over meanwhile.
+            this->chain->put(
+                this->leader_key, [record] { return pack_message(record); }, true,
+                [this] { this->log.write("coordination", "lease_regained", {}); }, *granted);
+        });
+}
+
+void leadership::abdicate(std::string_view reason)
+{
+    if (this->leads())
+        this->step_down(reason);
+}
+
+void leadership::retire()
+{
+    this->retired = true;
+    this->stand_timer.stop();
+    if (!this->leads())
+        return;
+    const auto key = this->leader_key;
+    this->chain->put(
+        key, [] { return std::nullopt; }, false, [this] { this->step_down("handed over"); });
+}
+
+void leadership::step_down(std::string_view reason)
+{
+    this->log.write("coordination", "leadership_lost",
+                    {{"tenure", this->tenure}, {"reason", reason}});
+    this->renew_timer.stop();
+    // The chain may be what is calling: it is destroyed after it has returned.
+    this->former_chain = std::move(this->chain);
+    this->former_timer.start_once(milliseconds(0));
+    this->known.reset();
+    this->notify.lost();
+    this->notify.changed(std::nullopt);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/leadership.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "loop/endpoint.h"
+#include "loop/timer.h"
+
+#include <absl/status/status.h>
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace verbenalever {
+
+class commit_chain;
+class event_log;
+class event_loop;
+class metadata_store;
+struct store_item;
+struct store_result;
+
+/// Who coordinates, as the store has it.
+struct coordinator_record {
+    std::string vm;
+    std::string address; ///< "IP:PORT" for peers
+    std::string tenure;  ///< unique to this process and term
+
+    MSGPACK_DEFINE(vm, address, tenure)
+};
+
+/// Elects one process at a time as coordinator, through a key with a lease in the store.
+///
+/// Winning also rewrites the fence key, so that nothing a predecessor still sends takes effect. The
+/// revision of that change is the term: it grows with each change of coordinator.
+class leadership {
+public:
+    struct callbacks {
+        /// This process has won; the chain carries its writes until lost() returns.
+        std::function<void(std::int64_t term, commit_chain& chain)> won;
+        /// This process no longer coordinates.
+        std::function<void()> lost;
+        /// Who coordinates has changed; nothing while nobody does.
+        std::function<void(const std::optional<coordinator_record>&)> changed;
+        /// @return whether the coordinator last known was heard from just now
+        std::function<bool()> coordinator_heard;
+    };
+
+    /// @param prefix keys of this class begin so; "PREFIXleader" and "PREFIXfence"
+    leadership(event_loop& loop, metadata_store& store, const event_log& log, std::string prefix,
+               coordinator_record self, callbacks notify);
+    ~leadership();
+    leadership(const leadership&) = delete;
+    leadership& operator=(const leadership&) = delete;
+
+    void start();
+
+    /// Step down because another process was seen to have taken over.
+    void abdicate(std::string_view reason);
+
+    /// Hand over: keep what is on its way, then let another process win; never stand again.
+    void retire();
+
+    [[nodiscard]] bool leads() const
+    {
+        return this->chain != nullptr;
+    }
+
+    /// @return time since the store last confirmed that this process coordinates
+    [[nodiscard]] milliseconds unconfirmed_for() const;
+
+    /// @return whether the lease has surely not ended at the store
+    [[nodiscard]] bool certain() const;
+
+    /// How long the store keeps the key of a coordinator that has gone silent.
+    static constexpr milliseconds lease_time{2000};
+
+private:
+    void read();
+    void watch();
+    void take(const store_item& item);
+    void stand_after(milliseconds wait);
+    void stand();
+    void claim(std::int64_t lease);
+    void judge_claim(std::int64_t lease, const std::string& tenure, const store_result& result);
+    void win(std::int64_t lease, std::int64_t term);
+    void renew();
+    void regain();
+    void step_down(std::string_view reason);
+
+    event_loop& loop;
+    metadata_store& store;
+    const event_log& log;
+    std::string leader_key;
+    std::string fence_key;
+    coordinator_record self;
+    callbacks notify;
+
+    std::optional<coordinator_record> known;
+    std::int64_t watched_revision = 0;
+    std::unique_ptr<commit_chain> chain;
+    std::unique_ptr<commit_chain> former_chain; ///< kept until it has returned to the loop
+    std::string tenure;                         ///< while this process leads
+    std::int64_t lease = 0;
+    milliseconds renewed{0};
+    bool renewing = false;
+    bool standing = false;
+    bool retired = false;
+    bool watching = false;
+    int tenures = 0;
+    timer watch_timer;
+    timer stand_timer;
+    timer renew_timer;
+    timer former_timer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -0,0 +1,108 @@
+#include "coordination/member_hub.h"
+
+#include "coordination/member_messages.h"
+#include "loop/endpoint.h"
+#include "loop/event_loop.h"
+#include "membership/message_codec.h"
+
+namespace verbenalever {
+
+namespace {
+
+/// A VM that left this long ago has either found another coordinator or is gone.
+constexpr milliseconds lost_memory{10'000};
+
+} // namespace
+
+member_hub::member_hub(event_loop& loop, callbacks notify)
+    : loop(loop), notify(std::move(notify)), sweep_timer(loop, [this] { this->former.clear(); })
+{
+}
+
+member_hub::~member_hub() = default;
+
+absl::Status member_hub::listen(const endpoint& address)
+{
+    auto made = frame_listener::listen(
+        this->loop, address, [this](auto connection) { this->accept(std::move(connection)); });
+    if (!made.ok())
+        return made.status();
+    this->listener = *std::move(made);
+    return absl::OkStatus();
+}
+
+void member_hub::accept(std::unique_ptr<frame_connection> made)
+{
+    const auto number = ++this->last_number;
+    auto& entry = this->connections[number];
+    entry.channel = std::make_unique<peer_channel>(
+        this->loop, std::move(made),
+        [this, number](peer_topic topic, std::string_view payload, peer_channel::replier reply) {
+            this->take(number, topic, payload, std::move(reply));
+        },
+        [this, number] { this->close(number); });
+    entry.channel->set_heartbeat(this->notify.greeting);
+}
+
+void member_hub::take(std::uint64_t number, peer_topic topic, std::string_view payload,
+                      peer_channel::replier reply)
+{
+    if (topic != peer_topic::hello && topic != peer_topic::heartbeat) {
+        this->notify.take(topic, payload, std::move(reply));
+        return;
+    }
+    const auto greeting = unpack_message<member_greeting>(payload);
+    if (!greeting.ok())
+        return; // a heartbeat without news
+    auto& entry = this->connections.at(number);
+    const bool fresh = entry.vm.empty();
+    entry.vm = greeting->vm;
+    this->members[greeting->vm] = number;
+    this->lost.erase(greeting->vm);
+    if (fresh)
+        this->notify.joined(*greeting);
+    else
+        this->notify.heartbeat(*greeting);
+}
+
+void member_hub::close(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    const auto vm = found->second.vm;
+    this->former.push_back(std::move(found->second.channel));
+    this->sweep_timer.start_once(milliseconds(0));
+    this->connections.erase(found);
+    if (const auto member = this->members.find(vm);
+        member != this->members.end() && member->second == number) {
+        this->members.erase(member);
+        this->lost[vm] = boot_time();
+        this->notify.left(vm);
+    }
+}
+
+peer_channel* member_hub::find(const std::string& vm)
+{
+    const auto member = this->members.find(vm);
+    return member == this->members.end() ? nullptr
+                                         : this->connections.at(member->second).channel.get();
+}
+
+bool member_hub::complete() const
+{
+    const auto now = boot_time();
+    for (const auto& [vm, when] : this->lost) {
+        if (now - when < lost_memory)
+            return false;
+    }
+    return !this->members.empty();
+}
+
+void member_hub::each(const std::function<void(const std::string& vm, peer_channel&)>& visit)
+{
+    for (const auto& [vm, number] : this->members)
+        visit(vm, *this->connections.at(number).channel);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/member_hub.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "coordination/peer_channel.h"
+#include "wire/frame_listener.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class event_loop;
+struct endpoint;
+struct member_greeting;
+
+/// Connections of other processes to this one, while it coordinates.
+class member_hub {
+public:
+    struct callbacks {
+        std::function<void(const member_greeting&)> joined;
+        std::function<void(const std::string& vm)> left;
+        std::function<void(const member_greeting&)> heartbeat;
+        std::function<void(peer_topic, std::string_view, peer_channel::replier)> take;
+        std::function<std::string()> greeting; ///< sent with each heartbeat
+    };
+
+    member_hub(event_loop& loop, callbacks notify);
+    ~member_hub();
+    member_hub(const member_hub&) = delete;
+    member_hub& operator=(const member_hub&) = delete;
+
+    /// @return UNAVAILABLE when the address cannot be bound
+    [[nodiscard]] absl::Status listen(const endpoint& address);
+
+    /// @return the channel to @p vm; null when it is not connected
+    [[nodiscard]] peer_channel* find(const std::string& vm);
+
+    /// @return whether every VM heard within the last while is connected now
+    [[nodiscard]] bool complete() const;
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return this->members.size();
+    }
+
+    /// Visit each connected member.
+    void each(const std::function<void(const std::string& vm, peer_channel&)>& visit);
+
+private:
+    struct connection {
+        std::unique_ptr<peer_channel> channel;
+        std::string vm; ///< empty until it has said hello
+    };
+
+    void accept(std::unique_ptr<frame_connection> made);
+    void take(std::uint64_t number, peer_topic topic, std::string_view payload,
+              peer_channel::replier reply);
+    void close(std::uint64_t number);
+
+    event_loop& loop;
+    callbacks notify;
+    std::unique_ptr<frame_listener> listener;
+    std::map<std::uint64_t, connection> connections;
+    std::map<std::string, std::uint64_t> members; ///< connection of each VM
+    std::map<std::string, milliseconds> lost;     ///< VMs that left without a word, and when
+    std::vector<std::unique_ptr<peer_channel>> former;
+    timer sweep_timer;
+    std::uint64_t last_number = 0;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "workflows/workflow_state.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace verbenalever {
+
+/// What a member says of itself when it connects, and with each heartbeat.
+struct member_greeting {
+    std::string vm;
+    std::string availability_zone;
+    std::int64_t configuration_revision = 0;
+
+    MSGPACK_DEFINE(vm, availability_zone, configuration_revision)
+};
+
+/// The coordinator's reply to a call about a workflow or a queue.
+struct member_reply {
+    bool coordinating = false; ///< false: it does not coordinate and has done nothing
+    int outcome = 0;           ///< a call_outcome
+    int state = 0;             ///< a workflow_state
+    std::int64_t count = 0;    ///< for a queue: workflows of which nothing has started
+
+    MSGPACK_DEFINE(coordinating, outcome, state, count)
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/peer_channel.cpp
@@ -0,0 +1,142 @@
+#include "coordination/peer_channel.h"
+
+#include "membership/message_codec.h"
+#include "wire/frame_connection.h"
+
+namespace verbenalever {
+
+namespace {
+
+/// How often open calls are looked through for those past their deadline.
+constexpr milliseconds call_check_interval{100};
+
+} // namespace
+
+peer_channel::peer_channel(event_loop& loop, std::unique_ptr<frame_connection> connection,
+                           handler take, std::function<void()> closed)
+    : loop(loop), connection(std::move(connection)), take(std::move(take)),
+      closed(std::move(closed)), beat_timer(loop, [this] { this->beat(); }),
+      call_timer(loop, [this] { this->expire_calls(); })
+{
+    this->connection->on_events([this](std::string_view frame) { this->receive(frame); },
+                                [this] { this->end(); });
+    this->beat_timer.start_repeating(heartbeat_interval);
+    this->note(peer_topic::heartbeat, {});
+}
+
+peer_channel::~peer_channel()
+{
+    *this->alive = false;
+    // Callers are told even when the channel is simply dropped.
+    auto open = std::move(this->calls);
+    for (auto& [id, call] : open)
+        call.done(absl::UnavailableError("the connection to the peer has ended"));
+}
+
+void peer_channel::call(peer_topic topic, std::string payload, milliseconds timeout,
+                        reply_callback done)
+{
+    if (this->ended) {
+        done(absl::UnavailableError("the connection to the peer has ended"));
+        return;
+    }
+    const auto id = ++this->last_call;
+    this->calls.emplace(id, open_call{monotonic_clock::now() + timeout, std::move(done)});
+    if (!this->call_timer.active())
+        this->call_timer.start_repeating(call_check_interval);
+    this->send({static_cast<int>(peer_message::form::call), id, static_cast<int>(topic),
+                std::move(payload)});
+}
+
+void peer_channel::note(peer_topic topic, std::string payload)
+{
+    this->send({static_cast<int>(peer_message::form::note), 0, static_cast<int>(topic),
+                std::move(payload)});
+}
+
+std::size_t peer_channel::unsent() const
+{
+    return this->connection->unsent();
+}
+
+void peer_channel::send(const peer_message& message)
+{
+    if (!this->ended)
+        this->connection->send(pack_message(message));
+}
+
+void peer_channel::receive(std::string_view frame)
+{
+    this->anything_heard = true;
+    auto message = unpack_message<peer_message>(frame);
+    if (!message.ok())
+        return; // a frame of another version; the sender's call times out
+    if (message->kind == static_cast<int>(peer_message::form::reply)) {
+        if (auto found = this->calls.find(message->call); found != this->calls.end()) {
+            auto done = std::move(found->second.done);
+            this->calls.erase(found);
+            done(std::move(message->payload));
+        }
+        return;
+    }
+    const auto topic = static_cast<peer_topic>(message->topic);
+    if (message->kind == static_cast<int>(peer_message::form::note)) {
+        this->take(topic, message->payload, {});
+        return;
+    }
+    this->take(topic, message->payload,
+               [this, alive = this->alive, call = message->call,
+                number = message->topic](std::string payload) {
+                   if (*alive)
+                       this->answer(call, number, std::move(payload));
+               });
+}
+
+void peer_channel::answer(std::uint64_t call, int topic, std::string payload)
+{
+    this->send({static_cast<int>(peer_message::form::reply), call, topic, std::move(payload)});
+}
+
+void peer_channel::beat()
+{
+    if (monotonic_clock::now() - this->connection->last_received() > silence_limit) {
+        this->end();
+        return;
+    }
+    this->note(peer_topic::heartbeat,
+               this->heartbeat_payload ? this->heartbeat_payload() : std::string());
+}
+
+void peer_channel::expire_calls()
+{
+    const auto now = monotonic_clock::now();
+    std::vector<reply_callback> late;
+    std::erase_if(this->calls, [&](auto& entry) {
+        if (entry.second.deadline > now)
+            return false;
+        late.push_back(std::move(entry.second.done));
+        return true;
+    });
+    if (this->calls.empty())
+        this->call_timer.stop();
+    for (auto& done : late)
+        done(absl::DeadlineExceededError("the peer did not reply in time"));
+}
+
+void peer_channel::end()
+{
+    if (this->ended)
+        return;
+    this->ended = true;
+    this->beat_timer.stop();
+    this->call_timer.stop();
+    const auto still_here = this->alive;
+    auto open = std::move(this->calls);
+    this->calls.clear();
+    for (auto& [id, call] : open)
+        call.done(absl::UnavailableError("the connection to the peer has ended"));
+    if (*still_here)
+        this->closed();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "coordination/peer_message.h"
+#include "loop/clock.h"
+#include "loop/timer.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+class event_loop;
+class frame_connection;
+
+/// Calls, replies and notes over one connection between two processes, with heartbeats.
+///
+/// A connection on which nothing was heard for silence_limit is taken as dead, since something in
+/// between may have lost track of it. Calls that are open when the channel ends fail as unknown.
+class peer_channel {
+public:
+    using replier = std::function<void(std::string)>;
+    using reply_callback = std::function<void(absl::StatusOr<std::string>)>;
+    /// Takes a call, or a note (then the replier is empty).
+    using handler = std::function<void(peer_topic, std::string_view, replier)>;
+
+    /// Time between heartbeats: a third of the silence limit, so that one may be lost.
+    static constexpr milliseconds heartbeat_interval{500};
+    /// Silence after which the connection counts as dead; below the coordinator's lease.
+    static constexpr milliseconds silence_limit{1600};
+
+    /// @param closed called once when the connection has ended; may destroy the channel
+    peer_channel(event_loop& loop, std::unique_ptr<frame_connection> connection, handler take,
+                 std::function<void()> closed);
+    ~peer_channel();
+    peer_channel(const peer_channel&) = delete;
+    peer_channel& operator=(const peer_channel&) = delete;
+
+    /// Ask the other end.
+    /// @param done exactly once: the reply, DEADLINE_EXCEEDED, or UNAVAILABLE when the channel
+    /// ended
+    void call(peer_topic topic, std::string payload, milliseconds timeout, reply_callback done);
+
+    /// Tell the other end something that needs no reply.
+    void note(peer_topic topic, std::string payload);
+
+    /// Choose what each heartbeat carries.
+    void set_heartbeat(std::function<std::string()> payload)
+    {
+        this->heartbeat_payload = std::move(payload);
+    }
+
+    /// @return whether the other end was ever heard
+    [[nodiscard]] bool heard() const
+    {
+        return this->anything_heard;
+    }
+
+    /// @return bytes queued and not yet taken by the kernel
+    [[nodiscard]] std::size_t unsent() const;
+
+private:
+    struct open_call {
+        monotonic_time deadline;
+        reply_callback done;
+    };
+
+    void send(const peer_message& message);
+    void receive(std::string_view frame);
+    void answer(std::uint64_t call, int topic, std::string payload);
+    void beat();
+    void expire_calls();
+    void end();
+
+    event_loop& loop;
+    std::unique_ptr<frame_connection> connection;
+    handler take;
+    std::function<void()> closed;
+    std::function<std::string()> heartbeat_payload;
+    timer beat_timer;
+    timer call_timer;
+    std::uint64_t last_call = 0;
+    std::map<std::uint64_t, open_call> calls;
+    bool anything_heard = false;
+    bool ended = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/advice_desk.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "ports/advice.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// Chooses the VM that puts a question to the advisor.
+///
+/// The advisor serves one call at a time for each VM, so a short question behind a long one waits
+/// for all of it. Long questions go to part of the VMs only, and each question to the VM that will
+/// be free first.
+class advice_desk {
+public:
+    using answer_callback = std::function<void(advice_answer)>;
+    /// Puts a question on behalf of one VM.
+    using asker =
+        std::function<void(const advice_question&, milliseconds timeout, answer_callback)>;
+
+    advice_desk();
+    ~advice_desk();
+    advice_desk(const advice_desk&) = delete;
+    advice_desk& operator=(const advice_desk&) = delete;
+
+    void add_vm(const std::string& vm, asker ask);
+    void remove_vm(const std::string& vm);
+
+    /// @param cost the time that the advisor will take for the question
+    /// @return whether a VM could take the question; if not, ask again later
+    bool ask(const advice_question& question, milliseconds cost, answer_callback done);
+
+    /// A question that takes longer than this is long: a large part of an urgent objective.
+    static constexpr milliseconds long_question{60};
+
+private:
+    struct seat {
+        asker ask;
+        milliseconds busy_until{0}; ///< boot time
+        int open = 0;
+        std::uint64_t serial = 0; ///< tells a VM that left and came back from itself
+    };
+
+    [[nodiscard]] seat* choose(bool is_long, milliseconds now, milliseconds cost);
+
+    std::map<std::string, seat> seats;
+    std::uint64_t serials = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "coordinator/advice_desk.h"
+#include "coordinator/fleet_target.h"
+#include "coordinator/workflow.h"
+#include "loop/timer.h"
+#include "ports/fleet_configuration.h"
+#include "ports/target_view.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenalever {
+
+class commit_chain;
+class counters;
+class event_log;
+class event_loop;
+class leadership;
+class metadata_store;
+class target_directory;
+class target_orders;
+struct step_candidate;
+struct store_page;
+
+/// What a caller hands in, after its key and queue were checked.
+struct workflow_submission {
+    std::string id;
+    std::string queue;
+    std::string team;
+    workflow_spec spec;
+
+    MSGPACK_DEFINE(id, queue, team, spec)
+};
+
+/// How a call of a caller ended.
+enum class call_outcome : int {
+    accepted = 0,  ///< kept, or cancelled as asked
+    refused = 1,   ///< not accepted and will not run; try again later
+    unknown = 2,   ///< it may have been accepted
+    not_found = 3, ///< no such workflow or queue
+    invalid = 4,   ///< it can never be accepted
+};
+
+/// The one process that places all work, for as long as it leads.
+///
+/// All state that must last is in the store: a record for each workflow, and its progress once it
+/// has some. What runs where is at the targets; a new coordinator asks all of them before it starts
+/// anything of a workflow that it has not accepted itself.
+class coordinator {
+public:
+    struct environment {
+        event_loop& loop;
+        metadata_store& store;
+        target_orders& orders;
+        target_directory& directory;
+        const event_log& log;
+        counters& count;
+        std::string prefix;            ///< of this product's keys in the store
+        milliseconds task_lease{0};    ///< how long tasks may go on without word
+        milliseconds finished_rest{0}; ///< how long ended workflows are remembered
+        /// @return whether every process heard lately is still connected here, so that none of
+        /// them stands for coordinator
+        std::function<bool()> members_complete;
+    };
+
+    coordinator(environment surroundings, leadership& office, commit_chain& chain,
+                std::int64_t term, std::shared_ptr<const fleet_configuration> configuration);
+    ~coordinator();
+    coordinator(const coordinator&) = delete;
+    coordinator& operator=(const coordinator&) = delete;
+
+    /// Read the store and take hold of the targets.
+    void begin();
+
+    void configure(std::shared_ptr<const fleet_configuration> configuration);
+
+    /// Take a workflow; an identical one handed in again is the same workflow.
+    void submit(workflow_submission submission, std::function<void(call_outcome)> reply);
+
+    /// @return where a workflow stands; nothing while the store is still being read
+    void status(const std::string& id, std::function<void(call_outcome, workflow_state)> reply);
+
+    /// End a workflow and what runs of it.
+    void cancel(const std::string& id, std::function<void(call_outcome)> reply);
+
+    /// @return accepted workflows of the queue of which no task has started
+    [[nodiscard]] std::int64_t waiting_in(std::string_view queue) const;
+
+    [[nodiscard]] advice_desk& advisors()
+    {
+        return this->desk;
+    }
+
+    /// @return whether the store has been read
+    [[nodiscard]] bool ready() const
+    {
+        return this->loaded;
+    }
+
+private:
+    using ready_key = std::tuple<int, std::int64_t, std::string, std::uint32_t>;
+
+    // Reading the store (coordinator_load.cpp).
+    void load_page(const std::string& prefix, const std::string& after);
+    void take_page(const std::string& prefix, const store_page& page);
+    void take_record(std::string_view value);
+    void take_progress(const std::string& id, std::string_view value);
+    void finish_load();
+
+    // Targets (coordinator_targets.cpp).
+    void take_directory(const std::vector<target_report>& reports);
+    void add_target(const target_report& report);
+    void drop_target(const std::string& name, std::string_view reason);
+    void check_targets();
+    void lose_all(fleet_target& target, std::string_view reason);
+    [[nodiscard]] bool quorum_here() const;
+    void check_adoption();
+    void take_view(fleet_target& target, const target_view& view, milliseconds sent);
+    void take_running(fleet_target& target, const target_view::running_task& row);
+    void adopt(fleet_target& target, const target_view::running_task& row);
+    void find_missing(fleet_target& target, const std::set<task_name>& seen, milliseconds sent);
+    void update_looks(fleet_target& target);
+    void stop_run(fleet_target& target, const task_name& task, std::int64_t run);
+
+    // Ends of runs (coordinator_ends.cpp).
+    void take_end(fleet_target& target, const target_view::ended_task& end);
+    bool task_done(workflow& owner, const task_name& task);
+    bool task_failed(workflow& owner, const task_name& task, std::int64_t run);
+    bool remove_run(fleet_target& target, const task_name& task);
+    void back_to_waiting(workflow& owner, const task_name& task);
+    void record_end(const std::string& target, std::int64_t born, std::int64_t number);
+    void run_lost(fleet_target& target, const task_name& task, std::string_view reason);
+    void break_gang(workflow& owner, std::uint32_t step);
+    void end_workflow(workflow& owner, workflow_state state);
+    void stop_all(workflow& owner);
+
+    // Placing (coordinator_pass.cpp).
+    void request_pass(milliseconds wait = milliseconds(2));
+    void pass();
+    void consider(workflow& owner, std::uint32_t step);
+    [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
+                                                         const queue_definition* queue) const;
+    [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
+                                             std::uint32_t wanted) const;
+    void ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
+                    const std::vector<fleet_target*>& targets);
+    void take_advice(const std::string& id, std::uint32_t step, const advice_question& question,
+                     const advice_answer& answer);
+    void start_tasks(workflow& owner, std::uint32_t step,
+                     const std::vector<fleet_target*>& targets);
+    void send_start(fleet_target& target, const task_name& task);
+    void take_start(fleet_target& target, const task_name& task, std::int64_t run,
+                    const order_result& result);
+    void start_refused(fleet_target& target, const task_name& task, const order_result& result);
+    void resend_orders(fleet_target& target, milliseconds now);
+    void list_ready(workflow& owner);
+    void unlist(workflow& owner, std::uint32_t step);
+
+    // Records (coordinator_records.cpp).
+    std::uint64_t open_reply(std::function<void(call_outcome)> reply);
+    void close_reply(std::uint64_t number, call_outcome outcome);
+    void refuse_unsent();
+    workflow& add_workflow(workflow_record record);
+    void store_record(workflow& owner, std::function<void()> done);
+    void store_progress(workflow& owner, std::function<void()> done);
+    void forget_ended();
+    [[nodiscard]] workflow* find(const std::string& id);
+    [[nodiscard]] fleet_target* find_life(const std::string& target, std::int64_t born);
+    [[nodiscard]] std::string record_key(const std::string& id) const;
+    [[nodiscard]] std::string progress_key(const std::string& id) const;
+
+    environment around;
+    leadership& office;
+    commit_chain& chain;
+    std::int64_t term;
+    std::shared_ptr<const fleet_configuration> configuration;
+    advice_desk desk;
+
+    bool loaded = false;
+    bool adopted = false; ///< every task that an earlier coordinator may have started is known
+    milliseconds began_at{0};
+    std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
+    std::set<ready_key> ready_steps;
+    std::map<std::string, std::unique_ptr<fleet_target>> targets;
+    std::vector<target_report> reports; ///< as the platform's list last had them
+    std::map<std::string, resources, std::less<>> team_use;
+    std::map<std::string, double, std::less<>> grant_share; ///< by queue
+    std::vector<std::function<void()>> after_load;
+    std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
+    std::uint64_t last_reply = 0;
+    std::unique_ptr<timer> retry; ///< of a page that could not be read
+    timer pass_timer;
+    timer check_timer;
+    timer forget_timer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -0,0 +1,265 @@
+// Ends of runs, and what follows from them.
+
+#include "coordinator/coordinator.h"
+#include "coordinator/target_session.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+namespace verbenalever {
+
+namespace {
+
+std::string_view word_of(target_view::ending how)
+{
+    switch (how) {
+    case target_view::ending::done:
+        return "done";
+    case target_view::ending::failed:
+        return "failed";
+    case target_view::ending::stopped:
+        return "stopped";
+    case target_view::ending::lapsed:
+        return "lapsed";
+    case target_view::ending::broken:
+        return "broken";
+    case target_view::ending::alone:
+        return "alone";
+    case target_view::ending::unrecognised:
+        return "unrecognised";
+    }
+    return "unrecognised";
+}
+
+} // namespace
+
+void coordinator::take_end(fleet_target& target, const target_view::ended_task& end)
+{
+    if (!target.note_end(end.number))
+        return;
+    target.session->expect_acknowledgement();
+    const auto found = target.tasks.find(end.task);
+    const bool current = found != target.tasks.end() && found->second.run == end.run;
+    const bool ours = current && this->remove_run(target, end.task);
+    auto* owner = this->find(end.task.workflow);
+    const bool wanted = owner != nullptr && !is_final(owner->state) &&
+                        end.task.step < owner->steps.size() &&
+                        end.task.index < owner->steps[end.task.step].tasks.size();
+    if (end.how != target_view::ending::done && end.how != target_view::ending::stopped)
+        this->around.log.write("coordinator", "run_ended",
+                               {{"workflow", end.task.workflow},
+                                {"step", end.task.step},
+                                {"index", end.task.index},
+                                {"run", end.run},
+                                {"how", word_of(end.how)},
+                                {"target", target.report.name}});
+    bool changed = false;
+    if (wanted) {
+        owner->began = true;
+        auto& task = owner->steps[end.task.step].tasks[end.task.index];
+        if (!end.checkpoint.empty())
+            task.checkpoint = end.checkpoint;
+        if (end.how == target_view::ending::done) {
+            target.note_success();
+            changed = this->task_done(*owner, end.task);
+        }
+        else {
+            if (end.how == target_view::ending::failed) {
+                target.note_failure(boot_time());
+                changed = this->task_failed(*owner, end.task, end.run);
+            }
+            if (ours && !is_final(owner->state)) {
+                this->back_to_waiting(*owner, end.task);
+                if (owner->record.spec.steps[end.task.step].gang)
+                    this->break_gang(*owner, end.task.step);
+            }
+        }
+    }
+    const auto kept = [this, name = target.report.name, born = target.report.born_ms,
+                       number = end.number] { this->record_end(name, born, number); };
+    if (!changed)
+        kept();
+    else if (is_final(owner->state))
+        owner->ends_to_record.push_back(kept);
+    else
+        this->store_progress(*owner, kept);
+}
+
+void coordinator::record_end(const std::string& name, std::int64_t born, std::int64_t number)
+{
+    if (auto* target = this->find_life(name, born))
+        target->session->acknowledge(target->record_end(number));
+}
+
+fleet_target* coordinator::find_life(const std::string& target, std::int64_t born)
+{
+    const auto found = this->targets.find(target);
+    if (found == this->targets.end() || found->second->report.born_ms != born)
+        return nullptr;
+    return found->second.get();
+}
+
+bool coordinator::task_done(workflow& owner, const task_name& name)
+{
+    auto& step = owner.steps[name.step];
+    const auto& spec = owner.record.spec.steps[name.step];
+    const auto finish = [&](std::uint32_t index) {
+        auto& task = step.tasks[index];
+        if (task.at == workflow_task::phase::done)
+            return false;
+        if (task.at == workflow_task::phase::waiting)
+            --step.waiting;
+        else if (index == name.index && task.target != nullptr) {
+            // It ended here while another run of it was ordered elsewhere.
+            const task_name other{name.workflow, name.occurrence, name.step, index};
+            if (const auto found = task.target->tasks.find(other);
+                found != task.target->tasks.end())
+                this->stop_run(*task.target, other, found->second.run);
+        }
+        task.at = workflow_task::phase::done;
+        task.target = nullptr;
+        ++step.done;
+        return true;
+    };
+    bool changed = finish(name.index);
+    // The tasks of a gang end together: one end stands for all.
+    for (std::uint32_t index = 0; spec.gang && index < step.tasks.size(); ++index)
+        changed = finish(index) || changed;
+    if (!changed)
+        return false;
+    if (step.waiting == 0)
+        this->unlist(owner, name.step);
+    if (step.done < step.tasks.size())
+        return true;
+    bool all = true;
+    for (const auto& other : owner.steps)
+        all = all && other.done == other.tasks.size();
+    if (all)
+        this->end_workflow(owner, workflow_state::completed);
+    else
+        this->list_ready(owner);
+    return true;
+}
+
+bool coordinator::task_failed(workflow& owner, const task_name& name, std::int64_t run)
+{
+    auto& step = owner.steps[name.step];
+    const bool gang = owner.record.spec.steps[name.step].gang;
+    auto& task = gang ? step.tasks[0] : step.tasks[name.index];
+    if (step.tasks[name.index].at == workflow_task::phase::done)
+        return false;
+    if (gang) {
+        if (run <= step.last_failed_run)
+            return false;
+        step.last_failed_run = run;
+    }
+    ++task.failures;
+    const auto* queue = this->configuration->queue(owner.record.queue);
+    const std::uint32_t attempts =
+        queue == nullptr ? 1U : static_cast<std::uint32_t>(std::max(1, queue->attempts));
+    if (task.failures >= attempts)
+        this->end_workflow(owner, workflow_state::failed);
+    return true;
+}
+
+bool coordinator::remove_run(fleet_target& target, const task_name& task)
+{
+    const auto found = target.tasks.find(task);
+    if (found == target.tasks.end())
+        return false;
+    auto* owner = found->second.owner;
+    if (owner != nullptr) {
+        this->team_use[owner->record.team] -= found->second.need;
+        --owner->placed;
+    }
+    target.remove(task);
+    return owner != nullptr;
+}
+
+void coordinator::back_to_waiting(workflow& owner, const task_name& name)
+{
+    auto& step = owner.steps[name.step];
+    auto& task = step.tasks[name.index];
+    if (task.at != workflow_task::phase::placed)
+        return;
+    task.at = workflow_task::phase::waiting;
+    task.target = nullptr;
+    ++step.waiting;
+    this->list_ready(owner);
+    this->request_pass();
+}
+
+void coordinator::run_lost(fleet_target& target, const task_name& name, std::string_view reason)
+{
+    const auto found = target.tasks.find(name);
+    auto* owner = found->second.owner;
+    const auto run = found->second.run;
+    this->around.log.write("coordinator", "run_lost",
+                           {{"workflow", name.workflow},
+                            {"step", name.step},
+                            {"index", name.index},
+                            {"run", run},
+                            {"target", target.report.name},
+                            {"reason", reason}});
+    this->remove_run(target, name);
+    if (owner == nullptr || is_final(owner->state))
+        return;
+    if (owner->steps[name.step].tasks[name.index].target != &target)
+        return;
+    this->back_to_waiting(*owner, name);
+    if (owner->record.spec.steps[name.step].gang)
+        this->break_gang(*owner, name.step);
+}
+
+void coordinator::break_gang(workflow& owner, std::uint32_t number)
+{
+    auto& step = owner.steps[number];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        auto& task = step.tasks[index];
+        if (task.at != workflow_task::phase::placed || task.target == nullptr)
+            continue;
+        const task_name name{owner.record.id, 0, number, index};
+        const auto found = task.target->tasks.find(name);
+        if (found != task.target->tasks.end() && !found->second.stopping)
+            this->stop_run(*task.target, name, found->second.run);
+    }
+}
+
+void coordinator::end_workflow(workflow& owner, workflow_state state)
+{
+    owner.state = state;
+    owner.record.state = static_cast<int>(state);
+    owner.record.ended_ms = wall_microseconds() / 1000;
+    for (std::uint32_t step = 0; step < owner.steps.size(); ++step)
+        this->unlist(owner, step);
+    this->stop_all(owner);
+    owner.record.spec = {};
+    if (state != workflow_state::completed)
+        this->around.log.write("coordinator", "workflow_ended",
+                               {{"workflow", owner.record.id}, {"state", word_of(state)}});
+    this->around.count.add(state == workflow_state::completed ? "workflows_completed"
+                                                              : "workflows_not_completed");
+    this->store_record(owner, [this, id = owner.record.id] {
+        auto* kept = this->find(id);
+        if (kept == nullptr)
+            return;
+        kept->end_stored = true;
+        const auto ends = std::move(kept->ends_to_record);
+        kept->ends_to_record.clear();
+        for (const auto& record : ends)
+            record();
+        const auto waiters = std::move(kept->end_waiters);
+        kept->end_waiters.clear();
+        for (const auto number : waiters)
+            this->close_reply(number, call_outcome::accepted);
+    });
+    if (owner.progress_stored)
+        this->store_progress(owner, [] {});
+}
+
+void coordinator::stop_all(workflow& owner)
+{
+    for (std::uint32_t number = 0; number < owner.steps.size(); ++number)
+        this->break_gang(owner, number);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -0,0 +1,116 @@
+// What a new coordinator reads from the store.
+
+#include "coordinator/coordinator.h"
+#include "membership/message_codec.h"
+#include "ports/metadata_store.h"
+#include "timeline/event_log.h"
+
+namespace verbenalever {
+
+namespace {
+
+/// Wait before a page that could not be read is asked for again.
+constexpr milliseconds retry_wait{200};
+
+} // namespace
+
+void coordinator::load_page(const std::string& prefix, const std::string& after)
+{
+    this->around.store.list(prefix, after, [this, alive = this->alive, prefix, after](auto page) {
+        if (!*alive)
+            return;
+        if (!page.ok()) {
+            this->around.log.write(
+                "coordinator", "load_retried",
+                {{"prefix", prefix}, {"reason", std::string(page.status().message())}});
+            this->retry = std::make_unique<timer>(
+                this->around.loop, [this, prefix, after] { this->load_page(prefix, after); });
+            this->retry->start_once(retry_wait);
+            return;
+        }
+        this->take_page(prefix, *page);
+    });
+}
+
+void coordinator::take_page(const std::string& prefix, const store_page& page)
+{
+    const bool records = prefix == this->record_key({});
+    for (const auto& item : page.items) {
+        if (records)
+            this->take_record(item.value);
+        else
+            this->take_progress(item.key.substr(prefix.size()), item.value);
+    }
+    if (page.more && !page.items.empty())
+        this->load_page(prefix, page.items.back().key);
+    else if (records)
+        this->load_page(this->progress_key({}), {});
+    else
+        this->finish_load();
+}
+
+void coordinator::take_record(std::string_view value)
+{
+    auto record = unpack_message<workflow_record>(value);
+    if (!record.ok()) {
+        this->around.log.write("coordinator", "record_unreadable", {{"bytes", value.size()}});
+        return;
+    }
+    auto& added = this->add_workflow(*std::move(record));
+    added.stored = true;
+    added.end_stored = is_final(added.state);
+    added.inherited = true;
+}
+
+void coordinator::take_progress(const std::string& id, std::string_view value)
+{
+    auto* owner = this->find(id);
+    if (owner == nullptr || is_final(owner->state))
+        return; // it was written just before the end, whose record is what counts
+    owner->progress_stored = true;
+    auto progress = unpack_message<workflow_progress>(value);
+    if (!progress.ok() || progress->steps.size() != owner->steps.size()) {
+        this->around.log.write("coordinator", "progress_unreadable", {{"workflow", id}});
+        return;
+    }
+    owner->began = true;
+    for (std::size_t number = 0; number < owner->steps.size(); ++number) {
+        auto& step = owner->steps[number];
+        const auto& kept = progress->steps[number];
+        for (std::size_t index = 0; index < step.tasks.size() && index < kept.size(); ++index) {
+            auto& task = step.tasks[index];
+            task.failures = kept[index].failures;
+            task.checkpoint = kept[index].checkpoint;
+            if (!kept[index].done)
+                continue;
+            task.at = workflow_task::phase::done;
+            --step.waiting;
+            ++step.done;
+        }
+    }
+}
+
+void coordinator::finish_load()
+{
+    this->loaded = true;
+    std::size_t open = 0;
+    for (auto& [id, known] : this->workflows) {
+        if (is_final(known->state))
+            continue;
+        ++open;
+        this->list_ready(*known);
+    }
+    this->around.log.write("coordinator", "loaded",
+                           {{"term", this->term},
+                            {"workflows", this->workflows.size()},
+                            {"open", open},
+                            {"ms", (boot_time() - this->began_at).count()}});
+    this->take_directory(this->reports);
+    const auto waiting = std::move(this->after_load);
+    this->after_load.clear();
+    for (const auto& action : waiting)
+        action();
+    this->request_pass();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -0,0 +1,310 @@
+// Placing: which steps are considered in which order, and how their tasks are started.
+
+#include "coordination/leadership.h"
+#include "coordinator/coordinator.h"
+#include "coordinator/step_placer.h"
+#include "coordinator/target_session.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+/// A ticket is not used when it has less than this left, since the start takes time to arrive.
+constexpr milliseconds ticket_slack{150};
+/// Wait before the advisor is asked again after it was busy.
+constexpr milliseconds advice_retry{50};
+/// Part of the targets that the advisor allows, until there is experience.
+constexpr double first_grant_share = 0.5;
+/// Weight of one answer in that experience.
+constexpr double grant_share_weight = 0.1;
+/// A target that has turned a start away gets none for this long.
+constexpr milliseconds avoid_time{300};
+/// Steps looked at in one pass; those behind them would find no room either.
+constexpr int steps_per_pass = 400;
+
+} // namespace
+
+void coordinator::request_pass(milliseconds wait)
+{
+    if (!this->pass_timer.active())
+        this->pass_timer.start_once(wait);
+}
+
+void coordinator::list_ready(workflow& owner)
+{
+    if (is_final(owner.state))
+        return;
+    for (std::uint32_t number = 0; number < owner.steps.size(); ++number) {
+        auto& step = owner.steps[number];
+        if (step.listed || step.waiting == 0)
+            continue;
+        const auto& spec = owner.record.spec.steps[number];
+        const bool turn = std::ranges::all_of(spec.after, [&owner](std::uint32_t earlier) {
+            return owner.steps[earlier].done == owner.steps[earlier].tasks.size();
+        });
+        // A gang starts whole, once all of an earlier run have ended.
+        if (!turn || (spec.gang && step.waiting != spec.count))
+            continue;
+        step.listed = true;
+        if (step.ready_since.count() == 0)
+            step.ready_since = boot_time();
+        this->ready_steps.emplace(owner.priority, owner.due_ms, owner.record.id, number);
+    }
+}
+
+void coordinator::unlist(workflow& owner, std::uint32_t number)
+{
+    auto& step = owner.steps[number];
+    if (!step.listed)
+        return;
+    step.listed = false;
+    this->ready_steps.erase({owner.priority, owner.due_ms, owner.record.id, number});
+}
+
+void coordinator::pass()
+{
+    if (!this->loaded || !this->office.leads())
+        return;
+    int left = steps_per_pass;
+    for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
+        const auto [priority, due, id, number] = *at;
+        ++at; // considering a step may take it off the list
+        auto* owner = this->find(id);
+        if (owner == nullptr || (owner->inherited && !this->adopted))
+            continue;
+        this->consider(*owner, number);
+    }
+}
+
+void coordinator::consider(workflow& owner, std::uint32_t number)
+{
+    auto& step = owner.steps[number];
+    const auto& spec = owner.record.spec.steps[number];
+    const auto* queue = this->configuration->queue(owner.record.queue);
+    const auto allowed = this->within_limit(owner, spec.need, step.waiting);
+    if (allowed == 0 || (spec.gang && allowed < step.waiting))
+        return;
+    const step_placer placer(this->candidates(owner, number, queue), spec.need);
+    std::uint32_t wanted = allowed;
+    if (owner.stored && this->office.certain()) {
+        const auto chosen = placer.place(wanted, spec.gang);
+        wanted -= static_cast<std::uint32_t>(chosen.size());
+        this->start_tasks(owner, number, chosen);
+    }
+    if (wanted == 0 || queue == nullptr || !queue->needs_advice || step.asking ||
+        boot_time() < step.ask_after)
+        return;
+    const auto found = this->grant_share.find(owner.record.queue);
+    const auto share = found == this->grant_share.end() ? first_grant_share : found->second;
+    if (const auto named = placer.to_ask(wanted, spec.gang, share); !named.empty())
+        this->ask_advice(owner, number, *queue, named);
+}
+
+std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
+                                                    const queue_definition* queue) const
+{
+    const auto now = boot_time();
+    const auto& spec = owner.record.spec.steps[number];
+    const auto& memory = owner.steps[number].advice;
+    std::vector<step_candidate> found;
+    for (const auto& [name, target] : this->targets) {
+        const auto& report = target->report;
+        if (!target->usable(now) || report.pool != owner.record.pool ||
+            this->configuration->zones_out.contains(report.availability_zone))
+            continue;
+        if (!spec.required_label.empty() &&
+            std::ranges::find(report.labels, spec.required_label) == report.labels.end())
+            continue;
+        step_candidate candidate{.target = target.get(), .fits = target->fits(spec.need)};
+        if (spec.max_per_target > 0) {
+            const auto here = target->count_of(owner.record.id, number);
+            candidate.fits =
+                std::min(candidate.fits, spec.max_per_target - std::min(spec.max_per_target, here));
+        }
+        if (candidate.fits == 0)
+            continue;
+        if (queue != nullptr && queue->needs_advice) {
+            const auto said = memory.find(name);
+            if (said != memory.end() && !said->second.allowed)
+                continue;
+            candidate.may_run = said == memory.end() ? step_candidate::permission::not_asked
+                                : said->second.valid_until < now + ticket_slack
+                                    ? step_candidate::permission::lapsed
+                                    : step_candidate::permission::allowed;
+        }
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+std::uint32_t coordinator::within_limit(const workflow& owner, const resources& need,
+                                        std::uint32_t wanted) const
+{
+    const auto* team = this->configuration->team(owner.record.team);
+    if (team == nullptr)
+        return wanted;
+    const auto used = this->team_use.find(owner.record.team);
+    const auto in_use = used == this->team_use.end() ? resources{} : used->second;
+    std::int64_t most = wanted;
+    const auto bound = [&most](std::int64_t limit, std::int64_t taken, std::int64_t each) {
+        if (limit > 0 && each > 0)
+            most = std::min(most, std::max<std::int64_t>(0, limit - taken) / each);
+    };
+    bound(team->limit.processors_milli, in_use.processors_milli, need.processors_milli);
+    bound(team->limit.memory_mb, in_use.memory_mb, need.memory_mb);
+    bound(team->limit.accelerators, in_use.accelerators, need.accelerators);
+    return static_cast<std::uint32_t>(most);
+}
+
+void coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
+                             const std::vector<fleet_target*>& named)
+{
+    auto& step = owner.steps[number];
+    advice_question question{.workflow = owner.record.id, .occurrence = 0, .step = number};
+    for (const auto* target : named)
+        question.targets.push_back(target->report.name);
+    const milliseconds cost(static_cast<std::int64_t>(
+        queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
+    const bool taken = this->desk.ask(
+        question, cost,
+        [this, alive = this->alive, id = owner.record.id, number, question](advice_answer answer) {
+            if (*alive)
+                this->take_advice(id, number, question, answer);
+        });
+    if (taken)
+        step.asking = true;
+    else
+        step.ask_after = boot_time() + advice_retry;
+}
+
+void coordinator::take_advice(const std::string& id, std::uint32_t number,
+                              const advice_question& question, const advice_answer& answer)
+{
+    auto* owner = this->find(id);
+    if (owner == nullptr || is_final(owner->state))
+        return;
+    auto& step = owner->steps[number];
+    step.asking = false;
+    this->request_pass(milliseconds(0));
+    if (!answer.answered) {
+        step.ask_after = boot_time() + advice_retry;
+        this->around.log.write("coordinator", "advice_missed",
+                               {{"workflow", id}, {"step", number}});
+        return;
+    }
+    for (const auto& name : question.targets)
+        step.advice.try_emplace(name);
+    const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
+    for (const auto& grant : answer.granted)
+        step.advice[grant.target] = {true, grant.ticket, valid_until};
+    auto [share, fresh] = this->grant_share.try_emplace(owner->record.queue, first_grant_share);
+    share->second += grant_share_weight *
+                     (static_cast<double>(answer.granted.size()) /
+                          static_cast<double>(std::max<std::size_t>(1, question.targets.size())) -
+                      share->second);
+}
+
+void coordinator::start_tasks(workflow& owner, std::uint32_t number,
+                              const std::vector<fleet_target*>& chosen)
+{
+    if (chosen.empty())
+        return;
+    auto& step = owner.steps[number];
+    const auto& spec = owner.record.spec.steps[number];
+    std::int64_t gang_run = owner.run_base;
+    for (const auto& task : step.tasks)
+        gang_run = std::max(gang_run, task.run);
+    ++gang_run;
+    std::uint32_t index = 0;
+    std::vector<std::pair<fleet_target*, task_name>> starts;
+    for (auto* target : chosen) {
+        while (step.tasks[index].at != workflow_task::phase::waiting)
+            ++index;
+        auto& task = step.tasks[index];
+        const task_name name{owner.record.id, 0, number, index};
+        task.at = workflow_task::phase::placed;
+        task.target = target;
+        task.run = spec.gang ? gang_run : std::max(task.run, owner.run_base) + 1;
+        --step.waiting;
+        ++owner.placed;
+        this->team_use[owner.record.team] += spec.need;
+        target->place(name, {.owner = &owner, .run = task.run, .need = spec.need});
+        starts.emplace_back(target, name);
+    }
+    if (step.waiting == 0)
+        this->unlist(owner, number);
+    for (const auto& [target, name] : starts) {
+        this->send_start(*target, name);
+        target->session->want_looks(true);
+    }
+}
+
+void coordinator::send_start(fleet_target& target, const task_name& name)
+{
+    auto& placed = target.tasks.at(name);
+    const auto& owner = *placed.owner;
+    const auto& step = owner.steps[name.step];
+    const bool gang = owner.record.spec.steps[name.step].gang;
+    start_order order{.task = name, .run = placed.run, .payload = owner.record.spec.payload};
+    order.checkpoint = step.tasks[gang ? 0 : name.index].checkpoint;
+    if (const auto said = step.advice.find(target.report.name); said != step.advice.end())
+        order.ticket = said->second.ticket;
+    placed.ordered_at = boot_time();
+    ++placed.open_orders;
+    target.session->start(order, [this, alive = this->alive, &target, name,
+                                  run = placed.run](const order_result& result) {
+        if (*alive)
+            this->take_start(target, name, run, result);
+    });
+}
+
+void coordinator::take_start(fleet_target& target, const task_name& name, std::int64_t run,
+                             const order_result& result)
+{
+    const auto found = target.tasks.find(name);
+    if (found == target.tasks.end() || found->second.run != run)
+        return;
+    auto& placed = found->second;
+    --placed.open_orders;
+    placed.ordered_at = boot_time();
+    if (result.how == order_result::outcome::done) {
+        placed.started = true;
+        if (!placed.stopping)
+            placed.settled_at = boot_time();
+        if (placed.owner != nullptr)
+            placed.owner->began = true;
+        this->around.count.add("tasks_started");
+        return;
+    }
+    if (result.how == order_result::outcome::unknown)
+        return; // sent again after a while, or found by a look
+    if (!placed.stopping && !placed.started)
+        this->start_refused(target, name, result);
+}
+
+void coordinator::start_refused(fleet_target& target, const task_name& name,
+                                const order_result& result)
+{
+    auto& owner = *target.tasks.at(name).owner;
+    this->around.log.write("coordinator", "start_refused",
+                           {{"workflow", name.workflow},
+                            {"step", name.step},
+                            {"index", name.index},
+                            {"target", target.report.name},
+                            {"reason", static_cast<int>(result.how)}});
+    target.avoid_until = boot_time() + avoid_time;
+    if (result.how == order_result::outcome::bad_ticket) {
+        auto& said = owner.steps[name.step].advice[target.report.name];
+        said.valid_until = milliseconds(0);
+        target.avoid_until = milliseconds(0);
+    }
+    // An earlier sending of the order may still arrive: only a stop makes sure that it does
+    // nothing.
+    this->stop_run(target, name, target.tasks.at(name).run);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -0,0 +1,185 @@
+// Records of workflows: made, kept in the store, removed.
+
+#include "coordination/commit_chain.h"
+#include "coordinator/coordinator.h"
+#include "coordinator/target_session.h"
+#include "membership/message_codec.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+/// @return the longest chain of steps that wait for each other, by the caller's estimates
+std::int64_t longest_chain_ms(const workflow_spec& spec)
+{
+    std::vector<std::int64_t> ends(spec.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        std::int64_t begin = 0;
+        for (const auto earlier : spec.steps[number].after)
+            begin = std::max(begin, ends[earlier]);
+        ends[number] = begin + spec.steps[number].estimated_ms;
+        longest = std::max(longest, ends[number]);
+    }
+    return longest;
+}
+
+/// @return the checkpoint and counts of all tasks, as they are kept
+workflow_progress progress_of(const workflow& owner)
+{
+    workflow_progress progress;
+    for (const auto& step : owner.steps) {
+        auto& kept = progress.steps.emplace_back();
+        for (const auto& task : step.tasks)
+            kept.push_back({task.at == workflow_task::phase::done, task.failures, task.checkpoint});
+    }
+    return progress;
+}
+
+} // namespace
+
+std::uint64_t coordinator::open_reply(std::function<void(call_outcome)> reply)
+{
+    this->open_replies.emplace(++this->last_reply, std::move(reply));
+    return this->last_reply;
+}
+
+void coordinator::close_reply(std::uint64_t number, call_outcome outcome)
+{
+    const auto found = this->open_replies.find(number);
+    if (found == this->open_replies.end())
+        return;
+    const auto reply = std::move(found->second);
+    this->open_replies.erase(found);
+    reply(outcome);
+}
+
+workflow* coordinator::find(const std::string& id)
+{
+    const auto found = this->workflows.find(id);
+    return found == this->workflows.end() ? nullptr : found->second.get();
+}
+
+std::string coordinator::record_key(const std::string& id) const
+{
+    return this->around.prefix + "w/" + id;
+}
+
+std::string coordinator::progress_key(const std::string& id) const
+{
+    return this->around.prefix + "s/" + id;
+}
+
+workflow& coordinator::add_workflow(workflow_record record)
+{
+    auto added = std::make_unique<workflow>();
+    added->record = std::move(record);
+    added->state = added->record.end_state();
+    for (const auto& step : added->record.spec.steps) {
+        auto& run = added->steps.emplace_back();
+        run.tasks.resize(step.count);
+        run.waiting = step.count;
+    }
+    if (const auto* queue = this->configuration->queue(added->record.queue)) {
+        added->priority = queue->priority;
+        added->due_ms =
+            added->record.accepted_ms + queue->latency_objective.count() +
+            static_cast<std::int64_t>(queue->stretch *
+                                      static_cast<double>(longest_chain_ms(added->record.spec)));
+    }
+    // Runs of later terms are numbered above all that earlier terms can have used.
+    constexpr std::int64_t runs_per_revision = 16;
+    added->run_base = (this->term - added->record.term) * runs_per_revision;
+    auto& placed = this->workflows[added->record.id];
+    placed = std::move(added);
+    return *placed;
+}
+
+void coordinator::store_record(workflow& owner, std::function<void()> done)
+{
+    const auto id = owner.record.id;
+    this->chain.put(
+        this->record_key(id),
+        [this, alive = this->alive, id]() -> std::optional<std::string> {
+            const auto* kept = *alive ? this->find(id) : nullptr;
+            if (kept == nullptr)
+                return std::nullopt;
+            return pack_message(kept->record);
+        },
+        true,
+        [this, alive = this->alive, id, done = std::move(done)] {
+            if (!*alive)
+                return;
+            if (auto* kept = this->find(id)) {
+                kept->stored = true;
+                const auto waiters = std::move(kept->stored_waiters);
+                kept->stored_waiters.clear();
+                for (const auto number : waiters)
+                    this->close_reply(number, call_outcome::accepted);
+            }
+            done();
+        });
+}
+
+void coordinator::store_progress(workflow& owner, std::function<void()> done)
+{
+    owner.progress_stored = true;
+    const auto id = owner.record.id;
+    this->chain.put(
+        this->progress_key(id),
+        [this, alive = this->alive, id]() -> std::optional<std::string> {
+            const auto* kept = *alive ? this->find(id) : nullptr;
+            if (kept == nullptr || is_final(kept->state))
+                return std::nullopt;
+            return pack_message(progress_of(*kept));
+        },
+        false,
+        [alive = this->alive, done = std::move(done)] {
+            if (*alive)
+                done();
+        });
+}
+
+void coordinator::refuse_unsent()
+{
+    if (!this->chain.stalled())
+        return;
+    std::vector<std::string> refused;
+    for (const auto& [id, known] : this->workflows) {
+        if (!known->stored && !known->stored_waiters.empty() &&
+            this->chain.withdraw(this->record_key(id)))
+            refused.push_back(id);
+    }
+    if (!refused.empty())
+        this->around.log.write("coordinator", "submissions_refused",
+                               {{"reason", "store_away"}, {"count", refused.size()}});
+    for (const auto& id : refused) {
+        auto& known = *this->find(id);
+        const auto waiters = known.stored_waiters;
+        for (std::uint32_t step = 0; step < known.steps.size(); ++step)
+            this->unlist(known, step);
+        this->workflows.erase(id);
+        for (const auto number : waiters)
+            this->close_reply(number, call_outcome::refused);
+    }
+}
+
+void coordinator::forget_ended()
+{
+    const auto limit = wall_microseconds() / 1000 - this->around.finished_rest.count();
+    std::vector<std::string> old;
+    for (const auto& [id, known] : this->workflows) {
+        if (known->end_stored && known->placed == 0 && known->record.ended_ms < limit)
+            old.push_back(id);
+    }
+    for (const auto& id : old) {
+        this->workflows.erase(id);
+        this->chain.put(this->record_key(id), [] { return std::nullopt; }, false, {});
+    }
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "ports/target_report.h"
+#include "ports/task_order.h"
+#include "scheduling/resources.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace verbenalever {
+
+class target_session;
+struct workflow;
+
+/// One run of a task on a target, from the order to start it until its end is seen.
+struct placed_task {
+    workflow* owner = nullptr; ///< null: of no workflow known here, to be stopped
+    std::int64_t run = 0;
+    resources need;
+    int open_orders = 0;   ///< starts that were not answered yet
+    bool started = false;  ///< the target has confirmed it
+    bool stopping = false; ///< an order to stop it was given
+    /// Boot time when the target last answered an order for it; 0: none was answered, so that it
+    /// may still begin.
+    milliseconds settled_at{0};
+    milliseconds ordered_at{0};
+    double percent = 0;         ///< of its work, when last seen
+    milliseconds percent_at{0}; ///< when that last grew
+};
+
+/// An end that the target lists until it is acknowledged.
+struct listed_end {
+    std::int64_t number = 0;
+    bool recorded = false; ///< nothing is lost if the target forgets it
+};
+
+/// One life of a target, as the coordinator knows it: room, tasks, ends, soundness.
+class fleet_target {
+public:
+    explicit fleet_target(target_report report);
+    ~fleet_target();
+    fleet_target(const fleet_target&) = delete;
+    fleet_target& operator=(const fleet_target&) = delete;
+
+    /// Add a run; its room counts from now on.
+    placed_task& place(const task_name& task, placed_task run);
+
+    /// Remove a run; its room is free.
+    void remove(const task_name& task);
+
+    /// @return what is not taken; nothing while something of unknown size runs here
+    [[nodiscard]] resources free() const;
+
+    /// @return how many tasks of this size fit now
+    [[nodiscard]] std::uint32_t fits(const resources& need) const;
+
+    /// @return how many tasks of a step run here
+    [[nodiscard]] std::uint32_t count_of(const std::string& workflow, std::uint32_t step) const;
+
+    /// Note an end that the target lists. @return false when it was noted before
+    bool note_end(std::int64_t number);
+
+    /// The end will not be lost. @return the number up to which all are recorded
+    std::int64_t record_end(std::int64_t number);
+
+    /// A task has ended as done here.
+    void note_success();
+
+    /// A task has failed here.
+    void note_failure(milliseconds now);
+
+    /// @return whether work is kept away, since all that it started lately has failed
+    [[nodiscard]] bool distrusted(milliseconds now) const;
+
+    /// @return whether new work may be placed here
+    [[nodiscard]] bool usable(milliseconds now) const;
+
+    target_report report;
+    bool ended_life = false; ///< it has said that this life is over
+    bool listed = true;      ///< the platform's list has it
+    std::unique_ptr<target_session> session;
+    std::map<task_name, placed_task> tasks;
+    resources used;
+    milliseconds avoid_until{0};     ///< boot time; it has just turned a start away
+    std::uint32_t unknown_tasks = 0; ///< tasks whose size is not known here
+
+private:
+    std::deque<listed_end> ends;
+    std::int64_t highest_end = 0;
+    std::int64_t recorded_up_to = 0;
+    int failures_in_a_row = 0;
+    milliseconds distrusted_until{0};
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -0,0 +1,82 @@
+#include "coordinator/step_placer.h"
+
+#include "coordinator/fleet_target.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenalever {
+
+namespace {
+
+/// Targets named beyond the expected need, since how many are allowed varies.
+constexpr double ask_margin = 1.4;
+constexpr std::size_t ask_extra = 2;
+/// Targets named in one question, for which the advisor's time still pays.
+constexpr std::size_t ask_limit = 40;
+
+} // namespace
+
+step_placer::step_placer(std::vector<step_candidate> candidates, resources need)
+    : candidates(std::move(candidates)), need(need)
+{
+    // Tightest first: small tasks fill gaps and leave whole targets to large ones.
+    std::ranges::sort(this->candidates, {}, [](const step_candidate& candidate) {
+        return candidate.target->free().processors_milli;
+    });
+}
+
+std::vector<fleet_target*> step_placer::place(std::uint32_t wanted, bool whole) const
+{
+    std::vector<fleet_target*> chosen;
+    for (const auto& candidate : this->candidates) {
+        if (candidate.may_run != step_candidate::permission::allowed)
+            continue;
+        const auto take = std::min<std::size_t>(candidate.fits, wanted - chosen.size());
+        chosen.insert(chosen.end(), take, candidate.target);
+        if (chosen.size() == wanted)
+            return chosen;
+    }
+    if (whole)
+        chosen.clear();
+    return chosen;
+}
+
+std::vector<fleet_target*> step_placer::to_ask(std::uint32_t wanted, bool whole,
+                                               double grant_share) const
+{
+    double expected = 0;
+    std::vector<const step_candidate*> open;
+    for (const auto& candidate : this->candidates) {
+        if (candidate.may_run == step_candidate::permission::allowed)
+            expected += candidate.fits;
+        else
+            open.push_back(&candidate);
+    }
+    // Those known to be allowed first, then those with most room.
+    std::ranges::sort(open, [](const auto* left, const auto* right) {
+        if (left->may_run != right->may_run)
+            return left->may_run == step_candidate::permission::lapsed;
+        return left->fits > right->fits;
+    });
+    const double goal = wanted * ask_margin;
+    std::vector<fleet_target*> named;
+    std::size_t extra = ask_extra;
+    for (const auto* candidate : open) {
+        if (named.size() >= ask_limit)
+            break;
+        if (expected >= goal) {
+            if (extra == 0 || candidate->may_run == step_candidate::permission::lapsed)
+                break;
+            --extra;
+        }
+        const bool lapsed = candidate->may_run == step_candidate::permission::lapsed;
+        expected += std::min(candidate->fits, wanted) * (lapsed ? 1.0 : grant_share);
+        named.push_back(candidate->target);
+    }
+    if (whole && expected < wanted)
+        named.clear();
+    return named;
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/step_placer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "scheduling/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class fleet_target;
+
+/// A target that a step might use, with what is known of it for this step.
+struct step_candidate {
+    enum class permission { allowed, not_asked, lapsed };
+
+    fleet_target* target = nullptr;
+    permission may_run = permission::allowed; ///< by the advisor; lapsed: its ticket has run out
+    std::uint32_t fits = 0; ///< tasks of the step that fit now, within the step's spread limit
+};
+
+/// Chooses targets for the tasks of one step. It decides only; it changes nothing.
+class step_placer {
+public:
+    /// @param candidates targets that may be used, with room for one task at least
+    /// @param need       of each task
+    step_placer(std::vector<step_candidate> candidates, resources need);
+
+    /// @param wanted tasks to place
+    /// @param whole  place all or none
+    /// @return a target for each task placed; fewer than wanted where room is short
+    [[nodiscard]] std::vector<fleet_target*> place(std::uint32_t wanted, bool whole) const;
+
+    /// Choose whom to ask the advisor about.
+    /// @param wanted       tasks still without a target
+    /// @param whole        all of them must find room
+    /// @param grant_share  part of the targets that the advisor allows, by experience
+    /// @return targets to name; empty when the room would not do even if the advisor agreed
+    [[nodiscard]] std::vector<fleet_target*> to_ask(std::uint32_t wanted, bool whole,
+                                                    double grant_share) const;
+
+private:
+    std::vector<step_candidate> candidates;
+    resources need;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "workflows/workflow_progress.h"
+#include "workflows/workflow_record.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+class fleet_target;
+
+/// One task of a workflow, as the coordinator knows it.
+struct workflow_task {
+    enum class phase : std::uint8_t { waiting, placed, done };
+
+    phase at = phase::waiting;
+    std::int64_t run = 0; ///< number of the current run, or of the last one
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+    fleet_target* target = nullptr; ///< while placed
+};
+
+/// What the advisor has said of one target for one step.
+struct advice_memory {
+    bool allowed = false;
+    std::string ticket;
+    milliseconds valid_until{0}; ///< boot time
+};
+
+/// One step of a workflow, as the coordinator knows it.
+struct workflow_step {
+    std::vector<workflow_task> tasks;
+    std::uint32_t waiting = 0;
+    std::uint32_t done = 0;
+    std::int64_t last_failed_run = 0; ///< a gang's failed run counts once
+
+    std::map<std::string, advice_memory, std::less<>> advice; ///< by target
+    bool asking = false;                                      ///< a question to the advisor is open
+    milliseconds ask_after{0};   ///< boot time before which nothing is asked
+    milliseconds ready_since{0}; ///< boot time; 0: its turn has not come
+    bool listed = false;         ///< in the list of steps that are ready
+};
+
+/// One workflow, as the coordinator knows it.
+struct workflow {
+    workflow_record record;
+    workflow_state state = workflow_state::queued;
+    std::vector<workflow_step> steps;
+    int priority = 0;
+    std::int64_t due_ms = 0;   ///< wall clock by which it should have ended
+    std::int64_t run_base = 0; ///< runs of this term are numbered from here
+    bool stored = false;       ///< its record is kept
+    bool end_stored = false;   ///< its end is kept
+    bool progress_stored = false;
+    bool inherited = false;   ///< accepted in an earlier term, so it may have tasks not yet seen
+    bool began = false;       ///< a task of it has started
+    std::uint32_t placed = 0; ///< tasks on targets
+    std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
+    std::vector<std::function<void()>> ends_to_record; ///< run when its end is kept
+    std::vector<std::uint64_t> end_waiters; ///< open replies to close once its end is kept
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -0,0 +1,416 @@
+#include "daemon/cluster_entry.h"
+
+#include "coordination/commit_chain.h"
+#include "coordination/member_messages.h"
+#include "loop/event_loop.h"
+#include "membership/message_codec.h"
+#include "ports/metadata_store.h"
+#include "ports/operator_source.h"
+#include "ports/placement_advisor.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+namespace verbenalever {
+
+namespace {
+
+gateway_reply reply_of(const member_reply& from)
+{
+    gateway_reply reply{.state = static_cast<workflow_state>(from.state), .waiting = from.count};
+    switch (static_cast<call_outcome>(from.outcome)) {
+    case call_outcome::accepted:
+        reply.how = gateway_reply::outcome::accepted;
+        break;
+    case call_outcome::refused:
+        reply.how = gateway_reply::outcome::refused;
+        break;
+    case call_outcome::unknown:
+        reply.how = gateway_reply::outcome::unknown;
+        break;
+    case call_outcome::not_found:
+        reply.how = gateway_reply::outcome::no_workflow;
+        break;
+    case call_outcome::invalid:
+        reply.how = gateway_reply::outcome::invalid;
+        break;
+    }
+    return reply;
+}
+
+std::string pack_reply(call_outcome outcome, workflow_state state = workflow_state::queued,
+                       std::int64_t count = 0)
+{
+    return pack_message(
+        member_reply{true, static_cast<int>(outcome), static_cast<int>(state), count});
+}
+
+/// @return what a coordinator's reply means; a call without one may have been carried out
+gateway_reply read_reply(const absl::StatusOr<std::string>& payload)
+{
+    if (!payload.ok())
+        return {.how = absl::IsFailedPrecondition(payload.status())
+                           ? gateway_reply::outcome::refused
+                           : gateway_reply::outcome::unknown};
+    const auto reply = unpack_message<member_reply>(*payload);
+    if (!reply.ok())
+        return {.how = gateway_reply::outcome::unknown};
+    if (!reply->coordinating)
+        return {.how = gateway_reply::outcome::refused};
+    return reply_of(*reply);
+}
+
+} // namespace
+
+cluster_entry::cluster_entry(event_loop& loop, settings own, ports outside, const event_log& log,
+                             counters& count)
+    : loop(loop), own(std::move(own)), outside(outside), log(log), count(count),
+      configuration(std::make_shared<fleet_configuration>()),
+      hub(loop,
+          {.joined =
+               [this](const member_greeting& member) {
+                   this->add_advisor(member.vm);
+                   this->log.write("coordination", "member_joined", {{"vm", member.vm}});
+               },
+           .left =
+               [this](const std::string& vm) {
+                   if (this->duty)
+                       this->duty->advisors().remove_vm(vm);
+                   this->log.write("coordination", "member_left", {{"vm", vm}});
+               },
+           .heartbeat =
+               [this](const member_greeting& member) {
+                   this->spread(member.configuration_revision, this->hub.find(member.vm));
+               },
+           .take =
+               [this](peer_topic topic, std::string_view payload, peer_channel::replier reply) {
+                   this->serve(topic, payload, std::move(reply));
+               },
+           .greeting = [this] { return this->greeting(); }}),
+      link(loop, this->own.peer.address,
+           {.greeting = [this] { return this->greeting(); },
+            .take =
+                [this](peer_topic topic, std::string_view payload, peer_channel::replier reply) {
+                    if (topic != peer_topic::heartbeat) {
+                        this->serve(topic, payload, std::move(reply));
+                        return;
+                    }
+                    const auto other = unpack_message<member_greeting>(payload);
+                    if (other.ok())
+                        this->spread(other->configuration_revision, this->link.channel());
+                },
+            .changed =
+                [this](bool up) {
+                    this->log.write("coordination", up ? "coordinator_heard" : "coordinator_silent",
+                                    {});
+                }}),
+      office(loop, outside.store, log, this->own.key_prefix,
+             {.vm = this->own.vm, .address = this->own.peer.text(), .tenure = {}},
+             {.won = [this](std::int64_t term, commit_chain& chain) { this->won(term, chain); },
+              .lost = [this] { this->lost(); },
+              .changed =
+                  [this](const std::optional<coordinator_record>& coordinator) {
+                      const bool other = coordinator && coordinator->vm != this->own.vm;
+                      this->link.follow(other ? coordinator : std::nullopt);
+                  },
+              .coordinator_heard = [this] { return this->link.up(); }}),
+      former_timer(loop, [this] { this->former_duty.reset(); })
+{
+}
+
+cluster_entry::~cluster_entry() = default;
+
+absl::Status cluster_entry::start()
+{
+    if (auto status = this->hub.listen(this->own.peer); !status.ok())
+        return status;
+    this->outside.operators.start([this](std::shared_ptr<const fleet_configuration> read) {
+        if (read->version != this->configuration->version)
+            this->log.write("configuration", "version_in_force",
+                            {{"version", read->version}, {"revision", read->revision}});
+        this->configuration = std::move(read);
+        if (this->duty)
+            this->duty->configure(this->configuration);
+    });
+    this->office.start();
+    return absl::OkStatus();
+}
+
+bool cluster_entry::ready() const
+{
+    return !this->retired && this->configured() && (this->duty != nullptr || this->link.up());
+}
+
+void cluster_entry::retire()
+{
+    this->retired = true;
+    this->office.retire();
+}
+
+bool cluster_entry::coordinating() const
+{
+    return this->duty != nullptr;
+}
+
+bool cluster_entry::configured() const
+{
+    return this->configuration->version != 0;
+}
+
+const queue_definition* cluster_entry::queue_of(const caller_identity& caller) const
+{
+    return this->configuration->find_queue(caller.host, caller.path);
+}
+
+std::string cluster_entry::greeting() const
+{
+    return pack_message(
+        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision});
+}
+
+void cluster_entry::won(std::int64_t term, commit_chain& chain)
+{
+    this->duty = std::make_unique<coordinator>(
+        coordinator::environment{.loop = this->loop,
+                                 .store = this->outside.store,
+                                 .orders = this->outside.orders,
+                                 .directory = this->outside.directory,
+                                 .log = this->log,
+                                 .count = this->count,
+                                 .prefix = this->own.key_prefix,
+                                 .task_lease = this->own.task_lease,
+                                 .finished_rest = this->own.finished_rest,
+                                 .members_complete = [this] { return this->hub.complete(); }},
+        this->office, chain, term, this->configuration);
+    this->add_advisor(this->own.vm);
+    this->hub.each([this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
+    this->duty->begin();
+}
+
+void cluster_entry::lost()
+{
+    this->former_duty = std::move(this->duty);
+    this->former_timer.start_once(milliseconds(0));
+}
+
+void cluster_entry::add_advisor(const std::string& vm)
+{
+    if (!this->duty)
+        return;
+    if (vm == this->own.vm) {
+        this->duty->advisors().add_vm(vm, [this](const advice_question& question,
+                                                 milliseconds timeout,
+                                                 advice_desk::answer_callback done) {
+            this->outside.advisor.ask(question, timeout, std::move(done));
+        });
+        return;
+    }
+    this->duty->advisors().add_vm(vm, [this, vm](const advice_question& question,
+                                                 milliseconds timeout,
+                                                 advice_desk::answer_callback done) {
+        auto* channel = this->hub.find(vm);
+        if (channel == nullptr) {
+            done({});
+            return;
+        }
+        channel->call(peer_topic::advise, pack_message(question), timeout,
+                      [done = std::move(done)](const absl::StatusOr<std::string>& payload) {
+                          advice_answer answer;
+                          if (payload.ok()) {
+                              if (auto read = unpack_message<advice_answer>(*payload); read.ok())
+                                  answer = *std::move(read);
+                          }
+                          done(std::move(answer));
+                      });
+    });
+}
+
+void cluster_entry::spread(std::int64_t revision, peer_channel* to)
+{
+    if (to != nullptr && revision < this->configuration->revision)
+        to->note(peer_topic::configuration, this->outside.operators.export_snapshot());
+}
+
+void cluster_entry::serve(peer_topic topic, std::string_view payload, peer_channel::replier reply)
+{
+    if (topic == peer_topic::configuration) {
+        this->outside.operators.absorb(payload);
+        return;
+    }
+    if (!reply)
+        return;
+    if (topic == peer_topic::advise) {
+        this->serve_advise(payload, reply);
+        return;
+    }
+    if (!this->duty) {
+        reply(pack_message(member_reply{}));
+        return;
+    }
+    if (topic == peer_topic::submit)
+        this->serve_submit(payload, reply);
+    else if (topic == peer_topic::status)
+        this->serve_status(payload, reply);
+    else if (topic == peer_topic::cancel)
+        this->serve_cancel(payload, reply);
+    else if (topic == peer_topic::waiting)
+        reply(pack_reply(call_outcome::accepted, workflow_state::queued,
+                         this->duty->waiting_in(payload)));
+}
+
+void cluster_entry::serve_submit(std::string_view payload, const peer_channel::replier& reply)
+{
+    auto submission = unpack_message<workflow_submission>(payload);
+    if (!submission.ok()) {
+        reply(pack_reply(call_outcome::invalid));
+        return;
+    }
+    this->duty->submit(*std::move(submission),
+                       [reply](call_outcome outcome) { reply(pack_reply(outcome)); });
+}
+
+void cluster_entry::serve_status(std::string_view payload, const peer_channel::replier& reply)
+{
+    this->duty->status(std::string(payload), [reply](call_outcome outcome, workflow_state state) {
+        reply(pack_reply(outcome, state));
+    });
+}
+
+void cluster_entry::serve_cancel(std::string_view payload, const peer_channel::replier& reply)
+{
+    this->duty->cancel(std::string(payload),
+                       [reply](call_outcome outcome) { reply(pack_reply(outcome)); });
+}
+
+void cluster_entry::serve_advise(std::string_view payload, const peer_channel::replier& reply)
+{
+    auto question = unpack_message<advice_question>(payload);
+    if (!question.ok()) {
+        reply(pack_message(advice_answer{}));
+        return;
+    }
+    constexpr milliseconds longest_question{5000}; // beyond it the coordinator has given up
+    this->outside.advisor.ask(*question, longest_question, [reply](const advice_answer& answer) {
+        reply(pack_message(answer));
+    });
+}
+
+void cluster_entry::ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
+                                    coordinator_reply done)
+{
+    if (this->duty) {
+        // The same path as for a member, so that there is one behaviour.
+        auto once = std::make_shared<coordinator_reply>(std::move(done));
+        this->serve(topic, payload, [once](std::string reply) { (*once)(std::move(reply)); });
+        return;
+    }
+    auto* channel = this->link.channel();
+    if (channel == nullptr) {
+        done(absl::FailedPreconditionError("no coordinator is known"));
+        return;
+    }
+    channel->call(topic, std::move(payload), patience, std::move(done));
+}
+
+cluster_entry::permit cluster_entry::admit(const caller_identity& caller) const
+{
+    permit result;
+    if (!this->configured()) {
+        result.refusal.how = gateway_reply::outcome::refused;
+        return result;
+    }
+    const auto* queue = this->queue_of(caller);
+    if (queue == nullptr) {
+        result.refusal.how = gateway_reply::outcome::no_queue;
+        return result;
+    }
+    if (const auto* team = this->configuration->team_of_key(caller.key))
+        result.team = team->name;
+    else if (!queue->open) {
+        result.refusal.how = gateway_reply::outcome::no_key;
+        return result;
+    }
+    result.queue = queue;
+    return result;
+}
+
+void cluster_entry::submit(const caller_identity& caller, std::string id, workflow_spec spec,
+                           milliseconds patience, callback done)
+{
+    const auto permit = this->admit(caller);
+    if (permit.queue == nullptr) {
+        done(permit.refusal);
+        return;
+    }
+    if (!spec.check().ok()) {
+        done({.how = gateway_reply::outcome::invalid});
+        return;
+    }
+    this->ask_coordinator(
+        peer_topic::submit,
+        pack_message(
+            workflow_submission{std::move(id), permit.queue->name, permit.team, std::move(spec)}),
+        patience, [done = std::move(done)](const auto& payload) { done(read_reply(payload)); });
+}
+
+void cluster_entry::status(const caller_identity& caller, std::string id, milliseconds patience,
+                           callback done)
+{
+    const auto permit = this->admit(caller);
+    if (permit.queue == nullptr) {
+        done(permit.refusal);
+        return;
+    }
+    this->ask_coordinator(peer_topic::status, id, patience,
+                          [this, id, done = std::move(done)](const auto& payload) mutable {
+                              const auto reply = read_reply(payload);
+                              if (reply.how == gateway_reply::outcome::refused ||
+                                  reply.how == gateway_reply::outcome::unknown)
+                                  this->read_status(std::move(id), std::move(done));
+                              else
+                                  done(reply);
+                          });
+}
+
+void cluster_entry::read_status(std::string id, callback done)
+{
+    this->outside.store.read(this->own.key_prefix + "w/" + id, [done = std::move(done)](
+                                                                   const auto& item) {
+        gateway_reply reply{.how = gateway_reply::outcome::refused};
+        if (item.ok() && !*item)
+            reply.how = gateway_reply::outcome::no_workflow;
+        else if (item.ok()) {
+            if (const auto record = unpack_message<workflow_record>((*item)->value); record.ok()) {
+                reply.how = gateway_reply::outcome::accepted;
+                reply.state = record->end_state();
+            }
+        }
+        done(reply);
+    });
+}
+
+void cluster_entry::cancel(const caller_identity& caller, std::string id, milliseconds patience,
+                           callback done)
+{
+    const auto permit = this->admit(caller);
+    if (permit.queue == nullptr) {
+        done(permit.refusal);
+        return;
+    }
+    this->ask_coordinator(
+        peer_topic::cancel, std::move(id), patience,
+        [done = std::move(done)](const auto& payload) { done(read_reply(payload)); });
+}
+
+void cluster_entry::waiting(const caller_identity& caller, milliseconds patience, callback done)
+{
+    const auto permit = this->admit(caller);
+    if (permit.queue == nullptr) {
+        done(permit.refusal);
+        return;
+    }
+    this->ask_coordinator(
+        peer_topic::waiting, permit.queue->name, patience,
+        [done = std::move(done)](const auto& payload) { done(read_reply(payload)); });
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "coordination/coordinator_link.h"
+#include "coordination/leadership.h"
+#include "coordination/member_hub.h"
+#include "coordinator/coordinator.h"
+#include "gateway/workflow_gateway.h"
+#include "loop/endpoint.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace verbenalever {
+
+class counters;
+class event_log;
+class event_loop;
+class metadata_store;
+class operator_source;
+class placement_advisor;
+class target_directory;
+class target_orders;
+
+/// An entry daemon of a fleet that is placed by one coordinator at a time: takes callers' calls,
+/// hands them to the coordinator, and coordinates when the others elect it.
+class cluster_entry final : public workflow_gateway {
+public:
+    struct settings {
+        std::string vm;
+        std::string availability_zone;
+        endpoint peer;                 ///< where other entries connect
+        std::string key_prefix;        ///< of this product's keys in the store
+        milliseconds task_lease{0};    ///< how long tasks go on without word from the coordinator
+        milliseconds finished_rest{0}; ///< how long ended workflows are remembered
+    };
+    struct ports {
+        metadata_store& store;
+        target_orders& orders;
+        target_directory& directory;
+        operator_source& operators;
+        placement_advisor& advisor;
+    };
+
+    cluster_entry(event_loop& loop, settings own, ports outside, const event_log& log,
+                  counters& count);
+    ~cluster_entry() override;
+    cluster_entry(const cluster_entry&) = delete;
+    cluster_entry& operator=(const cluster_entry&) = delete;
+
+    /// @return UNAVAILABLE when the peers' address cannot be bound
+    [[nodiscard]] absl::Status start();
+
+    /// @return whether callers' calls can be served
+    [[nodiscard]] bool ready() const;
+
+    /// Hand over what this process coordinates, and coordinate nothing any more.
+    void retire();
+
+    /// @return whether this process still coordinates
+    [[nodiscard]] bool coordinating() const;
+
+    void submit(const caller_identity& caller, std::string id, workflow_spec spec,
+                milliseconds patience, callback done) override;
+    void status(const caller_identity& caller, std::string id, milliseconds patience,
+                callback done) override;
+    void cancel(const caller_identity& caller, std::string id, milliseconds patience,
+                callback done) override;
+    void waiting(const caller_identity& caller, milliseconds patience, callback done) override;
+    [[nodiscard]] const queue_definition* queue_of(const caller_identity& caller) const override;
+    [[nodiscard]] bool configured() const override;
+
+private:
+    struct permit {
+        const queue_definition* queue = nullptr;
+        std::string team;
+        gateway_reply refusal;
+    };
+    using coordinator_reply = std::function<void(absl::StatusOr<std::string>)>;
+
+    [[nodiscard]] permit admit(const caller_identity& caller) const;
+    void ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
+                         coordinator_reply done);
+    void serve(peer_topic topic, std::string_view payload, peer_channel::replier reply);
+    void serve_submit(std::string_view payload, const peer_channel::replier& reply);
+    void serve_status(std::string_view payload, const peer_channel::replier& reply);
+    void serve_cancel(std::string_view payload, const peer_channel::replier& reply);
+    void serve_advise(std::string_view payload, const peer_channel::replier& reply);
+    void read_status(std::string id, callback done);
+    void won(std::int64_t term, commit_chain& chain);
+    void lost();
+    void add_advisor(const std::string& vm);
+    void spread(std::int64_t revision, peer_channel* to);
+    [[nodiscard]] std::string greeting() const;
+
+    event_loop& loop;
+    settings own;
+    ports outside;
+    const event_log& log;
+    counters& count;
+    std::shared_ptr<const fleet_configuration> configuration;
+    member_hub hub;
+    coordinator_link link;
+    leadership office;
+    std::unique_ptr<coordinator> duty;
+    std::unique_ptr<coordinator> former_duty; ///< kept until its callers have returned
+    timer former_timer;
+    bool retired = false;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/http/http_client.cpp
+++ b/src/libverbenalever/http/http_client.cpp
@@ -88,7 +88,7 @@
     return request_headers + response_headers + uploaded + downloaded;
 }
 
-void configure(transfer& current)
+void configure(transfer& current, const http_client_options& options)
 {
     CURL* handle = current.handle;
     const http_call& call = current.call;
@@ -108,8 +108,7 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, current.headers);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
-    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
-                     static_cast<long>(http_client::kept_idle_limit.count()));
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(options.idle_limit.count()));
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
@@ -127,8 +126,8 @@
 
 class http_client::implementation {
 public:
-    implementation(event_loop& loop, std::string local_address)
-        : loop(loop), local_address(std::move(local_address)),
+    implementation(event_loop& loop, http_client_options options)
+        : loop(loop), options(std::move(options)),
           library_timer(loop,
                         [this] {
                             // No socket watcher is running its callback now.
@@ -142,6 +141,8 @@
         curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &implementation::on_timer);
         curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kept_connections);
+        curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          this->options.connections_per_host);
     }
 
     ~implementation()
@@ -165,9 +166,10 @@
         current->handle = this->take_handle();
         current->call = std::move(call);
         current->done = std::move(done);
-        configure(*current);
-        if (!this->local_address.empty())
-            curl_easy_setopt(current->handle, CURLOPT_INTERFACE, this->local_address.c_str());
+        configure(*current, this->options);
+        if (!this->options.local_address.empty())
+            curl_easy_setopt(current->handle, CURLOPT_INTERFACE,
+                             this->options.local_address.c_str());
         transfer& placed = *current;
         this->transfers.emplace(placed.id, std::move(current));
         curl_multi_add_handle(this->multi, placed.handle);
@@ -280,7 +282,7 @@
     }
 
     event_loop& loop;
-    std::string local_address;
+    http_client_options options;
     timer library_timer;
     CURLM* multi;
     std::uint64_t last_id = 0;
@@ -291,7 +293,12 @@
 };
 
 http_client::http_client(event_loop& loop, std::string local_address)
-    : body(std::make_unique<implementation>(loop, std::move(local_address)))
+    : http_client(loop, http_client_options{.local_address = std::move(local_address)})
+{
+}
+
+http_client::http_client(event_loop& loop, http_client_options options)
+    : body(std::make_unique<implementation>(loop, std::move(options)))
 {
 }
 
--- a/src/libverbenalever/http/http_client.h
+++ b/src/libverbenalever/http/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/http_call.h"
+#include "http/http_client_options.h"
 #include "http/http_result.h"
 #include "loop/clock.h"
 
@@ -21,11 +22,12 @@
 public:
     using callback = std::function<void(http_result)>;
 
-    /// How long a kept connection may have been idle and still be used again.
+    /// How long a kept connection may have been idle, unless the options say otherwise.
     static constexpr std::chrono::seconds kept_idle_limit{3};
 
     /// @param local_address the IPv4 address that connections come from; any when empty
     explicit http_client(event_loop& loop, std::string local_address = {});
+    http_client(event_loop& loop, http_client_options options);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/libverbenalever/jobs/fleet_view.h
+++ b/src/libverbenalever/jobs/fleet_view.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "loop/clock.h"
-#include "platform/vm_record.h"
 #include "scheduling/fleet_capacity.h"
 #include "scheduling/resources.h"
+#include "store/vm_record.h"
 
 #include <absl/status/status.h>
 
--- a/src/libverbenalever/jobs/job_acceptance.cpp
+++ b/src/libverbenalever/jobs/job_acceptance.cpp
@@ -12,7 +12,7 @@
 #include "jobs/job_services.h"
 #include "jobs/job_submission.h"
 #include "loop/unique_id.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 #include "verbenalever/entry_settings.h"
--- a/src/libverbenalever/jobs/job_adoption.cpp
+++ b/src/libverbenalever/jobs/job_adoption.cpp
@@ -5,7 +5,7 @@
 #include "jobs/job_notice.h"
 #include "jobs/job_services.h"
 #include "membership/rendezvous.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/counters.h"
 #include "verbenalever/entry_settings.h"
 
--- a/src/libverbenalever/jobs/job_api.cpp
+++ b/src/libverbenalever/jobs/job_api.cpp
@@ -8,7 +8,7 @@
 #include "jobs/job_notice.h"
 #include "jobs/job_services.h"
 #include "jobs/job_view.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/libverbenalever/jobs/job_archive.cpp
+++ b/src/libverbenalever/jobs/job_archive.cpp
@@ -2,7 +2,7 @@
 
 #include "jobs/job_record.h"
 #include "jobs/job_services.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/counters.h"
 
 #include "verbenalever/entry_settings.h"
--- a/src/libverbenalever/jobs/job_driver.cpp
+++ b/src/libverbenalever/jobs/job_driver.cpp
@@ -4,7 +4,7 @@
 #include "jobs/job_notice.h"
 #include "jobs/job_services.h"
 #include "jobs/task_order.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 #include "verbenalever/entry_settings.h"
--- a/src/libverbenalever/jobs/job_lookup.cpp
+++ b/src/libverbenalever/jobs/job_lookup.cpp
@@ -2,7 +2,7 @@
 
 #include "jobs/job_archive.h"
 #include "jobs/job_record.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 
 namespace verbenalever {
 
--- a/src/libverbenalever/jobs/record_writer.cpp
+++ b/src/libverbenalever/jobs/record_writer.cpp
@@ -1,6 +1,6 @@
 #include "jobs/record_writer.h"
 
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "timeline/counters.h"
 
 namespace verbenalever {
--- a/src/libverbenalever/jobs/task_holder_pass.cpp
+++ b/src/libverbenalever/jobs/task_holder_pass.cpp
@@ -4,7 +4,7 @@
 #include "jobs/job_mailbox.h"
 #include "jobs/job_record.h"
 #include "jobs/task_holder.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "targets/target_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
--- a/src/libverbenalever/limits/limit_keeper.cpp
+++ b/src/libverbenalever/limits/limit_keeper.cpp
@@ -5,7 +5,7 @@
 #include "limits/limited_amounts.h"
 #include "limits/team_key.h"
 #include "membership/peer_mesh.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "targets/target_registry.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
--- a/src/libverbenalever/limits/limit_keeper.h
+++ b/src/libverbenalever/limits/limit_keeper.h
@@ -3,8 +3,8 @@
 #include "limits/allotment_book.h"
 #include "limits/allotment_wanted.h"
 #include "loop/timer.h"
-#include "platform/kv_listing.h"
-#include "platform/vm_record.h"
+#include "store/kv_listing.h"
+#include "store/vm_record.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libverbenalever/loop/clock.h
+++ b/src/libverbenalever/loop/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace verbenalever {
 
@@ -11,6 +12,15 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// @return time since the machine started, also counting time that it was suspended. Leases that
+/// others grant or count on are judged by it: the monotonic clock stands still in a suspension.
+[[nodiscard]] inline milliseconds boot_time()
+{
+    std::timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return milliseconds(std::int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000);
+}
+
 /// @return microseconds on the monotonic clock, for the time line.
 [[nodiscard]] inline std::int64_t monotonic_microseconds()
 {
--- a/src/libverbenalever/membership/peer_mesh.h
+++ b/src/libverbenalever/membership/peer_mesh.h
@@ -4,7 +4,7 @@
 #include "membership/message_codec.h"
 #include "membership/peer_envelope.h"
 #include "membership/peer_state.h"
-#include "platform/vm_record.h"
+#include "store/vm_record.h"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/src/libverbenalever/ports/metadata_store.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "loop/clock.h"
+#include "ports/store_changes.h"
+#include "ports/store_page.h"
+#include "ports/store_result.h"
+#include "ports/store_transaction.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace verbenalever {
+
+/// The key-value service that holds what must last: transactions, leases and watches.
+///
+/// Every callback runs exactly once, from the loop. Reads fail with UNAVAILABLE when the store
+/// cannot be reached or does not serve this machine.
+class metadata_store {
+public:
+    virtual ~metadata_store() = default;
+
+    virtual void transact(store_transaction change, std::function<void(store_result)> done) = 0;
+
+    /// Read one key, linearizable. @return no value when the key does not exist
+    virtual void read(const std::string& key,
+                      std::function<void(absl::StatusOr<std::optional<store_item>>)> done) = 0;
+
+    /// Read a page of the keys under @p prefix that come after key @p after.
+    virtual void list(const std::string& prefix, const std::string& after,
+                      std::function<void(absl::StatusOr<store_page>)> done) = 0;
+
+    /// Wait for changes later than @p revision.
+    /// @return OUT_OF_RANGE when the store no longer keeps that history
+    virtual void watch(const std::string& prefix, std::int64_t revision, milliseconds wait,
+                       std::function<void(absl::StatusOr<store_changes>)> done) = 0;
+
+    /// Create a lease. @return its number
+    virtual void grant_lease(milliseconds ttl,
+                             std::function<void(absl::StatusOr<std::int64_t>)> done) = 0;
+
+    /// Renew a lease. @return NOT_FOUND when it has ended
+    virtual void keep_lease(std::int64_t lease, std::function<void(absl::Status)> done) = 0;
+
+    /// End a lease, and with it its keys.
+    virtual void end_lease(std::int64_t lease, std::function<void(absl::Status)> done) = 0;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/ports/operator_source.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "ports/fleet_configuration.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+/// Where the operators' configuration comes from.
+class operator_source {
+public:
+    using listener = std::function<void(std::shared_ptr<const fleet_configuration>)>;
+
+    virtual ~operator_source() = default;
+
+    /// Read the configuration and go on watching it.
+    virtual void start(listener changed) = 0;
+
+    /// @return what was read, in a form for absorb() of another process; empty while there is none
+    [[nodiscard]] virtual std::string export_snapshot() const = 0;
+
+    /// Take what another process has read, if it is newer.
+    virtual void absorb(std::string_view snapshot) = 0;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/ports/store_item.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace verbenalever {
+
+/// One key of the metadata store with its value.
+struct store_item {
+    std::string key;
+    std::string value;
+    std::int64_t revision = 0; ///< of its last change
+    bool removed = false;      ///< only in changes: the key is gone
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/requests/request_claims.cpp
+++ b/src/libverbenalever/requests/request_claims.cpp
@@ -1,7 +1,7 @@
 #include "requests/request_claims.h"
 
-#include "platform/kv_client.h"
-#include "platform/kv_entry.h"
+#include "store/kv_client.h"
+#include "store/kv_entry.h"
 #include "timeline/counters.h"
 
 #include <fmt/format.h>
--- a/src/libverbenalever/platform/kv_client.cpp
+++ b/src/libverbenalever/store/kv_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 
 #include "http/http_client.h"
 #include "timeline/counters.h"
--- a/src/libverbenalever/platform/kv_client.h
+++ b/src/libverbenalever/store/kv_client.h
@@ -2,8 +2,8 @@
 
 #include "loop/clock.h"
 #include "loop/endpoint.h"
-#include "platform/kv_listing.h"
-#include "platform/kv_write_options.h"
+#include "store/kv_listing.h"
+#include "store/kv_write_options.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libverbenalever/platform/kv_listing.h
+++ b/src/libverbenalever/store/kv_listing.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/kv_entry.h"
+#include "store/kv_entry.h"
 
 #include <vector>
 
--- a/src/libverbenalever/platform/vm_list_client.cpp
+++ b/src/libverbenalever/store/vm_list_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/vm_list_client.h"
+#include "store/vm_list_client.h"
 
 #include "http/http_client.h"
 #include "scheduling/resources_json.h"
--- a/src/libverbenalever/platform/vm_list_client.h
+++ b/src/libverbenalever/store/vm_list_client.h
@@ -2,7 +2,7 @@
 
 #include "loop/endpoint.h"
 #include "loop/timer.h"
-#include "platform/vm_record.h"
+#include "store/vm_record.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/libverbenalever/targets/lease_keeper_test.cpp
+++ b/src/libverbenalever/targets/lease_keeper_test.cpp
@@ -4,7 +4,7 @@
 #include "http/http_client.h"
 #include "loop/event_loop.h"
 #include "membership/peer_mesh.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "targets/inventory_keeper.h"
 #include "targets/target_arbiter.h"
 #include "targets/target_client.h"
--- a/src/libverbenalever/targets/target_record.h
+++ b/src/libverbenalever/targets/target_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "loop/clock.h"
-#include "platform/vm_record.h"
 #include "scheduling/resources.h"
+#include "store/vm_record.h"
 #include "targets/target_ledger.h"
 
 #include <cstdint>
--- a/src/libverbenalever/targets/target_registry.h
+++ b/src/libverbenalever/targets/target_registry.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/vm_record.h"
 #include "scheduling/placement_index.h"
 #include "scheduling/refusal_memory.h"
+#include "store/vm_record.h"
 #include "targets/target_record.h"
 
 #include <functional>
--- /dev/null
+++ b/src/libverbenalever/workflows/workflow_record.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "workflows/workflow_spec.h"
+#include "workflows/workflow_state.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace verbenalever {
+
+/// A workflow as the store keeps it. When it has ended, only its end is kept.
+struct workflow_record {
+    std::string id; ///< chosen by the caller
+    std::string queue;
+    std::string pool;
+    std::string team;
+    std::int64_t accepted_ms = 0; ///< wall clock of the coordinator
+    std::int64_t term = 0;        ///< of the coordinator that accepted it
+    int state = 0;                ///< a workflow_state; queued while it has not ended
+    std::int64_t ended_ms = 0;
+    workflow_spec spec; ///< empty once it has ended
+
+    [[nodiscard]] workflow_state end_state() const
+    {
+        return static_cast<workflow_state>(this->state);
+    }
+
+    MSGPACK_DEFINE(id, queue, pool, team, accepted_ms, term, state, ended_ms, spec)
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/workflows/workflow_spec.cpp
@@ -0,0 +1,43 @@
+#include "workflows/workflow_spec.h"
+
+#include <fmt/format.h>
+
+namespace verbenalever {
+
+namespace {
+
+absl::Status check_step(const step_spec& step, std::size_t number)
+{
+    if (step.count == 0)
+        return absl::InvalidArgumentError(fmt::format("step {} has no tasks", number));
+    if (step.need.processors_milli < 0 || step.need.memory_mb < 0 || step.need.accelerators < 0)
+        return absl::InvalidArgumentError(
+            fmt::format("step {} asks for less than nothing", number));
+    for (const auto earlier : step.after) {
+        if (earlier >= number)
+            return absl::InvalidArgumentError(fmt::format(
+                "step {} waits for step {}, which is not an earlier one", number, earlier));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status workflow_spec::check() const
+{
+    if (this->payload.size() > payload_limit)
+        return absl::InvalidArgumentError("the payload is too long");
+    if (this->steps.empty() || this->steps.size() > step_limit)
+        return absl::InvalidArgumentError(fmt::format("1 to {} steps are allowed", step_limit));
+    std::uint64_t tasks = 0;
+    for (std::size_t number = 0; number < this->steps.size(); ++number) {
+        if (auto status = check_step(this->steps[number], number); !status.ok())
+            return status;
+        tasks += this->steps[number].count;
+    }
+    if (tasks > task_limit)
+        return absl::InvalidArgumentError(fmt::format("more than {} tasks", task_limit));
+    return absl::OkStatus();
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/workflows/workflow_spec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "workflows/step_spec.h"
+
+#include <absl/status/status.h>
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// What a caller hands in: steps of tasks, to be run once, or again and again at set times.
+struct workflow_spec {
+    std::string payload; ///< given to each task as it is
+    std::vector<step_spec> steps;
+    std::int64_t occurrences = 0;  ///< 0: runs once, at once
+    std::int64_t first_due_ms = 0; ///< of occurrence 0, milliseconds since the Unix epoch
+    std::int64_t interval_ms = 0;  ///< from one occurrence to the next
+
+    static constexpr std::size_t payload_limit = 4000;  ///< bytes, from the callers' interface
+    static constexpr std::size_t step_limit = 64;       ///< steps; keeps a record within a value
+    static constexpr std::uint32_t task_limit = 10'000; ///< tasks of all steps, for the same reason
+
+    /// @return INVALID_ARGUMENT with the first fault found
+    [[nodiscard]] absl::Status check() const;
+
+    MSGPACK_DEFINE(payload, steps, occurrences, first_due_ms, interval_ms)
+};
+
+} // namespace verbenalever
--- a/src/standins/platform/key_value_store.h
+++ b/src/standins/platform/key_value_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "loop/clock.h"
-#include "platform/kv_listing.h"
+#include "store/kv_listing.h"
 
 #include <absl/status/statusor.h>
 
