Acknowledge ends only when recorded; adopt after every target in use was seen

A second end of a gang, or one of a workflow whose end was still on its way to the store, was acknowledged at once; a successor then found neither record nor end. And a target whose entry had lapsed (zone cut, store away) was not waited for at adoption.

Ruled out: late transactions of the old coordinator (its chain ends at the fence).

Change: an end is acknowledged after the write that follows from it; the lives of targets in use are kept under one key, and a successor waits for each or for its leases; a coordinator without the store stops extending leases after 3 s unless all members are with it; until adoption the use of tasks not yet seen counts against their team's limit.

--- a/src/libverbenalever/coordination/member_hub.cpp
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -7,13 +7,6 @@
 
 namespace verbenalever {
 
-namespace {
-
-/// A VM that left this long ago has either found another coordinator or is gone.
-constexpr milliseconds lost_memory{10'000};
-
-} // namespace
-
 member_hub::member_hub(event_loop& loop, callbacks notify)
     : loop(loop), notify(std::move(notify)), sweep_timer(loop, [this] { this->former.clear(); })
 {
@@ -89,14 +82,14 @@
                                          : this->connections.at(member->second).channel.get();
 }
 
+void member_hub::forget_lost(milliseconds when)
+{
+    std::erase_if(this->lost, [when](const auto& entry) { return entry.second < when; });
+}
+
 bool member_hub::complete() const
 {
-    const auto now = boot_time();
-    for (const auto& [vm, when] : this->lost) {
-        if (now - when < lost_memory)
-            return false;
-    }
-    return !this->members.empty();
+    return this->lost.empty() && !this->members.empty();
 }
 
 void member_hub::each(const std::function<void(const std::string& vm, peer_channel&)>& visit)
--- a/src/libverbenalever/coordination/member_hub.h
+++ b/src/libverbenalever/coordination/member_hub.h
@@ -39,7 +39,10 @@
     /// @return the channel to @p vm; null when it is not connected
     [[nodiscard]] peer_channel* find(const std::string& vm);
 
-    /// @return whether every VM heard within the last while is connected now
+    /// VMs that left before @p when (boot time) are not missed any more.
+    void forget_lost(milliseconds when);
+
+    /// @return whether every VM that ever joined, and was not forgotten, is connected now
     [[nodiscard]] bool complete() const;
 
     [[nodiscard]] std::size_t size() const
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -71,6 +71,8 @@
         /// @return whether every process heard lately is still connected here, so that none of
         /// them stands for coordinator
         std::function<bool()> members_complete;
+        /// Members that left before this boot time are not missed any more.
+        std::function<void(milliseconds)> forget_members;
     };
 
     coordinator(environment surroundings, leadership& office, commit_chain& chain,
@@ -114,6 +116,7 @@
     void load_page(const std::string& prefix, const std::string& after);
     void take_page(const std::string& prefix, const store_page& page);
     void take_record(std::string_view value);
+    void load_targets();
     void take_progress(const std::string& id, std::string_view value);
     void finish_load();
 
@@ -123,7 +126,9 @@
     void drop_target(const std::string& name, std::string_view reason);
     void check_targets();
     void lose_all(fleet_target& target, std::string_view reason);
-    [[nodiscard]] bool quorum_here() const;
+    [[nodiscard]] bool may_extend_leases() const;
+    [[nodiscard]] std::size_t unseen_targets() const;
+    void store_targets();
     void check_adoption();
     void take_view(fleet_target& target, const target_view& view, milliseconds sent);
     void take_running(fleet_target& target, const target_view::running_task& row);
@@ -150,6 +155,7 @@
     void consider(workflow& owner, std::uint32_t step);
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
                                                          const queue_definition* queue) const;
+    void count_unseen_use();
     [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
                                              std::uint32_t wanted) const;
     void ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
@@ -177,6 +183,7 @@
     [[nodiscard]] workflow* find(const std::string& id);
     [[nodiscard]] fleet_target* find_life(const std::string& target, std::int64_t born);
     [[nodiscard]] std::string record_key(const std::string& id) const;
+    [[nodiscard]] std::string targets_key() const;
     [[nodiscard]] std::string progress_key(const std::string& id) const;
 
     environment around;
@@ -192,8 +199,12 @@
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
+    std::map<std::string, std::int64_t> inherited_targets; ///< lives an earlier coordinator used
+    std::int64_t target_changes = 0;
     std::vector<target_report> reports; ///< as the platform's list last had them
     std::map<std::string, resources, std::less<>> team_use;
+    /// Before adoption: what tasks not yet seen may use, by team.
+    std::map<std::string, resources, std::less<>> unseen_use;
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
     std::vector<std::function<void()>> after_load;
     std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -76,7 +76,11 @@
     }
     const auto kept = [this, name = target.report.name, born = target.report.born_ms,
                        number = end.number] { this->record_end(name, born, number); };
-    if (!changed)
+    // An end is acknowledged once what followed from it is kept; one that changed nothing may
+    // repeat another that is still on its way to the store.
+    const bool counts =
+        end.how == target_view::ending::done || end.how == target_view::ending::failed;
+    if (owner == nullptr || owner->end_stored || (!changed && !counts))
         kept();
     else if (is_final(owner->state))
         owner->ends_to_record.push_back(kept);
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -46,7 +46,29 @@
     else if (records)
         this->load_page(this->progress_key({}), {});
     else
+        this->load_targets();
+}
+
+void coordinator::load_targets()
+{
+    this->around.store.read(this->targets_key(), [this, alive = this->alive](auto item) {
+        if (!*alive)
+            return;
+        if (!item.ok()) {
+            this->retry =
+                std::make_unique<timer>(this->around.loop, [this] { this->load_targets(); });
+            this->retry->start_once(retry_wait);
+            return;
+        }
+        if (*item) {
+            auto lives = unpack_message<std::map<std::string, std::int64_t>>((*item)->value);
+            if (lives.ok())
+                this->inherited_targets = *std::move(lives);
+            else
+                this->around.log.write("coordinator", "targets_unreadable", {});
+        }
         this->finish_load();
+    });
 }
 
 void coordinator::take_record(std::string_view value)
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -69,6 +69,7 @@
 {
     if (!this->loaded || !this->office.leads())
         return;
+    this->count_unseen_use();
     int left = steps_per_pass;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
         const auto [priority, due, id, number] = *at;
@@ -141,6 +142,23 @@
     return found;
 }
 
+void coordinator::count_unseen_use()
+{
+    this->unseen_use.clear();
+    if (this->adopted)
+        return;
+    // Any task whose turn had come may be running on a target that has not answered yet.
+    for (const auto& [priority, due, id, number] : this->ready_steps) {
+        const auto* owner = this->find(id);
+        if (!owner->inherited)
+            continue;
+        const auto& need = owner->record.spec.steps[number].need;
+        auto& use = this->unseen_use[owner->record.team];
+        for (std::uint32_t task = 0; task < owner->steps[number].waiting; ++task)
+            use += need;
+    }
+}
+
 std::uint32_t coordinator::within_limit(const workflow& owner, const resources& need,
                                         std::uint32_t wanted) const
 {
@@ -148,7 +166,10 @@
     if (team == nullptr)
         return wanted;
     const auto used = this->team_use.find(owner.record.team);
-    const auto in_use = used == this->team_use.end() ? resources{} : used->second;
+    auto in_use = used == this->team_use.end() ? resources{} : used->second;
+    if (const auto unseen = this->unseen_use.find(owner.record.team);
+        unseen != this->unseen_use.end())
+        in_use += unseen->second;
     std::int64_t most = wanted;
     const auto bound = [&most](std::int64_t limit, std::int64_t taken, std::int64_t each) {
         if (limit > 0 && each > 0)
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -69,6 +69,11 @@
     return this->around.prefix + "w/" + id;
 }
 
+std::string coordinator::targets_key() const
+{
+    return this->around.prefix + "targets";
+}
+
 std::string coordinator::progress_key(const std::string& id) const
 {
     return this->around.prefix + "s/" + id;
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -1,8 +1,10 @@
 // Targets: which there are, what runs on them, and what has been lost.
 
+#include "coordination/commit_chain.h"
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/target_session.h"
+#include "membership/message_codec.h"
 #include "ports/target_directory.h"
 #include "timeline/event_log.h"
 
@@ -12,9 +14,11 @@
 
 namespace {
 
-/// How long a coordinator that cannot reach the store goes on before it steps down; after that and
-/// one task lease nothing that it has started runs any more.
-constexpr milliseconds predecessor_grace{6000};
+/// How long a coordinator that cannot reach the store renews the leases of tasks before it steps
+/// down; after that and one task lease nothing that it has started runs any more.
+constexpr milliseconds predecessor_grace{3000};
+/// A member that left this long ago, while the store was there, has found its place.
+constexpr milliseconds member_rest{10'000};
 /// Wait before an order that got no answer is given again.
 constexpr milliseconds resend_wait{150};
 
@@ -54,6 +58,7 @@
         target_life{report.name, report.born_ms, report.address}, this->term,
         this->around.task_lease,
         target_session::callbacks{
+            .may_extend = [this] { return this->may_extend_leases(); },
             .viewed = [this, &target](const target_view& view,
                                       milliseconds sent) { this->take_view(target, view, sent); },
             .fenced = [this] { this->office.abdicate("a target has heard a newer coordinator"); },
@@ -66,8 +71,10 @@
                     if (reachable)
                         this->request_pass();
                 }});
+    target.change = this->target_changes + 1;
     this->targets[report.name] = std::move(added);
     target.session->begin();
+    this->store_targets();
 }
 
 void coordinator::drop_target(const std::string& name, std::string_view reason)
@@ -88,10 +95,12 @@
 void coordinator::check_targets()
 {
     const auto now = boot_time();
-    if (this->office.unconfirmed_for() > predecessor_grace && !this->quorum_here()) {
+    if (!this->may_extend_leases()) {
         this->office.abdicate("the store has not been reached for long");
         return;
     }
+    if (this->office.certain())
+        this->around.forget_members(now - member_rest);
     this->refuse_unsent();
     std::vector<std::pair<std::string, std::string_view>> gone;
     for (auto& [name, target] : this->targets) {
@@ -115,9 +124,34 @@
     this->request_pass();
 }
 
-bool coordinator::quorum_here() const
+bool coordinator::may_extend_leases() const
 {
-    return this->around.members_complete && this->around.members_complete();
+    // While every member is here, none of them has taken over.
+    return this->office.unconfirmed_for() < predecessor_grace ||
+           (this->around.members_complete && this->around.members_complete());
+}
+
+void coordinator::store_targets()
+{
+    // A successor waits for each of these, also when the platform's list no longer has it.
+    this->chain.put(
+        this->targets_key(),
+        [this, alive = this->alive]() -> std::optional<std::string> {
+            std::map<std::string, std::int64_t> lives;
+            if (*alive) {
+                for (const auto& [name, target] : this->targets)
+                    lives.emplace(name, target->report.born_ms);
+            }
+            return pack_message(lives);
+        },
+        true,
+        [this, alive = this->alive, serial = ++this->target_changes] {
+            if (!*alive)
+                return;
+            for (auto& [name, target] : this->targets)
+                target->recorded = target->recorded || target->change <= serial;
+            this->request_pass();
+        });
 }
 
 void coordinator::lose_all(fleet_target& target, std::string_view reason)
@@ -131,16 +165,24 @@
     this->update_looks(target);
 }
 
+std::size_t coordinator::unseen_targets() const
+{
+    std::size_t unseen = 0;
+    for (const auto& [name, target] : this->targets)
+        unseen += target->listed && !target->session->held() ? 1 : 0;
+    for (const auto& [name, born] : this->inherited_targets)
+        unseen += this->targets.contains(name) ? 0 : 1;
+    return unseen;
+}
+
 void coordinator::check_adoption()
 {
     if (this->adopted || !this->loaded)
         return;
     const auto elapsed = boot_time() - this->began_at;
     const auto limit = predecessor_grace + this->around.task_lease * 102 / 100;
-    std::size_t unseen = 0;
-    for (const auto& [name, target] : this->targets)
-        unseen += target->listed && !target->session->held() ? 1 : 0;
-    if ((unseen > 0 || !this->around.directory.settled()) && elapsed < limit)
+    const auto unseen = this->unseen_targets();
+    if (unseen > 0 && elapsed < limit)
         return;
     this->adopted = true;
     this->around.log.write("coordinator", "adopted",
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -81,6 +81,8 @@
 
     target_report report;
     bool ended_life = false; ///< it has said that this life is over
+    bool recorded = false; ///< a successor would know that work may run here
+    std::int64_t change = 0; ///< of the record of targets, that names this one first
     bool listed = true;      ///< the platform's list has it
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_task> tasks;
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -68,7 +68,7 @@
 order_authority target_session::authority()
 {
     order_authority result{.fencing_token = this->fencing_token};
-    if (this->clock_ms == 0)
+    if (this->clock_ms == 0 || !this->notify.may_extend())
         return result;
     const auto now = boot_time();
     result.lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count();
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -19,6 +19,8 @@
 class target_session {
 public:
     struct callbacks {
+        /// @return whether tasks there may go on for another lease
+        std::function<bool()> may_extend;
         /// An answer to a look that was sent at @p sent (boot time).
         std::function<void(const target_view& view, milliseconds sent)> viewed;
         /// A newer authority has spoken to the target.
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -179,7 +179,9 @@
                                  .prefix = this->own.key_prefix,
                                  .task_lease = this->own.task_lease,
                                  .finished_rest = this->own.finished_rest,
-                                 .members_complete = [this] { return this->hub.complete(); }},
+                                 .members_complete = [this] { return this->hub.complete(); },
+                                 .forget_members =
+                                     [this](milliseconds when) { this->hub.forget_lost(when); }},
         this->office, chain, term, this->configuration);
     this->add_advisor(this->own.vm);
     this->hub.each([this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
