Keep placements before starts; wait only for tasks on targets that cannot be heard

Ruled out: a record of placements for each workflow (four entries a job; a slow store takes about 120 entries a second).

Change: a placement log, one key a transaction, kept before the starts are sent; tasks wait only for the targets that the log names. Acknowledgement waits until every end seen is recorded.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -17,8 +17,8 @@
 
 /// A quarter of the lease, so that three renewals may be lost.
 constexpr milliseconds renewal_interval{500};
-/// Longest time that one watch waits at the store.
-constexpr milliseconds watch_wait{20'000};
+/// Longest time that one watch waits at the store; a silent connection costs at most this much.
+constexpr milliseconds watch_wait{1500};
 /// Wait before a read or a watch that failed is tried again.
 constexpr milliseconds retry_wait{250};
 /// Candidates stand at random moments within this time, so that mostly one does.
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -23,6 +23,8 @@
                          std::shared_ptr<const fleet_configuration> configuration)
     : around(std::move(surroundings)), office(office), chain(chain), term(term),
       configuration(std::move(configuration)),
+      placements(chain, this->placement_key({}), term,
+                 [this](const std::vector<placement_entry>& kept) { this->send_starts(kept); }),
       pass_timer(this->around.loop, [this] { this->pass(); }),
       check_timer(this->around.loop, [this] { this->check_targets(); }),
       forget_timer(this->around.loop, [this] { this->forget_ended(); })
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "coordinator/advice_desk.h"
 #include "coordinator/fleet_target.h"
+#include "coordinator/placement_log.h"
 #include "coordinator/workflow.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
@@ -116,7 +117,8 @@
     void load_page(const std::string& prefix, const std::string& after);
     void take_page(const std::string& prefix, const store_page& page);
     void take_record(std::string_view value);
-    void load_targets();
+    void take_placements(const std::string& key, std::string_view value);
+    void await_target(const placement_entry& entry);
     void take_progress(const std::string& id, std::string_view value);
     void finish_load();
 
@@ -127,8 +129,7 @@
     void check_targets();
     void lose_all(fleet_target& target, std::string_view reason);
     [[nodiscard]] bool may_extend_leases() const;
-    [[nodiscard]] std::size_t unseen_targets() const;
-    void store_targets();
+    void target_seen(const std::string& name);
     void check_adoption();
     void take_view(fleet_target& target, const target_view& view, milliseconds sent);
     void take_running(fleet_target& target, const target_view::running_task& row);
@@ -155,7 +156,7 @@
     void consider(workflow& owner, std::uint32_t step);
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
                                                          const queue_definition* queue) const;
-    void count_unseen_use();
+    void send_starts(const std::vector<placement_entry>& kept);
     [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
                                              std::uint32_t wanted) const;
     void ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
@@ -183,7 +184,7 @@
     [[nodiscard]] workflow* find(const std::string& id);
     [[nodiscard]] fleet_target* find_life(const std::string& target, std::int64_t born);
     [[nodiscard]] std::string record_key(const std::string& id) const;
-    [[nodiscard]] std::string targets_key() const;
+    [[nodiscard]] std::string placement_key(const std::string& id) const;
     [[nodiscard]] std::string progress_key(const std::string& id) const;
 
     environment around;
@@ -192,18 +193,19 @@
     std::int64_t term;
     std::shared_ptr<const fleet_configuration> configuration;
     advice_desk desk;
+    placement_log placements;
 
     bool loaded = false;
-    bool adopted = false; ///< every task that an earlier coordinator may have started is known
     milliseconds began_at{0};
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
-    std::map<std::string, std::int64_t> inherited_targets; ///< lives an earlier coordinator used
-    std::int64_t target_changes = 0;
+    /// Tasks that may be on a target not heard in this term, by target.
+    std::map<std::string, std::vector<placement_entry>> unseen;
+    std::vector<std::string> inherited_log; ///< keys of the log of earlier coordinators
     std::vector<target_report> reports; ///< as the platform's list last had them
     std::map<std::string, resources, std::less<>> team_use;
-    /// Before adoption: what tasks not yet seen may use, by team.
+    /// What tasks not yet seen may use, by team.
     std::map<std::string, resources, std::less<>> unseen_use;
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
     std::vector<std::function<void()>> after_load;
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -90,8 +90,10 @@
 
 void coordinator::record_end(const std::string& name, std::int64_t born, std::int64_t number)
 {
-    if (auto* target = this->find_life(name, born))
-        target->session->acknowledge(target->record_end(number));
+    if (auto* target = this->find_life(name, born)) {
+        const auto up_to = target->record_end(number);
+        target->session->acknowledge(up_to, !target->has_unrecorded_ends());
+    }
 }
 
 fleet_target* coordinator::find_life(const std::string& target, std::int64_t born)
@@ -112,6 +114,8 @@
             return false;
         if (task.at == workflow_task::phase::waiting)
             --step.waiting;
+        else if (task.at == workflow_task::phase::unseen)
+            this->unseen_use[owner.record.team] -= spec.need;
         else if (index == name.index && task.target != nullptr) {
             // It ended here while another run of it was ordered elsewhere.
             const task_name other{name.workflow, name.occurrence, name.step, index};
@@ -172,6 +176,7 @@
         return false;
     auto* owner = found->second.owner;
     if (owner != nullptr) {
+        this->placements.ended(found->second.batch);
         this->team_use[owner->record.team] -= found->second.need;
         --owner->placed;
     }
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -35,40 +35,55 @@
 void coordinator::take_page(const std::string& prefix, const store_page& page)
 {
     const bool records = prefix == this->record_key({});
+    const bool progress = prefix == this->progress_key({});
     for (const auto& item : page.items) {
         if (records)
             this->take_record(item.value);
-        else
+        else if (progress)
             this->take_progress(item.key.substr(prefix.size()), item.value);
+        else
+            this->take_placements(item.key, item.value);
     }
     if (page.more && !page.items.empty())
         this->load_page(prefix, page.items.back().key);
     else if (records)
         this->load_page(this->progress_key({}), {});
+    else if (progress)
+        this->load_page(this->placement_key({}), {});
     else
-        this->load_targets();
+        this->finish_load();
 }
 
-void coordinator::load_targets()
+void coordinator::take_placements(const std::string& key, std::string_view value)
 {
-    this->around.store.read(this->targets_key(), [this, alive = this->alive](auto item) {
-        if (!*alive)
-            return;
-        if (!item.ok()) {
-            this->retry =
-                std::make_unique<timer>(this->around.loop, [this] { this->load_targets(); });
-            this->retry->start_once(retry_wait);
-            return;
-        }
-        if (*item) {
-            auto lives = unpack_message<std::map<std::string, std::int64_t>>((*item)->value);
-            if (lives.ok())
-                this->inherited_targets = *std::move(lives);
-            else
-                this->around.log.write("coordinator", "targets_unreadable", {});
-        }
-        this->finish_load();
-    });
+    this->inherited_log.push_back(key);
+    auto entries = placement_log::read(value);
+    if (!entries.ok()) {
+        this->around.log.write("coordinator", "placements_unreadable", {{"key", key}});
+        return;
+    }
+    for (const auto& entry : *entries)
+        this->await_target(entry);
+}
+
+void coordinator::await_target(const placement_entry& entry)
+{
+    auto* owner = this->find(entry.workflow);
+    if (owner == nullptr || is_final(owner->state) || entry.step >= owner->steps.size() ||
+        entry.index >= owner->steps[entry.step].tasks.size())
+        return;
+    auto& step = owner->steps[entry.step];
+    auto& task = step.tasks[entry.index];
+    if (task.at == workflow_task::phase::done)
+        return;
+    if (task.at == workflow_task::phase::waiting) {
+        task.at = workflow_task::phase::unseen;
+        --step.waiting;
+        this->unseen_use[owner->record.team] += owner->record.spec.steps[entry.step].need;
+    }
+    task.run = std::max(task.run, entry.run);
+    task.maybe_on.push_back(entry.target);
+    this->unseen[entry.target].push_back(entry);
 }
 
 void coordinator::take_record(std::string_view value)
@@ -81,7 +96,6 @@
     auto& added = this->add_workflow(*std::move(record));
     added.stored = true;
     added.end_stored = is_final(added.state);
-    added.inherited = true;
 }
 
 void coordinator::take_progress(const std::string& id, std::string_view value)
@@ -126,6 +140,7 @@
                            {{"term", this->term},
                             {"workflows", this->workflows.size()},
                             {"open", open},
+                            {"unseen_targets", this->unseen.size()},
                             {"ms", (boot_time() - this->began_at).count()}});
     this->take_directory(this->reports);
     const auto waiting = std::move(this->after_load);
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -69,15 +69,13 @@
 {
     if (!this->loaded || !this->office.leads())
         return;
-    this->count_unseen_use();
     int left = steps_per_pass;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
         const auto [priority, due, id, number] = *at;
         ++at; // considering a step may take it off the list
         auto* owner = this->find(id);
-        if (owner == nullptr || (owner->inherited && !this->adopted))
-            continue;
-        this->consider(*owner, number);
+        if (owner != nullptr)
+            this->consider(*owner, number);
     }
 }
 
@@ -91,7 +89,7 @@
         return;
     const step_placer placer(this->candidates(owner, number, queue), spec.need);
     std::uint32_t wanted = allowed;
-    if (owner.stored && this->office.certain()) {
+    if (this->office.certain()) {
         const auto chosen = placer.place(wanted, spec.gang);
         wanted -= static_cast<std::uint32_t>(chosen.size());
         this->start_tasks(owner, number, chosen);
@@ -142,23 +140,6 @@
     return found;
 }
 
-void coordinator::count_unseen_use()
-{
-    this->unseen_use.clear();
-    if (this->adopted)
-        return;
-    // Any task whose turn had come may be running on a target that has not answered yet.
-    for (const auto& [priority, due, id, number] : this->ready_steps) {
-        const auto* owner = this->find(id);
-        if (!owner->inherited)
-            continue;
-        const auto& need = owner->record.spec.steps[number].need;
-        auto& use = this->unseen_use[owner->record.team];
-        for (std::uint32_t task = 0; task < owner->steps[number].waiting; ++task)
-            use += need;
-    }
-}
-
 std::uint32_t coordinator::within_limit(const workflow& owner, const resources& need,
                                         std::uint32_t wanted) const
 {
@@ -241,7 +222,6 @@
         gang_run = std::max(gang_run, task.run);
     ++gang_run;
     std::uint32_t index = 0;
-    std::vector<std::pair<fleet_target*, task_name>> starts;
     for (auto* target : chosen) {
         while (step.tasks[index].at != workflow_task::phase::waiting)
             ++index;
@@ -253,13 +233,26 @@
         --step.waiting;
         ++owner.placed;
         this->team_use[owner.record.team] += spec.need;
-        target->place(name, {.owner = &owner, .run = task.run, .need = spec.need});
-        starts.emplace_back(target, name);
+        const auto batch = this->placements.add({owner.record.id, 0, number, index, task.run,
+                                                 target->report.name, target->report.born_ms});
+        target->place(name, {.owner = &owner, .run = task.run, .need = spec.need, .batch = batch});
     }
     if (step.waiting == 0)
         this->unlist(owner, number);
-    for (const auto& [target, name] : starts) {
-        this->send_start(*target, name);
+}
+
+void coordinator::send_starts(const std::vector<placement_entry>& kept)
+{
+    for (const auto& entry : kept) {
+        auto* target = this->find_life(entry.target, entry.target_born_ms);
+        if (target == nullptr)
+            continue;
+        const auto found = target->tasks.find(entry.task());
+        if (found == target->tasks.end() || found->second.run != entry.run ||
+            found->second.ordered)
+            continue;
+        found->second.ordered = true;
+        this->send_start(*target, entry.task());
         target->session->want_looks(true);
     }
 }
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -69,9 +69,9 @@
     return this->around.prefix + "w/" + id;
 }
 
-std::string coordinator::targets_key() const
+std::string coordinator::placement_key(const std::string& id) const
 {
-    return this->around.prefix + "targets";
+    return this->around.prefix + "p/" + id;
 }
 
 std::string coordinator::progress_key(const std::string& id) const
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -71,10 +71,8 @@
                     if (reachable)
                         this->request_pass();
                 }});
-    target.change = this->target_changes + 1;
     this->targets[report.name] = std::move(added);
     target.session->begin();
-    this->store_targets();
 }
 
 void coordinator::drop_target(const std::string& name, std::string_view reason)
@@ -131,29 +129,6 @@
            (this->around.members_complete && this->around.members_complete());
 }
 
-void coordinator::store_targets()
-{
-    // A successor waits for each of these, also when the platform's list no longer has it.
-    this->chain.put(
-        this->targets_key(),
-        [this, alive = this->alive]() -> std::optional<std::string> {
-            std::map<std::string, std::int64_t> lives;
-            if (*alive) {
-                for (const auto& [name, target] : this->targets)
-                    lives.emplace(name, target->report.born_ms);
-            }
-            return pack_message(lives);
-        },
-        true,
-        [this, alive = this->alive, serial = ++this->target_changes] {
-            if (!*alive)
-                return;
-            for (auto& [name, target] : this->targets)
-                target->recorded = target->recorded || target->change <= serial;
-            this->request_pass();
-        });
-}
-
 void coordinator::lose_all(fleet_target& target, std::string_view reason)
 {
     this->around.log.write("coordinator", "runs_lapsed",
@@ -165,28 +140,55 @@
     this->update_looks(target);
 }
 
-std::size_t coordinator::unseen_targets() const
-{
-    std::size_t unseen = 0;
-    for (const auto& [name, target] : this->targets)
-        unseen += target->listed && !target->session->held() ? 1 : 0;
-    for (const auto& [name, born] : this->inherited_targets)
-        unseen += this->targets.contains(name) ? 0 : 1;
-    return unseen;
-}
-
 void coordinator::check_adoption()
 {
-    if (this->adopted || !this->loaded)
+    if (!this->loaded)
         return;
     const auto elapsed = boot_time() - this->began_at;
     const auto limit = predecessor_grace + this->around.task_lease * 102 / 100;
-    const auto unseen = this->unseen_targets();
-    if (unseen > 0 && elapsed < limit)
+    std::vector<std::string> over;
+    for (const auto& [name, entries] : this->unseen) {
+        const auto found = this->targets.find(name);
+        const bool other_life = found != this->targets.end() &&
+                                found->second->report.born_ms != entries.front().target_born_ms;
+        if (elapsed >= limit || other_life)
+            over.push_back(name);
+    }
+    for (const auto& name : over)
+        this->target_seen(name);
+    if (!this->unseen.empty() || this->inherited_log.empty())
         return;
-    this->adopted = true;
     this->around.log.write("coordinator", "adopted",
-                           {{"ms", elapsed.count()}, {"unseen", unseen}, {"term", this->term}});
+                           {{"ms", elapsed.count()}, {"term", this->term}});
+    // What still runs is in the log of this term by now.
+    for (const auto& key : this->inherited_log) {
+        this->chain.put(
+            key, [] { return std::nullopt; }, false, {});
+    }
+    this->inherited_log.clear();
+}
+
+void coordinator::target_seen(const std::string& name)
+{
+    const auto found = this->unseen.find(name);
+    if (found == this->unseen.end())
+        return;
+    const auto entries = std::move(found->second);
+    this->unseen.erase(found);
+    for (const auto& entry : entries) {
+        auto* owner = this->find(entry.workflow);
+        if (owner == nullptr || is_final(owner->state))
+            continue;
+        auto& step = owner->steps[entry.step];
+        auto& task = step.tasks[entry.index];
+        std::erase(task.maybe_on, name);
+        if (task.at != workflow_task::phase::unseen || !task.maybe_on.empty())
+            continue;
+        task.at = workflow_task::phase::waiting;
+        ++step.waiting;
+        this->unseen_use[owner->record.team] -= owner->record.spec.steps[entry.step].need;
+        this->list_ready(*owner);
+    }
     this->request_pass();
 }
 
@@ -203,6 +205,7 @@
     this->find_missing(target, seen, sent);
     if (!*still_here)
         return;
+    this->target_seen(target.report.name);
     this->update_looks(target);
     this->check_adoption();
     this->request_pass();
@@ -239,6 +242,7 @@
                         row.task.step < owner->steps.size() &&
                         row.task.index < owner->steps[row.task.step].tasks.size();
     placed_task placed{.run = row.run,
+                       .ordered = true,
                        .started = true,
                        .settled_at = boot_time(),
                        .ordered_at = boot_time(),
@@ -253,11 +257,15 @@
     auto& task = step.tasks[row.task.index];
     placed.owner = owner;
     placed.need = owner->record.spec.steps[row.task.step].need;
+    placed.batch = this->placements.add({row.task.workflow, row.task.occurrence, row.task.step,
+                                         row.task.index, row.run, target.report.name,
+                                         target.report.born_ms});
     target.place(row.task, placed);
     this->team_use[owner->record.team] += placed.need;
     ++owner->placed;
     owner->began = true;
-    const bool duplicate = task.at != workflow_task::phase::waiting;
+    const bool unseen = task.at == workflow_task::phase::unseen;
+    const bool duplicate = task.at != workflow_task::phase::waiting && !unseen;
     this->around.log.write("coordinator", duplicate ? "duplicate_seen" : "task_adopted",
                            {{"workflow", row.task.workflow},
                             {"step", row.task.step},
@@ -273,7 +281,9 @@
     task.run = std::max(task.run, row.run);
     if (!row.checkpoint.empty())
         task.checkpoint = row.checkpoint;
-    if (--step.waiting == 0)
+    if (unseen)
+        this->unseen_use[owner->record.team] -= placed.need;
+    else if (--step.waiting == 0)
         this->unlist(*owner, row.task.step);
 }
 
@@ -299,6 +309,14 @@
 {
     if (const auto found = target.tasks.find(task);
         found != target.tasks.end() && found->second.run == run) {
+        if (!found->second.ordered) {
+            // The target was never told: there is nothing to stop.
+            auto* owner = found->second.owner;
+            this->remove_run(target, task);
+            if (!is_final(owner->state))
+                this->back_to_waiting(*owner, task);
+            return;
+        }
         found->second.stopping = true;
         found->second.settled_at = milliseconds(0);
         found->second.ordered_at = boot_time();
@@ -326,7 +344,7 @@
     std::vector<std::pair<task_name, std::int64_t>> stops;
     std::vector<task_name> starts;
     for (auto& [task, placed] : target.tasks) {
-        if (placed.settled_at.count() != 0 || placed.open_orders > 0 ||
+        if (placed.settled_at.count() != 0 || placed.open_orders > 0 || !placed.ordered ||
             now - placed.ordered_at < resend_wait)
             continue;
         if (placed.stopping)
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -111,7 +111,7 @@
 
 bool fleet_target::usable(milliseconds now) const
 {
-    return this->listed && this->recorded && !this->ended_life && !this->report.leaving && this->session->held() &&
+    return this->listed && !this->ended_life && !this->report.leaving && this->session->held() &&
            this->session->reachable() && now >= this->avoid_until && !this->distrusted(now);
 }
 
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -22,7 +22,9 @@
     std::int64_t run = 0;
     resources need;
     int open_orders = 0;   ///< starts that were not answered yet
-    bool started = false;  ///< the target has confirmed it
+    std::int64_t batch = 0; ///< of the placement log
+    bool ordered = false; ///< the start was sent, or may have been by an earlier coordinator
+    bool started = false; ///< the target has confirmed it
     bool stopping = false; ///< an order to stop it was given
     /// Boot time when the target last answered an order for it; 0: none was answered, so that it
     /// may still begin.
@@ -67,6 +69,11 @@
     /// The end will not be lost. @return the number up to which all are recorded
     std::int64_t record_end(std::int64_t number);
 
+    [[nodiscard]] bool has_unrecorded_ends() const
+    {
+        return !this->ends.empty();
+    }
+
     /// A task has ended as done here.
     void note_success();
 
@@ -81,8 +88,6 @@
 
     target_report report;
     bool ended_life = false; ///< it has said that this life is over
-    bool recorded = false; ///< a successor would know that work may run here
-    std::int64_t change = 0; ///< of the record of targets, that names this one first
     bool listed = true;      ///< the platform's list has it
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_task> tasks;
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -49,15 +49,15 @@
         this->schedule_look(milliseconds(0));
 }
 
-void target_session::acknowledge(std::int64_t number)
+void target_session::acknowledge(std::int64_t number, bool all)
 {
-    if (number <= this->acknowledged)
+    this->acknowledged = std::max(this->acknowledged, number);
+    if (!all)
         return;
-    this->acknowledged = number;
+    this->waiting_for_record = false;
     // The next look carries it; one is made even if nothing else runs there.
     if (!this->looking)
         this->schedule_look(milliseconds(0));
-    this->waiting_for_record = false;
 }
 
 void target_session::expect_acknowledgement()
@@ -134,7 +134,6 @@
         return;
     }
     this->seen = true;
-    this->waiting_for_record = false;
     this->notify.viewed(view, sent);
     if (!*still_here || this->looking || this->look_timer.active())
         return;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -45,9 +45,11 @@
     void want_looks(bool wanted);
 
     /// Ends up to @p number need not be listed any more.
-    void acknowledge(std::int64_t number);
+    /// @param all whether no end remains that is not recorded
+    void acknowledge(std::int64_t number, bool all);
 
-    /// An end was seen that is not recorded yet: the next look waits for that, within limits.
+    /// An end was seen that is not recorded yet: the next look waits for that, within limits, since
+    /// it would only be told of the same end again.
     void expect_acknowledgement();
 
     void start(const start_order& order, target_orders::order_callback done);
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -16,13 +16,19 @@
 
 /// One task of a workflow, as the coordinator knows it.
 struct workflow_task {
-    enum class phase : std::uint8_t { waiting, placed, done };
+    enum class phase : std::uint8_t {
+        waiting,
+        unseen, ///< an earlier coordinator may have started it on a target not heard yet
+        placed,
+        done,
+    };
 
     phase at = phase::waiting;
     std::int64_t run = 0; ///< number of the current run, or of the last one
     std::uint32_t failures = 0;
     std::string checkpoint;
-    fleet_target* target = nullptr; ///< while placed
+    fleet_target* target = nullptr;    ///< while placed
+    std::vector<std::string> maybe_on; ///< while unseen: targets to hear from
 };
 
 /// What the advisor has said of one target for one step.
@@ -57,7 +63,6 @@
     bool stored = false;       ///< its record is kept
     bool end_stored = false;   ///< its end is kept
     bool progress_stored = false;
-    bool inherited = false;   ///< accepted in an earlier term, so it may have tasks not yet seen
     bool began = false;       ///< a task of it has started
     std::uint32_t placed = 0; ///< tasks on targets
     std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
