Keep room while a gang's tickets are renewed; let questions wait at the coordinator

The exit of its own was a submission withdrawn from the chain whose tasks had already been given places.

Change: where a gang's known targets have room, the room is reserved and only those are asked again; a question is given to a VM only when it is next; long questions use 55 percent of the VMs. A withdrawn submission gives up its places. Starts whose ticket has run out are placed anew.

--- a/src/libverbenalever/coordinator/advice_desk.cpp
+++ b/src/libverbenalever/coordinator/advice_desk.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/advice_desk.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace verbenalever {
 
@@ -8,11 +9,11 @@
 
 /// Questions open at one VM; the advisor turns more than 32 away.
 constexpr int open_limit = 24;
-/// Waiting time at a VM beyond which no further question is queued there: the answer would come
-/// when the room it asks about has long gone to others.
-constexpr milliseconds longest_queue{1500};
-/// Of this many VMs, in order of their names, one is kept free of long questions.
-constexpr std::size_t short_only_every = 3;
+/// Waiting time at a VM beyond which no further question is given to it: questions wait at the
+/// coordinator, where the urgent ones go first.
+constexpr milliseconds longest_queue{40};
+/// Part of the VMs that take long questions.
+constexpr double long_share = 0.55;
 /// Time for an answer beyond what was worked out.
 constexpr milliseconds answer_slack{1500};
 
@@ -39,14 +40,14 @@
 {
     seat* best = nullptr;
     milliseconds best_end{0};
+    const auto long_seats = static_cast<std::size_t>(
+        std::ceil(long_share * static_cast<double>(this->seats.size())));
     std::size_t number = 0;
     for (auto& [vm, candidate] : this->seats) {
-        const bool short_only =
-            this->seats.size() > 1 && number++ % short_only_every == short_only_every - 1;
-        if (candidate.open >= open_limit || (is_long && short_only))
+        if (candidate.open >= open_limit || (is_long && number++ >= long_seats))
             continue;
         const auto begin = std::max(now, candidate.busy_until);
-        if (begin - now > longest_queue)
+        if (begin - now > (is_long ? milliseconds(0) : longest_queue))
             continue;
         if (best == nullptr || begin + cost < best_end) {
             best = &candidate;
--- a/src/libverbenalever/coordinator/advice_desk.h
+++ b/src/libverbenalever/coordinator/advice_desk.h
@@ -37,7 +37,7 @@
     bool ask(const advice_question& question, milliseconds cost, answer_callback done);
 
     /// A question that takes longer than this is long: a large part of an urgent objective.
-    static constexpr milliseconds long_question{60};
+    static constexpr milliseconds long_question{250};
 
 private:
     struct seat {
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -159,7 +159,12 @@
     void send_starts(const std::vector<placement_entry>& kept);
     [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
                                              std::uint32_t wanted) const;
-    void ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
+    void reserve(workflow_step& step, const resources& need,
+                 const std::vector<fleet_target*>& places);
+    void free_reservation(workflow_step& step);
+    [[nodiscard]] bool ticket_holds(const workflow& owner, std::uint32_t step,
+                                    const std::string& target) const;
+    bool ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
                     const std::vector<fleet_target*>& targets);
     void take_advice(const std::string& id, std::uint32_t step, const advice_question& question,
                      const advice_answer& answer);
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -240,6 +240,8 @@
     owner.record.ended_ms = wall_microseconds() / 1000;
     for (std::uint32_t step = 0; step < owner.steps.size(); ++step)
         this->unlist(owner, step);
+    for (auto& step : owner.steps)
+        this->free_reservation(step);
     this->stop_all(owner);
     owner.record.spec = {};
     if (state != workflow_state::completed)
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -1,5 +1,6 @@
 // Placing: which steps are considered in which order, and how their tasks are started.
 
+#include "coordination/commit_chain.h"
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
@@ -16,7 +17,7 @@
 /// A ticket is not used when it has less than this left, since the start takes time to arrive.
 constexpr milliseconds ticket_slack{150};
 /// Wait before the advisor is asked again after it was busy.
-constexpr milliseconds advice_retry{50};
+constexpr milliseconds advice_retry{15};
 /// Part of the targets that the advisor allows, until there is experience.
 constexpr double first_grant_share = 0.5;
 /// Weight of one answer in that experience.
@@ -26,6 +27,15 @@
 /// Steps looked at in one pass; those behind them would find no room either.
 constexpr int steps_per_pass = 400;
 
+/// @return each target once
+std::vector<fleet_target*> distinct(std::vector<fleet_target*> targets)
+{
+    std::ranges::sort(targets);
+    const auto [first, last] = std::ranges::unique(targets);
+    targets.erase(first, last);
+    return targets;
+}
+
 } // namespace
 
 void coordinator::request_pass(milliseconds wait)
@@ -87,9 +97,12 @@
     const auto allowed = this->within_limit(owner, spec.need, step.waiting);
     if (allowed == 0 || (spec.gang && allowed < step.waiting))
         return;
+    if (step.asking && spec.gang)
+        return;
+    this->free_reservation(step);
     const step_placer placer(this->candidates(owner, number, queue), spec.need);
     std::uint32_t wanted = allowed;
-    if (this->office.certain()) {
+    if (this->office.certain() && !this->chain.stalled()) {
         const auto chosen = placer.place(wanted, spec.gang);
         wanted -= static_cast<std::uint32_t>(chosen.size());
         this->start_tasks(owner, number, chosen);
@@ -99,10 +112,36 @@
         return;
     const auto found = this->grant_share.find(owner.record.queue);
     const auto share = found == this->grant_share.end() ? first_grant_share : found->second;
+    if (spec.gang) {
+        // Where the advisor has agreed before, the room is kept while the tickets are renewed.
+        if (const auto places = placer.place_renewing(wanted); !places.empty()) {
+            if (this->ask_advice(owner, number, *queue, distinct(places)))
+                this->reserve(step, spec.need, places);
+            return;
+        }
+    }
     if (const auto named = placer.to_ask(wanted, spec.gang, share); !named.empty())
         this->ask_advice(owner, number, *queue, named);
 }
 
+void coordinator::reserve(workflow_step& step, const resources& need,
+                          const std::vector<fleet_target*>& places)
+{
+    for (auto* target : places) {
+        target->reserved += need;
+        step.reserved.emplace_back(target->report.name, need);
+    }
+}
+
+void coordinator::free_reservation(workflow_step& step)
+{
+    for (const auto& [name, need] : step.reserved) {
+        if (const auto found = this->targets.find(name); found != this->targets.end())
+            found->second->reserved -= need;
+    }
+    step.reserved.clear();
+}
+
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
                                                     const queue_definition* queue) const
 {
@@ -162,7 +201,7 @@
     return static_cast<std::uint32_t>(most);
 }
 
-void coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
+bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
                              const std::vector<fleet_target*>& named)
 {
     auto& step = owner.steps[number];
@@ -181,6 +220,7 @@
         step.asking = true;
     else
         step.ask_after = boot_time() + advice_retry;
+    return taken;
 }
 
 void coordinator::take_advice(const std::string& id, std::uint32_t number,
@@ -203,6 +243,9 @@
     const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
     for (const auto& grant : answer.granted)
         step.advice[grant.target] = {true, grant.ticket, valid_until};
+    // Whoever waits longest at the advisor has its answer used before others take the room.
+    if (step.listed)
+        this->consider(*owner, number);
     auto [share, fresh] = this->grant_share.try_emplace(owner->record.queue, first_grant_share);
     share->second += grant_share_weight *
                      (static_cast<double>(answer.granted.size()) /
@@ -241,6 +284,14 @@
         this->unlist(owner, number);
 }
 
+bool coordinator::ticket_holds(const workflow& owner, std::uint32_t number,
+                               const std::string& target) const
+{
+    const auto& memory = owner.steps[number].advice;
+    const auto said = memory.find(target);
+    return said == memory.end() || said->second.valid_until > boot_time();
+}
+
 void coordinator::send_starts(const std::vector<placement_entry>& kept)
 {
     for (const auto& entry : kept) {
@@ -251,6 +302,11 @@
         if (found == target->tasks.end() || found->second.run != entry.run ||
             found->second.ordered)
             continue;
+        if (!this->ticket_holds(*found->second.owner, entry.step, entry.target)) {
+            // It has run out while the store was slow: another place, or another ticket.
+            this->stop_run(*target, entry.task(), entry.run);
+            continue;
+        }
         found->second.ordered = true;
         this->send_start(*target, entry.task());
         target->session->want_looks(true);
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -165,6 +165,8 @@
     for (const auto& id : refused) {
         auto& known = *this->find(id);
         const auto waiters = known.stored_waiters;
+        // Its tasks were at most chosen a place: no start is sent before the record is kept.
+        this->stop_all(known);
         for (std::uint32_t step = 0; step < known.steps.size(); ++step)
             this->unlist(known, step);
         this->workflows.erase(id);
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -46,7 +46,7 @@
 {
     if (this->unknown_tasks > 0)
         return {};
-    return this->report.capacity - this->used;
+    return this->report.capacity - this->used - this->reserved;
 }
 
 std::uint32_t fleet_target::fits(const resources& need) const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -92,6 +92,7 @@
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_task> tasks;
     resources used;
+    resources reserved; ///< kept for steps about to start here
     milliseconds avoid_until{0};     ///< boot time; it has just turned a start away
     std::uint32_t unknown_tasks = 0; ///< tasks whose size is not known here
 
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -42,6 +42,21 @@
     return chosen;
 }
 
+std::vector<fleet_target*> step_placer::place_renewing(std::uint32_t wanted) const
+{
+    std::vector<fleet_target*> chosen;
+    // Largest room first: fewer targets to ask about.
+    for (auto at = this->candidates.rbegin(); at != this->candidates.rend(); ++at) {
+        if (at->may_run == step_candidate::permission::not_asked)
+            continue;
+        const auto take = std::min<std::size_t>(at->fits, wanted - chosen.size());
+        chosen.insert(chosen.end(), take, at->target);
+        if (chosen.size() == wanted)
+            return chosen;
+    }
+    return {};
+}
+
 std::vector<fleet_target*> step_placer::to_ask(std::uint32_t wanted, bool whole,
                                                double grant_share) const
 {
--- a/src/libverbenalever/coordinator/step_placer.h
+++ b/src/libverbenalever/coordinator/step_placer.h
@@ -32,6 +32,10 @@
     /// @return a target for each task placed; fewer than wanted where room is short
     [[nodiscard]] std::vector<fleet_target*> place(std::uint32_t wanted, bool whole) const;
 
+    /// Place all tasks on targets that the advisor has allowed, also where the ticket has run out.
+    /// @return a target for each task; empty unless all of them fit
+    [[nodiscard]] std::vector<fleet_target*> place_renewing(std::uint32_t wanted) const;
+
     /// Choose whom to ask the advisor about.
     /// @param wanted       tasks still without a target
     /// @param whole        all of them must find room
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace verbenalever {
@@ -46,6 +47,8 @@
     std::int64_t last_failed_run = 0; ///< a gang's failed run counts once
 
     std::map<std::string, advice_memory, std::less<>> advice; ///< by target
+    /// Room kept on targets while the advisor is asked again.
+    std::vector<std::pair<std::string, resources>> reserved;
     bool asking = false;                                      ///< a question to the advisor is open
     milliseconds ask_after{0};   ///< boot time before which nothing is asked
     milliseconds ready_since{0}; ///< boot time; 0: its turn has not come
