Late steps behind those in time; reclaim room for urgent steps; ask again after a change of coordinator

Change: lateness comes before due time within a priority; an urgent step without room stops runs of less urgent queues that lose little; an entry asks the next coordinator again with the same id until the caller's time is over; a failed run is counted by its number. A task avoids targets on which its step has failed.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -111,7 +111,8 @@
     }
 
 private:
-    using ready_key = std::tuple<int, std::int64_t, std::string, std::uint32_t>;
+    /// Priority, lateness, boot time by which it should have ended, workflow, step.
+    using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
 
     // Reading the store (coordinator_load.cpp).
     void load_page(const std::string& prefix, const std::string& after);
@@ -154,6 +155,11 @@
     void request_pass(milliseconds wait = milliseconds(2));
     void pass();
     void consider(workflow& owner, std::uint32_t step);
+    [[nodiscard]] ready_key key_of(const workflow& owner, std::uint32_t step) const;
+    bool reclaim_room(workflow& owner, std::uint32_t step, const queue_definition* queue,
+                      std::uint32_t wanted);
+    [[nodiscard]] bool may_use(const fleet_target& target, const workflow& owner,
+                               std::uint32_t step) const;
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
                                                          const queue_definition* queue) const;
     void send_starts(const std::vector<placement_entry>& kept);
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -65,6 +65,7 @@
         else {
             if (end.how == target_view::ending::failed) {
                 target.note_failure(boot_time());
+                owner->steps[end.task.step].failed_on.insert(target.report.name);
                 changed = this->task_failed(*owner, end.task, end.run);
             }
             if (ours && !is_final(owner->state)) {
@@ -155,11 +156,10 @@
     auto& task = gang ? step.tasks[0] : step.tasks[name.index];
     if (step.tasks[name.index].at == workflow_task::phase::done)
         return false;
-    if (gang) {
-        if (run <= step.last_failed_run)
-            return false;
-        step.last_failed_run = run;
-    }
+    // Each member of a gang lists the failed run, and an earlier coordinator may have counted it.
+    if (run <= task.failed_run)
+        return false;
+    task.failed_run = run;
     ++task.failures;
     const auto* queue = this->configuration->queue(owner.record.queue);
     const std::uint32_t attempts =
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -27,6 +27,19 @@
 /// Steps looked at in one pass; those behind them would find no room either.
 constexpr int steps_per_pass = 400;
 
+/// An answer that takes this many times its objective is worth nothing to its caller.
+constexpr int worthless_factor = 3;
+
+/// @return 0 while a step can end in time, 1 when it will be late, 2 when too late to be of use.
+/// Under overload those that can still be in time go first: otherwise all are a little late.
+int lateness_of(const workflow& owner, std::uint32_t number)
+{
+    const auto end = boot_time() + owner.steps[number].tail;
+    if (end <= owner.due)
+        return 0;
+    return end <= owner.due + owner.objective * (worthless_factor - 1) ? 1 : 2;
+}
+
 /// @return each target once
 std::vector<fleet_target*> distinct(std::vector<fleet_target*> targets)
 {
@@ -62,7 +75,8 @@
         step.listed = true;
         if (step.ready_since.count() == 0)
             step.ready_since = boot_time();
-        this->ready_steps.emplace(owner.priority, owner.due_ms, owner.record.id, number);
+        step.lateness = lateness_of(owner, number);
+        this->ready_steps.insert(this->key_of(owner, number));
     }
 }
 
@@ -72,7 +86,7 @@
     if (!step.listed)
         return;
     step.listed = false;
-    this->ready_steps.erase({owner.priority, owner.due_ms, owner.record.id, number});
+    this->ready_steps.erase(this->key_of(owner, number));
 }
 
 void coordinator::pass()
@@ -80,15 +94,31 @@
     if (!this->loaded || !this->office.leads())
         return;
     int left = steps_per_pass;
+    std::vector<std::pair<workflow*, std::uint32_t>> later;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
-        const auto [priority, due, id, number] = *at;
+        const auto [priority, lateness, due, id, number] = *at;
         ++at; // considering a step may take it off the list
         auto* owner = this->find(id);
-        if (owner != nullptr)
-            this->consider(*owner, number);
+        if (owner == nullptr)
+            continue;
+        if (lateness_of(*owner, number) != lateness)
+            later.emplace_back(owner, number);
+        this->consider(*owner, number);
+    }
+    for (const auto& [owner, number] : later) {
+        if (!owner->steps[number].listed)
+            continue;
+        this->unlist(*owner, number);
+        this->list_ready(*owner);
     }
 }
 
+coordinator::ready_key coordinator::key_of(const workflow& owner, std::uint32_t number) const
+{
+    return {owner.priority, owner.steps[number].lateness, owner.due.count(), owner.record.id,
+            number};
+}
+
 void coordinator::consider(workflow& owner, std::uint32_t number)
 {
     auto& step = owner.steps[number];
@@ -120,8 +150,11 @@
             return;
         }
     }
-    if (const auto named = placer.to_ask(wanted, spec.gang, share); !named.empty())
+    const auto named = placer.to_ask(wanted, spec.gang, share);
+    if (!named.empty())
         this->ask_advice(owner, number, *queue, named);
+    else
+        this->reclaim_room(owner, number, queue, wanted);
 }
 
 void coordinator::reserve(workflow_step& step, const resources& need,
@@ -142,6 +175,20 @@
     step.reserved.clear();
 }
 
+bool coordinator::may_use(const fleet_target& target, const workflow& owner,
+                          std::uint32_t number) const
+{
+    const auto& report = target.report;
+    const auto& label = owner.record.spec.steps[number].required_label;
+    const auto& failed_on = owner.steps[number].failed_on;
+    // A task that has failed is tried elsewhere, unless it fails everywhere.
+    constexpr std::size_t avoided_targets = 3;
+    return target.usable(boot_time()) && report.pool == owner.record.pool &&
+           !this->configuration->zones_out.contains(report.availability_zone) &&
+           (label.empty() || std::ranges::find(report.labels, label) != report.labels.end()) &&
+           (failed_on.size() > avoided_targets || !failed_on.contains(report.name));
+}
+
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
                                                     const queue_definition* queue) const
 {
@@ -150,12 +197,7 @@
     const auto& memory = owner.steps[number].advice;
     std::vector<step_candidate> found;
     for (const auto& [name, target] : this->targets) {
-        const auto& report = target->report;
-        if (!target->usable(now) || report.pool != owner.record.pool ||
-            this->configuration->zones_out.contains(report.availability_zone))
-            continue;
-        if (!spec.required_label.empty() &&
-            std::ranges::find(report.labels, spec.required_label) == report.labels.end())
+        if (!this->may_use(*target, owner, number))
             continue;
         step_candidate candidate{.target = target.get(), .fits = target->fits(spec.need)};
         if (spec.max_per_target > 0) {
@@ -343,6 +385,7 @@
     placed.ordered_at = boot_time();
     if (result.how == order_result::outcome::done) {
         placed.started = true;
+        placed.started_at = boot_time();
         if (!placed.stopping)
             placed.settled_at = boot_time();
         if (placed.owner != nullptr)
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -13,19 +13,17 @@
 
 namespace {
 
-/// @return the longest chain of steps that wait for each other, by the caller's estimates
-std::int64_t longest_chain_ms(const workflow_spec& spec)
+/// @return for each step the time from its start to the end of all that waits for it, by the
+/// caller's estimates
+std::vector<std::int64_t> tails_of(const workflow_spec& spec)
 {
-    std::vector<std::int64_t> ends(spec.steps.size(), 0);
-    std::int64_t longest = 0;
-    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
-        std::int64_t begin = 0;
+    std::vector<std::int64_t> tails(spec.steps.size(), 0);
+    for (std::size_t number = spec.steps.size(); number-- > 0;) {
+        tails[number] += spec.steps[number].estimated_ms;
         for (const auto earlier : spec.steps[number].after)
-            begin = std::max(begin, ends[earlier]);
-        ends[number] = begin + spec.steps[number].estimated_ms;
-        longest = std::max(longest, ends[number]);
+            tails[earlier] = std::max(tails[earlier], tails[number]);
     }
-    return longest;
+    return tails;
 }
 
 /// @return the checkpoint and counts of all tasks, as they are kept
@@ -35,7 +33,8 @@
     for (const auto& step : owner.steps) {
         auto& kept = progress.steps.emplace_back();
         for (const auto& task : step.tasks)
-            kept.push_back({task.at == workflow_task::phase::done, task.failures, task.checkpoint});
+            kept.push_back({task.at == workflow_task::phase::done, task.failures, task.failed_run,
+                            task.checkpoint});
     }
     return progress;
 }
@@ -84,18 +83,23 @@
     auto added = std::make_unique<workflow>();
     added->record = std::move(record);
     added->state = added->record.end_state();
-    for (const auto& step : added->record.spec.steps) {
+    const auto tails = tails_of(added->record.spec);
+    std::int64_t longest = 0;
+    for (std::size_t number = 0; number < tails.size(); ++number) {
         auto& run = added->steps.emplace_back();
-        run.tasks.resize(step.count);
-        run.waiting = step.count;
+        run.tasks.resize(added->record.spec.steps[number].count);
+        run.waiting = added->record.spec.steps[number].count;
+        run.tail = milliseconds(tails[number]);
+        longest = std::max(longest, tails[number]);
     }
     if (const auto* queue = this->configuration->queue(added->record.queue)) {
         added->priority = queue->priority;
-        added->due_ms =
-            added->record.accepted_ms + queue->latency_objective.count() +
-            static_cast<std::int64_t>(queue->stretch *
-                                      static_cast<double>(longest_chain_ms(added->record.spec)));
+        added->objective =
+            queue->latency_objective +
+            milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
     }
+    const auto age = wall_microseconds() / 1000 - added->record.accepted_ms;
+    added->due = boot_time() - milliseconds(age) + added->objective;
     // Runs of later terms are numbered above all that earlier terms can have used.
     constexpr std::int64_t runs_per_revision = 16;
     added->run_base = (this->term - added->record.term) * runs_per_revision;
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -30,6 +30,7 @@
     /// may still begin.
     milliseconds settled_at{0};
     milliseconds ordered_at{0};
+    milliseconds started_at{0}; ///< boot time
     double percent = 0;         ///< of its work, when last seen
     milliseconds percent_at{0}; ///< when that last grew
 };
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,7 @@
     phase at = phase::waiting;
     std::int64_t run = 0; ///< number of the current run, or of the last one
     std::uint32_t failures = 0;
+    std::int64_t failed_run = 0; ///< the last run that failed; its end may be listed again
     std::string checkpoint;
     fleet_target* target = nullptr;    ///< while placed
     std::vector<std::string> maybe_on; ///< while unseen: targets to hear from
@@ -44,7 +46,7 @@
     std::vector<workflow_task> tasks;
     std::uint32_t waiting = 0;
     std::uint32_t done = 0;
-    std::int64_t last_failed_run = 0; ///< a gang's failed run counts once
+    std::set<std::string, std::less<>> failed_on; ///< targets on which a task of it has failed
 
     std::map<std::string, advice_memory, std::less<>> advice; ///< by target
     /// Room kept on targets while the advisor is asked again.
@@ -53,6 +55,9 @@
     milliseconds ask_after{0};   ///< boot time before which nothing is asked
     milliseconds ready_since{0}; ///< boot time; 0: its turn has not come
     bool listed = false;         ///< in the list of steps that are ready
+    int lateness = 0;            ///< with which it is listed there: see lateness_of()
+    milliseconds tail{0};        ///< estimated time from its start to the workflow's end
+    milliseconds reclaim_after{0}; ///< boot time before which it takes no room from others
 };
 
 /// One workflow, as the coordinator knows it.
@@ -61,7 +66,8 @@
     workflow_state state = workflow_state::queued;
     std::vector<workflow_step> steps;
     int priority = 0;
-    std::int64_t due_ms = 0;   ///< wall clock by which it should have ended
+    milliseconds due{0};       ///< boot time by which it should have ended
+    milliseconds objective{0}; ///< time that it should take from its acceptance
     std::int64_t run_base = 0; ///< runs of this term are numbered from here
     bool stored = false;       ///< its record is kept
     bool end_stored = false;   ///< its end is kept
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -14,9 +14,14 @@
 
 namespace {
 
+/// How often calls whose coordinator went away are tried again.
+constexpr milliseconds parked_interval{100};
+
 gateway_reply reply_of(const member_reply& from)
 {
-    gateway_reply reply{.state = static_cast<workflow_state>(from.state), .waiting = from.count};
+    gateway_reply reply{.state = static_cast<workflow_state>(from.state),
+                        .waiting = from.count,
+                        .decided = true};
     switch (static_cast<call_outcome>(from.outcome)) {
     case call_outcome::accepted:
         reply.how = gateway_reply::outcome::accepted;
@@ -113,7 +118,8 @@
                       this->link.follow(other ? coordinator : std::nullopt);
                   },
               .coordinator_heard = [this] { return this->link.up(); }}),
-      former_timer(loop, [this] { this->former_duty.reset(); })
+      former_timer(loop, [this] { this->former_duty.reset(); }),
+      parked_timer(loop, [this] { this->retry_parked(); })
 {
 }
 
@@ -313,6 +319,44 @@
     channel->call(topic, std::move(payload), patience, std::move(done));
 }
 
+void cluster_entry::ask_until(parked_call call)
+{
+    const auto left = call.deadline - boot_time();
+    auto kept = std::make_shared<parked_call>(std::move(call));
+    this->ask_coordinator(kept->topic, kept->payload, left, [this, kept](const auto& payload) {
+        auto reply = read_reply(payload);
+        // That no coordinator was found now says nothing of what an earlier one has done.
+        if (kept->asked && !reply.decided)
+            reply.how = gateway_reply::outcome::unknown;
+        if (reply.how != gateway_reply::outcome::unknown ||
+            boot_time() + parked_interval >= kept->deadline) {
+            kept->done(reply);
+            return;
+        }
+        kept->asked = true;
+        this->parked.push_back(std::move(*kept));
+        if (!this->parked_timer.active())
+            this->parked_timer.start_repeating(parked_interval);
+    });
+}
+
+void cluster_entry::retry_parked()
+{
+    const bool served = this->duty != nullptr || this->link.up();
+    auto calls = std::move(this->parked);
+    this->parked.clear();
+    for (auto& call : calls) {
+        if (boot_time() + parked_interval >= call.deadline)
+            call.done({.how = gateway_reply::outcome::unknown});
+        else if (served)
+            this->ask_until(std::move(call));
+        else
+            this->parked.push_back(std::move(call));
+    }
+    if (this->parked.empty())
+        this->parked_timer.stop();
+}
+
 cluster_entry::permit cluster_entry::admit(const caller_identity& caller) const
 {
     permit result;
@@ -347,11 +391,10 @@
         done({.how = gateway_reply::outcome::invalid});
         return;
     }
-    this->ask_coordinator(
-        peer_topic::submit,
-        pack_message(
-            workflow_submission{std::move(id), permit.queue->name, permit.team, std::move(spec)}),
-        patience, [done = std::move(done)](const auto& payload) { done(read_reply(payload)); });
+    this->ask_until({peer_topic::submit,
+                     pack_message(workflow_submission{std::move(id), permit.queue->name,
+                                                      permit.team, std::move(spec)}),
+                     boot_time() + patience, std::move(done)});
 }
 
 void cluster_entry::status(const caller_identity& caller, std::string id, milliseconds patience,
@@ -398,9 +441,8 @@
         done(permit.refusal);
         return;
     }
-    this->ask_coordinator(
-        peer_topic::cancel, std::move(id), patience,
-        [done = std::move(done)](const auto& payload) { done(read_reply(payload)); });
+    this->ask_until(
+        {peer_topic::cancel, std::move(id), boot_time() + patience, std::move(done)});
 }
 
 void cluster_entry::waiting(const caller_identity& caller, milliseconds patience, callback done)
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace verbenalever {
 
@@ -81,6 +82,17 @@
     using coordinator_reply = std::function<void(absl::StatusOr<std::string>)>;
 
     [[nodiscard]] permit admit(const caller_identity& caller) const;
+    /// A call whose coordinator went away before it replied; asked again of the next one, since
+    /// the call is idempotent and only the next one knows what came of it.
+    struct parked_call {
+        peer_topic topic;
+        std::string payload;
+        milliseconds deadline; ///< boot time
+        callback done;
+        bool asked = false; ///< an earlier asking may have been carried out
+    };
+    void ask_until(parked_call call);
+    void retry_parked();
     void ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
                          coordinator_reply done);
     void serve(peer_topic topic, std::string_view payload, peer_channel::replier reply);
@@ -107,6 +119,8 @@
     std::unique_ptr<coordinator> duty;
     std::unique_ptr<coordinator> former_duty; ///< kept until its callers have returned
     timer former_timer;
+    std::vector<parked_call> parked;
+    timer parked_timer;
     bool retired = false;
 };
 
