No look between an end and its record; a slow coordinator hands over

Change: no look while an end waits for its record; a lag meter on the loop, told in heartbeats, and a coordinator whose loop is 150 ms late hands over to one that is not.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -142,7 +142,7 @@
 void leadership::stand_after(milliseconds wait)
 {
     if (!this->retired && !this->standing && !this->leads())
-        this->stand_timer.start_once(wait);
+        this->stand_timer.start_once(std::max(wait, this->resting_until - boot_time()));
 }
 
 void leadership::stand()
@@ -289,11 +289,17 @@
 {
     this->retired = true;
     this->stand_timer.stop();
+    this->hand_over(milliseconds(0));
+}
+
+void leadership::hand_over(milliseconds rest)
+{
+    this->resting_until = boot_time() + rest;
     if (!this->leads())
         return;
-    const auto key = this->leader_key;
     this->chain->put(
-        key, [] { return std::nullopt; }, false, [this] { this->step_down("handed over"); });
+        this->leader_key, [] { return std::nullopt; }, true,
+        [this] { this->step_down("handed over"); });
 }
 
 void leadership::step_down(std::string_view reason)
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -60,7 +60,10 @@
     /// Step down because another process was seen to have taken over.
     void abdicate(std::string_view reason);
 
-    /// Hand over: keep what is on its way, then let another process win; never stand again.
+    /// Let another process win, and do not stand again for a while.
+    void hand_over(milliseconds rest);
+
+    /// Hand over for good.
     void retire();
 
     [[nodiscard]] bool leads() const
@@ -108,6 +111,7 @@
     bool renewing = false;
     bool standing = false;
     bool retired = false;
+    milliseconds resting_until{0}; ///< boot time before which it does not stand
     bool watching = false;
     int tenures = 0;
     timer watch_timer;
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -14,8 +14,9 @@
     std::string vm;
     std::string availability_zone;
     std::int64_t configuration_revision = 0;
+    std::int64_t lag_ms = 0; ///< how late its loop is
 
-    MSGPACK_DEFINE(vm, availability_zone, configuration_revision)
+    MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -140,7 +140,7 @@
     void stop_run(fleet_target& target, const task_name& task, std::int64_t run);
 
     // Ends of runs (coordinator_ends.cpp).
-    void take_end(fleet_target& target, const target_view::ended_task& end);
+    bool take_end(fleet_target& target, const target_view::ended_task& end);
     bool task_done(workflow& owner, const task_name& task);
     bool task_failed(workflow& owner, const task_name& task, std::int64_t run);
     bool remove_run(fleet_target& target, const task_name& task);
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-void coordinator::take_end(fleet_target& target, const target_view::ended_task& end)
+bool coordinator::take_end(fleet_target& target, const target_view::ended_task& end)
 {
     if (!target.note_end(end.number))
-        return;
+        return false;
     target.session->expect_acknowledgement();
     const auto found = target.tasks.find(end.task);
     const bool current = found != target.tasks.end() && found->second.run == end.run;
@@ -87,6 +87,7 @@
         owner->ends_to_record.push_back(kept);
     else
         this->store_progress(*owner, kept);
+    return true;
 }
 
 void coordinator::record_end(const std::string& name, std::int64_t born, std::int64_t number)
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -6,6 +6,7 @@
 #include "coordinator/target_session.h"
 #include "membership/message_codec.h"
 #include "ports/target_directory.h"
+#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
@@ -195,8 +196,12 @@
 void coordinator::take_view(fleet_target& target, const target_view& view, milliseconds sent)
 {
     const auto still_here = this->alive;
+    bool news = false;
     for (const auto& end : view.ended)
-        this->take_end(target, end);
+        news = this->take_end(target, end) || news;
+    this->around.count.add(news                 ? "looks_with_ends"
+                           : view.ended.empty() ? "looks_without_ends"
+                                                : "looks_with_known_ends");
     std::set<task_name> seen;
     for (const auto& row : view.running) {
         seen.insert(row.task);
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -45,7 +45,7 @@
 void target_session::want_looks(bool wanted)
 {
     this->looks_wanted = wanted;
-    if (wanted && !this->looking && !this->look_timer.active())
+    if (wanted && !this->looking && !this->waiting_for_record && !this->look_timer.active())
         this->schedule_look(milliseconds(0));
 }
 
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -10,12 +10,24 @@
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
 
 /// How often calls whose coordinator went away are tried again.
 constexpr milliseconds parked_interval{100};
+/// A coordinator whose loop is later than this is too slow for its duty: urgent objectives are a
+/// few hundred milliseconds.
+constexpr milliseconds lag_limit{150};
+constexpr milliseconds lag_check_interval{200};
+/// Another process takes over only if its loop is this many times less late.
+constexpr int lag_factor = 4;
+/// A new coordinator is busy at first, and a hand-over has its own cost.
+constexpr milliseconds lag_patience{2000};
+/// A coordinator that handed over does not stand again for this long.
+constexpr milliseconds lag_rest{15'000};
 
 gateway_reply reply_of(const member_reply& from)
 {
@@ -84,6 +96,7 @@
                },
            .heartbeat =
                [this](const member_greeting& member) {
+                   this->member_lags[member.vm] = member.lag_ms;
                    this->spread(member.configuration_revision, this->hub.find(member.vm));
                },
            .take =
@@ -119,6 +132,7 @@
                   },
               .coordinator_heard = [this] { return this->link.up(); }}),
       former_timer(loop, [this] { this->former_duty.reset(); }),
+      lag(loop), lag_timer(loop, [this] { this->check_lag(); }),
       parked_timer(loop, [this] { this->retry_parked(); })
 {
 }
@@ -170,7 +184,8 @@
 std::string cluster_entry::greeting() const
 {
     return pack_message(
-        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision});
+        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision,
+                                        this->lag.lag().count()});
 }
 
 void cluster_entry::won(std::int64_t term, commit_chain& chain)
@@ -192,6 +207,29 @@
     this->add_advisor(this->own.vm);
     this->hub.each([this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
     this->duty->begin();
+    this->won_at = boot_time();
+    this->lag_timer.start_repeating(lag_check_interval);
+}
+
+void cluster_entry::check_lag()
+{
+    if (!this->duty) {
+        this->lag_timer.stop();
+        return;
+    }
+    const auto own_lag = this->lag.lag();
+    if (own_lag < lag_limit || boot_time() - this->won_at < lag_patience)
+        return;
+    const auto better = std::ranges::find_if(this->member_lags, [&](const auto& member) {
+        return this->hub.find(member.first) != nullptr &&
+               milliseconds(member.second) * lag_factor < own_lag;
+    });
+    if (better == this->member_lags.end())
+        return;
+    this->log.write("coordination", "handing_over",
+                    {{"reason", "slow"}, {"lag_ms", own_lag.count()}, {"member", better->first}});
+    this->won_at = boot_time();
+    this->office.hand_over(lag_rest);
 }
 
 void cluster_entry::lost()
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -6,10 +6,12 @@
 #include "coordinator/coordinator.h"
 #include "gateway/workflow_gateway.h"
 #include "loop/endpoint.h"
+#include "loop/lag_meter.h"
 
 #include <absl/status/status.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -93,6 +95,7 @@
     };
     void ask_until(parked_call call);
     void retry_parked();
+    void check_lag();
     void ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
                          coordinator_reply done);
     void serve(peer_topic topic, std::string_view payload, peer_channel::replier reply);
@@ -119,6 +122,10 @@
     std::unique_ptr<coordinator> duty;
     std::unique_ptr<coordinator> former_duty; ///< kept until its callers have returned
     timer former_timer;
+    lag_meter lag;
+    std::map<std::string, std::int64_t> member_lags; ///< milliseconds, by VM
+    milliseconds won_at{0};                          ///< boot time
+    timer lag_timer;
     std::vector<parked_call> parked;
     timer parked_timer;
     bool retired = false;
