--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// Least time between the starts of two transactions: bounds the calls to about a hundred a second,
-/// a quarter of the writes that the store allows all processes together.
-constexpr milliseconds transaction_gap{10};
+/// Least time between the starts of two transactions: bounds the calls to about fifty a second, an
+/// eighth of the writes that the store allows all processes together.
+constexpr milliseconds transaction_gap{20};
 /// Entries of one transaction that carry writes: the fence takes a condition and a write.
 constexpr std::size_t writes_per_transaction = store_transaction::entry_limit - 2;
 /// Bytes of values in one transaction, well under what one call may carry.
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds renewal_interval{500};
 /// Longest time that one watch waits at the store; a silent connection costs at most this much.
 constexpr milliseconds watch_wait{1500};
+/// The same while the coordinator is heard: its silence has the store asked at once.
+constexpr milliseconds relaxed_wait{6000};
 /// Wait before a read or a watch that failed is tried again.
 constexpr milliseconds retry_wait{250};
 /// Candidates stand at random moments within this time, so that mostly one does.
@@ -91,9 +93,10 @@
 void leadership::watch()
 {
     this->watching = true;
-    this->store.watch(this->leader_key, this->watched_revision, watch_wait,
-                      [this, alive = this->alive](auto changes) {
-                          if (!*alive)
+    const auto wait = this->notify.coordinator_heard() ? relaxed_wait : watch_wait;
+    this->store.watch(this->leader_key, this->watched_revision, wait,
+                      [this, alive = this->alive, round = this->round](auto changes) {
+                          if (!*alive || round != this->round)
                               return;
                           this->watching = false;
                           if (!changes.ok()) {
@@ -111,6 +114,14 @@
                       });
 }
 
+void leadership::refresh()
+{
+    ++this->round;
+    this->watching = false;
+    this->watch_timer.stop();
+    this->read();
+}
+
 void leadership::take(const store_item& item)
 {
     std::optional<coordinator_record> now;
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -57,6 +57,9 @@
 
     void start();
 
+    /// Ask the store anew who coordinates: the coordinator is not heard any more.
+    void refresh();
+
     /// Step down because another process was seen to have taken over.
     void abdicate(std::string_view reason);
 
@@ -113,6 +116,7 @@
     bool retired = false;
     milliseconds resting_until{0}; ///< boot time before which it does not stand
     bool watching = false;
+    std::uint64_t round = 0; ///< answers to watches of earlier rounds are dropped
     int tenures = 0;
     timer watch_timer;
     timer stand_timer;
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -3,6 +3,7 @@
 #include "coordinator/advice_desk.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/placement_log.h"
+#include "coordinator/team_ledger.h"
 #include "coordinator/workflow.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
@@ -111,7 +112,7 @@
     }
 
 private:
-    /// Priority, lateness, boot time by which it should have ended, workflow, step.
+    /// Priority, rank, boot time by which it should have ended, workflow, step.
     using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
 
     // Reading the store (coordinator_load.cpp).
@@ -149,13 +150,17 @@
     void run_lost(fleet_target& target, const task_name& task, std::string_view reason);
     void break_gang(workflow& owner, std::uint32_t step);
     void end_workflow(workflow& owner, workflow_state state);
+    void log_end(const workflow& owner);
     void stop_all(workflow& owner);
 
     // Placing (coordinator_pass.cpp).
     void request_pass(milliseconds wait = milliseconds(2));
     void pass();
     void consider(workflow& owner, std::uint32_t step);
+    [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
+    void measure_fleet();
     [[nodiscard]] ready_key key_of(const workflow& owner, std::uint32_t step) const;
+    void reclaim_limit(workflow& owner, std::uint32_t step);
     bool reclaim_room(workflow& owner, std::uint32_t step, const queue_definition* queue,
                       std::uint32_t wanted);
     [[nodiscard]] bool may_use(const fleet_target& target, const workflow& owner,
@@ -215,9 +220,9 @@
     std::map<std::string, std::vector<placement_entry>> unseen;
     std::vector<std::string> inherited_log; ///< keys of the log of earlier coordinators
     std::vector<target_report> reports; ///< as the platform's list last had them
-    std::map<std::string, resources, std::less<>> team_use;
-    /// What tasks not yet seen may use, by team.
-    std::map<std::string, resources, std::less<>> unseen_use;
+    team_ledger teams;
+    resources fleet;       ///< what all targets that can be used have
+    double all_weights = 0; ///< of the teams in the configuration
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
     std::vector<std::function<void()>> after_load;
     std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -117,7 +117,7 @@
         if (task.at == workflow_task::phase::waiting)
             --step.waiting;
         else if (task.at == workflow_task::phase::unseen)
-            this->unseen_use[owner.record.team] -= spec.need;
+            this->teams.clear(owner.record.team, spec.need);
         else if (index == name.index && task.target != nullptr) {
             // It ended here while another run of it was ordered elsewhere.
             const task_name other{name.workflow, name.occurrence, name.step, index};
@@ -178,7 +178,7 @@
     auto* owner = found->second.owner;
     if (owner != nullptr) {
         this->placements.ended(found->second.batch);
-        this->team_use[owner->record.team] -= found->second.need;
+        this->teams.give_back(owner->record.team, found->second.need, owner->urgent());
         --owner->placed;
     }
     target.remove(task);
@@ -244,10 +244,8 @@
     for (auto& step : owner.steps)
         this->free_reservation(step);
     this->stop_all(owner);
+    this->log_end(owner);
     owner.record.spec = {};
-    if (state != workflow_state::completed)
-        this->around.log.write("coordinator", "workflow_ended",
-                               {{"workflow", owner.record.id}, {"state", word_of(state)}});
     this->around.count.add(state == workflow_state::completed ? "workflows_completed"
                                                               : "workflows_not_completed");
     this->store_record(owner, [this, id = owner.record.id] {
@@ -268,6 +266,31 @@
         this->store_progress(owner, [] {});
 }
 
+void coordinator::log_end(const workflow& owner)
+{
+    const auto now = boot_time();
+    // One that ended well and in time is counted only.
+    if (owner.state == workflow_state::completed && now <= owner.due)
+        return;
+    const bool here = owner.began_at.count() != 0;
+    std::uint32_t failures = 0;
+    for (const auto& step : owner.steps) {
+        for (const auto& task : step.tasks)
+            failures += task.failures;
+    }
+    this->around.log.write("coordinator", "workflow_ended",
+                           {{"workflow", owner.record.id},
+                            {"state", word_of(owner.state)},
+                            {"queue", owner.record.queue},
+                            {"team", owner.record.team},
+                            {"waited_ms", here ? (owner.began_at - owner.accepted_at).count() : -1},
+                            {"took_ms", (now - owner.accepted_at).count()},
+                            {"objective_ms", owner.objective.count()},
+                            {"failures", failures},
+                            {"steps", owner.steps.size()},
+                            {"tasks", owner.steps.empty() ? 0 : owner.steps[0].tasks.size()}});
+}
+
 void coordinator::stop_all(workflow& owner)
 {
     for (std::uint32_t number = 0; number < owner.steps.size(); ++number)
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -79,7 +79,7 @@
     if (task.at == workflow_task::phase::waiting) {
         task.at = workflow_task::phase::unseen;
         --step.waiting;
-        this->unseen_use[owner->record.team] += owner->record.spec.steps[entry.step].need;
+        this->teams.suspect(owner->record.team, owner->record.spec.steps[entry.step].need);
     }
     task.run = std::max(task.run, entry.run);
     task.maybe_on.push_back(entry.target);
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -29,6 +29,7 @@
 
 /// An answer that takes this many times its objective is worth nothing to its caller.
 constexpr int worthless_factor = 3;
+constexpr int lateness_count = 3; ///< values of lateness_of()
 
 /// @return 0 while a step can end in time, 1 when it will be late, 2 when too late to be of use.
 /// Under overload those that can still be in time go first: otherwise all are a little late.
@@ -75,7 +76,7 @@
         step.listed = true;
         if (step.ready_since.count() == 0)
             step.ready_since = boot_time();
-        step.lateness = lateness_of(owner, number);
+        step.rank = this->rank_of(owner, number);
         this->ready_steps.insert(this->key_of(owner, number));
     }
 }
@@ -96,12 +97,12 @@
     int left = steps_per_pass;
     std::vector<std::pair<workflow*, std::uint32_t>> later;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
-        const auto [priority, lateness, due, id, number] = *at;
+        const auto [priority, rank, due, id, number] = *at;
         ++at; // considering a step may take it off the list
         auto* owner = this->find(id);
         if (owner == nullptr)
             continue;
-        if (lateness_of(*owner, number) != lateness)
+        if (this->rank_of(*owner, number) != rank)
             later.emplace_back(owner, number);
         this->consider(*owner, number);
     }
@@ -113,9 +114,18 @@
     }
 }
 
+int coordinator::rank_of(const workflow& owner, std::uint32_t number) const
+{
+    // A team that uses more than its share waits for those that do not.
+    const auto* team = this->configuration->team(owner.record.team);
+    const bool over = team != nullptr && this->teams.over_share(owner.record.team, team->weight,
+                                                                this->all_weights, this->fleet);
+    return lateness_of(owner, number) + (over ? lateness_count : 0);
+}
+
 coordinator::ready_key coordinator::key_of(const workflow& owner, std::uint32_t number) const
 {
-    return {owner.priority, owner.steps[number].lateness, owner.due.count(), owner.record.id,
+    return {owner.priority, owner.steps[number].rank, owner.due.count(), owner.record.id,
             number};
 }
 
@@ -125,8 +135,10 @@
     const auto& spec = owner.record.spec.steps[number];
     const auto* queue = this->configuration->queue(owner.record.queue);
     const auto allowed = this->within_limit(owner, spec.need, step.waiting);
-    if (allowed == 0 || (spec.gang && allowed < step.waiting))
+    if (allowed == 0 || (spec.gang && allowed < step.waiting)) {
+        this->reclaim_limit(owner, number);
         return;
+    }
     if (step.asking && spec.gang)
         return;
     this->free_reservation(step);
@@ -227,20 +239,7 @@
     const auto* team = this->configuration->team(owner.record.team);
     if (team == nullptr)
         return wanted;
-    const auto used = this->team_use.find(owner.record.team);
-    auto in_use = used == this->team_use.end() ? resources{} : used->second;
-    if (const auto unseen = this->unseen_use.find(owner.record.team);
-        unseen != this->unseen_use.end())
-        in_use += unseen->second;
-    std::int64_t most = wanted;
-    const auto bound = [&most](std::int64_t limit, std::int64_t taken, std::int64_t each) {
-        if (limit > 0 && each > 0)
-            most = std::min(most, std::max<std::int64_t>(0, limit - taken) / each);
-    };
-    bound(team->limit.processors_milli, in_use.processors_milli, need.processors_milli);
-    bound(team->limit.memory_mb, in_use.memory_mb, need.memory_mb);
-    bound(team->limit.accelerators, in_use.accelerators, need.accelerators);
-    return static_cast<std::uint32_t>(most);
+    return this->teams.fits(owner.record.team, team->limit, need, wanted, owner.urgent());
 }
 
 bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
@@ -317,7 +316,7 @@
         task.run = spec.gang ? gang_run : std::max(task.run, owner.run_base) + 1;
         --step.waiting;
         ++owner.placed;
-        this->team_use[owner.record.team] += spec.need;
+        this->teams.take(owner.record.team, spec.need, owner.urgent());
         const auto batch = this->placements.add({owner.record.id, 0, number, index, task.run,
                                                  target->report.name, target->report.born_ms});
         target->place(name, {.owner = &owner, .run = task.run, .need = spec.need, .batch = batch});
@@ -388,8 +387,11 @@
         placed.started_at = boot_time();
         if (!placed.stopping)
             placed.settled_at = boot_time();
-        if (placed.owner != nullptr)
+        if (placed.owner != nullptr) {
+            if (!placed.owner->began)
+                placed.owner->began_at = boot_time();
             placed.owner->began = true;
+        }
         this->around.count.add("tasks_started");
         return;
     }
--- a/src/libverbenalever/coordinator/coordinator_reclaim.cpp
+++ b/src/libverbenalever/coordinator/coordinator_reclaim.cpp
@@ -60,6 +60,13 @@
     double lost = 0;
 };
 
+/// @return whether two sets of runs are the same team's, so that one can make room for the other
+/// within the team's limit
+bool same_team(const placed_task& placed, const workflow& owner)
+{
+    return placed.owner != nullptr && placed.owner->record.team == owner.record.team;
+}
+
 reclaim_plan plan_for(fleet_target& target, const resources& need, int priority)
 {
     reclaim_plan plan{.target = &target};
@@ -83,12 +90,39 @@
 
 } // namespace
 
+void coordinator::reclaim_limit(workflow& owner, std::uint32_t number)
+{
+    const auto now = boot_time();
+    auto& step = owner.steps[number];
+    if (!owner.urgent() || step.rank > 0 || now < step.reclaim_after)
+        return;
+    step.reclaim_after = now + reclaim_gap;
+    const auto& need = owner.record.spec.steps[number].need;
+    std::vector<std::pair<victim, fleet_target*>> found;
+    for (const auto& [name, target] : this->targets) {
+        for (auto& candidate : victims_on(*target, owner.priority)) {
+            if (same_team(*candidate.placed, owner))
+                found.emplace_back(std::move(candidate), target.get());
+        }
+    }
+    std::ranges::sort(found, {}, [](const auto& entry) { return entry.first.lost; });
+    resources room;
+    for (const auto& [chosen, target] : found) {
+        if (need.processors_milli * step.waiting <= room.processors_milli &&
+            need.memory_mb * step.waiting <= room.memory_mb)
+            break;
+        room += chosen.placed->need;
+        this->around.count.add("runs_reclaimed");
+        this->stop_run(*target, chosen.task, chosen.placed->run);
+    }
+}
+
 bool coordinator::reclaim_room(workflow& owner, std::uint32_t number,
                                const queue_definition* queue, std::uint32_t wanted)
 {
     const auto now = boot_time();
     auto& step = owner.steps[number];
-    if (owner.priority > 0 || step.lateness > 0 || now < step.ready_since + reclaim_wait ||
+    if (!owner.urgent() || step.rank > 0 || now < step.ready_since + reclaim_wait ||
         now < step.reclaim_after)
         return false;
     const auto& need = owner.record.spec.steps[number].need;
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -99,7 +99,8 @@
             milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
     }
     const auto age = wall_microseconds() / 1000 - added->record.accepted_ms;
-    added->due = boot_time() - milliseconds(age) + added->objective;
+    added->accepted_at = boot_time() - milliseconds(age);
+    added->due = added->accepted_at + added->objective;
     // Runs of later terms are numbered above all that earlier terms can have used.
     constexpr std::int64_t runs_per_revision = 16;
     added->run_base = (this->term - added->record.term) * runs_per_revision;
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -120,9 +120,24 @@
     for (const auto& [name, reason] : gone)
         this->drop_target(name, reason);
     this->check_adoption();
+    this->teams.age();
+    this->measure_fleet();
     this->request_pass();
 }
 
+void coordinator::measure_fleet()
+{
+    const auto now = boot_time();
+    this->fleet = {};
+    for (const auto& [name, target] : this->targets) {
+        if (target->usable(now))
+            this->fleet += target->report.capacity;
+    }
+    this->all_weights = 0;
+    for (const auto& team : this->configuration->teams)
+        this->all_weights += team.weight;
+}
+
 bool coordinator::may_extend_leases() const
 {
     // While every member is here, none of them has taken over.
@@ -187,7 +202,7 @@
             continue;
         task.at = workflow_task::phase::waiting;
         ++step.waiting;
-        this->unseen_use[owner->record.team] -= owner->record.spec.steps[entry.step].need;
+        this->teams.clear(owner->record.team, owner->record.spec.steps[entry.step].need);
         this->list_ready(*owner);
     }
     this->request_pass();
@@ -266,7 +281,7 @@
                                          row.task.index, row.run, target.report.name,
                                          target.report.born_ms});
     target.place(row.task, placed);
-    this->team_use[owner->record.team] += placed.need;
+    this->teams.take(owner->record.team, placed.need, owner->urgent());
     ++owner->placed;
     owner->began = true;
     const bool unseen = task.at == workflow_task::phase::unseen;
@@ -287,7 +302,7 @@
     if (!row.checkpoint.empty())
         task.checkpoint = row.checkpoint;
     if (unseen)
-        this->unseen_use[owner->record.team] -= placed.need;
+        this->teams.clear(owner->record.team, placed.need);
     else if (--step.waiting == 0)
         this->unlist(*owner, row.task.step);
 }
--- /dev/null
+++ b/src/libverbenalever/coordinator/team_ledger.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "scheduling/resources.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+/// What each team has running, against its upper limit and its share.
+///
+/// Urgent work that comes in bursts must not find its team's limit taken by slow work: as much as
+/// the team's urgent work has lately used at most is kept back from what is less urgent.
+class team_ledger {
+public:
+    /// A run of the team was placed, or has ended.
+    void take(std::string_view team, const resources& need, bool urgent);
+    void give_back(std::string_view team, const resources& need, bool urgent);
+
+    /// A run of the team may be on a target that was not heard yet, or is known now.
+    void suspect(std::string_view team, const resources& need);
+    void clear(std::string_view team, const resources& need);
+
+    /// @return how many runs, of @p wanted, the team may start without passing its limit
+    [[nodiscard]] std::uint32_t fits(std::string_view team, const resources& limit,
+                                     const resources& need, std::uint32_t wanted,
+                                     bool urgent) const;
+
+    /// Let peaks of urgent use fade; call every age_interval.
+    void age();
+
+    /// @param weight       the team's share among @p all_weights
+    /// @param fleet        what all targets have
+    /// @return whether the team uses clearly more processors than its share of a full fleet
+    [[nodiscard]] bool over_share(std::string_view team, double weight, double all_weights,
+                                  const resources& fleet) const;
+
+    static constexpr int age_interval_ms = 200;
+
+private:
+    struct account {
+        resources used;
+        resources urgent;      ///< the part of it that is urgent
+        resources urgent_peak; ///< most of that lately
+        resources suspected;   ///< may be running where it cannot be seen
+    };
+
+    std::map<std::string, account, std::less<>> accounts;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -55,7 +55,7 @@
     milliseconds ask_after{0};   ///< boot time before which nothing is asked
     milliseconds ready_since{0}; ///< boot time; 0: its turn has not come
     bool listed = false;         ///< in the list of steps that are ready
-    int lateness = 0;            ///< with which it is listed there: see lateness_of()
+    int rank = 0; ///< with which it is listed there, within its priority
     milliseconds tail{0};        ///< estimated time from its start to the workflow's end
     milliseconds reclaim_after{0}; ///< boot time before which it takes no room from others
 };
@@ -67,12 +67,19 @@
     std::vector<workflow_step> steps;
     int priority = 0;
     milliseconds due{0};       ///< boot time by which it should have ended
+    milliseconds accepted_at{0}; ///< boot time
+    milliseconds began_at{0};    ///< boot time of its first start; 0: not in this term
     milliseconds objective{0}; ///< time that it should take from its acceptance
     std::int64_t run_base = 0; ///< runs of this term are numbered from here
     bool stored = false;       ///< its record is kept
     bool end_stored = false;   ///< its end is kept
     bool progress_stored = false;
     bool began = false;       ///< a task of it has started
+    [[nodiscard]] bool urgent() const
+    {
+        return this->priority == 0;
+    }
+
     std::uint32_t placed = 0; ///< tasks on targets
     std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
     std::vector<std::function<void()>> ends_to_record; ///< run when its end is kept
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -119,7 +119,10 @@
             .changed =
                 [this](bool up) {
                     this->log.write("coordination", up ? "coordinator_heard" : "coordinator_silent",
-                                    {});
+                                {});
+                this->outside.operators.rely_on_peer(up);
+                if (!up)
+                    this->office.refresh();
                 }}),
       office(loop, outside.store, log, this->own.key_prefix,
              {.vm = this->own.vm, .address = this->own.peer.text(), .tenure = {}},
@@ -299,8 +302,9 @@
     else if (topic == peer_topic::cancel)
         this->serve_cancel(payload, reply);
     else if (topic == peer_topic::waiting)
-        reply(pack_reply(call_outcome::accepted, workflow_state::queued,
-                         this->duty->waiting_in(payload)));
+        reply(this->duty->ready() ? pack_reply(call_outcome::accepted, workflow_state::queued,
+                                               this->duty->waiting_in(payload))
+                                  : pack_reply(call_outcome::refused));
 }
 
 void cluster_entry::serve_submit(std::string_view payload, const peer_channel::replier& reply)
