Tests of the coordinator, its chain and its election; mend what they found

Change: a target that failed a step is avoided for 1.5 s; reclaim without advice and for several tasks on one target; the ledger withholds room for waiting urgent runs; each reclaim is logged.

--- /dev/null
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -0,0 +1,100 @@
+#include "coordination/commit_chain.h"
+
+#include "loop/event_loop.h"
+#include "loop/timer.h"
+#include "testing/fake_store.h"
+#include "timeline/event_log.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenalever {
+namespace {
+
+class commit_chain_test : public testing::Test {
+protected:
+    commit_chain_test()
+    {
+        this->store.items["fence"] = {"fence", "me", 1, false};
+        this->chain = std::make_unique<commit_chain>(this->loop, this->store, this->log, "fence",
+                                                     "me", 1, [this] { this->lost = true; });
+    }
+
+    void run_for(milliseconds span)
+    {
+        timer end(this->loop, [this] { this->loop.stop(); });
+        end.start_once(span);
+        this->loop.run();
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        this->chain->put(
+            key, [value] { return value; }, false, [this] { ++this->done; });
+    }
+
+    event_loop loop;
+    fake_store store{this->loop};
+    event_log log{"test"};
+    std::unique_ptr<commit_chain> chain;
+    bool lost = false;
+    int done = 0;
+};
+
+TEST_F(commit_chain_test, writes_that_wait_together_share_transactions_within_the_limit)
+{
+    for (int number = 0; number < 100; ++number)
+        this->put("k" + std::to_string(number), "v");
+    this->run_for(milliseconds(250));
+    EXPECT_EQ(this->done, 100);
+    EXPECT_EQ(this->store.committed, 4);
+    EXPECT_LE(this->store.largest_transaction, store_transaction::entry_limit);
+}
+
+TEST_F(commit_chain_test, a_lost_answer_is_not_taken_for_another_coordinator)
+{
+    this->store.answers_to_lose = 2;
+    this->put("a", "1");
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->done, 1);
+    EXPECT_EQ(this->store.committed, 1);
+    EXPECT_FALSE(this->lost);
+}
+
+TEST_F(commit_chain_test, a_late_transaction_does_not_undo_a_newer_one)
+{
+    this->store.transactions_late = 1;
+    this->put("a", "old");
+    this->run_for(milliseconds(300));
+    this->put("a", "new");
+    this->run_for(milliseconds(100));
+    this->store.run_late();
+    EXPECT_EQ(this->store.items["a"].value, "new");
+    EXPECT_EQ(this->done, 2);
+}
+
+TEST_F(commit_chain_test, nothing_is_written_after_another_process_took_the_fence)
+{
+    this->store.items["fence"] = {"fence", "other", 7, false};
+    this->put("a", "1");
+    this->run_for(milliseconds(100));
+    EXPECT_TRUE(this->lost);
+    EXPECT_EQ(this->done, 0);
+    EXPECT_FALSE(this->store.items.contains("a"));
+}
+
+TEST_F(commit_chain_test, an_unsent_write_can_be_withdrawn_and_a_sent_one_cannot)
+{
+    this->store.down = true;
+    this->put("sent", "1");
+    this->run_for(milliseconds(50));
+    this->put("unsent", "1");
+    EXPECT_FALSE(this->chain->withdraw("sent"));
+    EXPECT_TRUE(this->chain->withdraw("unsent"));
+    this->store.down = false;
+    this->run_for(milliseconds(600));
+    EXPECT_TRUE(this->store.items.contains("sent"));
+    EXPECT_FALSE(this->store.items.contains("unsent"));
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -160,6 +160,8 @@
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
     void measure_fleet();
     [[nodiscard]] ready_key key_of(const workflow& owner, std::uint32_t step) const;
+    void reclaim_run(fleet_target& target, const task_name& task, const workflow& by,
+                     std::string_view reason);
     void reclaim_limit(workflow& owner, std::uint32_t step);
     bool reclaim_room(workflow& owner, std::uint32_t step, const queue_definition* queue,
                       std::uint32_t wanted);
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A step that failed on a target is tried elsewhere for this long: by then it has found another
+/// target, or there is none.
+constexpr milliseconds failed_target_rest{1500};
+
 std::string_view word_of(target_view::ending how)
 {
     switch (how) {
@@ -65,7 +69,8 @@
         else {
             if (end.how == target_view::ending::failed) {
                 target.note_failure(boot_time());
-                owner->steps[end.task.step].failed_on.insert(target.report.name);
+                owner->steps[end.task.step].failed_on[target.report.name] =
+                    boot_time() + failed_target_rest;
                 changed = this->task_failed(*owner, end.task, end.run);
             }
             if (ours && !is_final(owner->state)) {
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -94,6 +94,7 @@
 {
     if (!this->loaded || !this->office.leads())
         return;
+    this->teams.release_withheld();
     int left = steps_per_pass;
     std::vector<std::pair<workflow*, std::uint32_t>> later;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
@@ -135,6 +136,8 @@
     const auto& spec = owner.record.spec.steps[number];
     const auto* queue = this->configuration->queue(owner.record.queue);
     const auto allowed = this->within_limit(owner, spec.need, step.waiting);
+    if (owner.urgent() && allowed < step.waiting)
+        this->teams.withhold(owner.record.team, spec.need, step.waiting - allowed);
     if (allowed == 0 || (spec.gang && allowed < step.waiting)) {
         this->reclaim_limit(owner, number);
         return;
@@ -149,9 +152,12 @@
         wanted -= static_cast<std::uint32_t>(chosen.size());
         this->start_tasks(owner, number, chosen);
     }
-    if (wanted == 0 || queue == nullptr || !queue->needs_advice || step.asking ||
-        boot_time() < step.ask_after)
+    if (wanted == 0 || queue == nullptr || step.asking || boot_time() < step.ask_after)
         return;
+    if (!queue->needs_advice) {
+        this->reclaim_room(owner, number, queue, wanted);
+        return;
+    }
     const auto found = this->grant_share.find(owner.record.queue);
     const auto share = found == this->grant_share.end() ? first_grant_share : found->second;
     if (spec.gang) {
@@ -192,13 +198,13 @@
 {
     const auto& report = target.report;
     const auto& label = owner.record.spec.steps[number].required_label;
+    const auto now = boot_time();
     const auto& failed_on = owner.steps[number].failed_on;
-    // A task that has failed is tried elsewhere, unless it fails everywhere.
-    constexpr std::size_t avoided_targets = 3;
-    return target.usable(boot_time()) && report.pool == owner.record.pool &&
+    const auto failed = failed_on.find(report.name);
+    return target.usable(now) && report.pool == owner.record.pool &&
            !this->configuration->zones_out.contains(report.availability_zone) &&
            (label.empty() || std::ranges::find(report.labels, label) != report.labels.end()) &&
-           (failed_on.size() > avoided_targets || !failed_on.contains(report.name));
+           (failed == failed_on.end() || now >= failed->second);
 }
 
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
--- a/src/libverbenalever/coordinator/coordinator_reclaim.cpp
+++ b/src/libverbenalever/coordinator/coordinator_reclaim.cpp
@@ -6,6 +6,8 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace verbenalever {
 
@@ -67,25 +69,33 @@
     return placed.owner != nullptr && placed.owner->record.team == owner.record.team;
 }
 
-reclaim_plan plan_for(fleet_target& target, const resources& need, int priority)
+/// @return a plan for each task that could get room on @p target, at most @p wanted, cheapest first
+std::vector<reclaim_plan> plans_for(fleet_target& target, const resources& need, int priority,
+                                    std::uint32_t wanted)
 {
-    reclaim_plan plan{.target = &target};
     auto room = target.free();
     // What is being stopped already will be free too.
     for (const auto& [task, placed] : target.tasks) {
         if (placed.stopping)
             room += placed.need;
     }
-    for (auto& candidate : victims_on(target, priority)) {
-        if (need.fits_within(room))
+    std::vector<reclaim_plan> plans;
+    reclaim_plan plan{.target = &target};
+    auto victims = victims_on(target, priority);
+    std::size_t next = 0;
+    while (plans.size() < wanted) {
+        if (need.fits_within(room)) {
+            room -= need;
+            plans.push_back(std::exchange(plan, {.target = &target}));
+            continue;
+        }
+        if (next == victims.size())
             break;
-        room += candidate.placed->need;
-        plan.lost += candidate.lost;
-        plan.victims.push_back(std::move(candidate));
+        room += victims[next].placed->need;
+        plan.lost += victims[next].lost;
+        plan.victims.push_back(std::move(victims[next++]));
     }
-    if (!need.fits_within(room))
-        plan.target = nullptr;
-    return plan;
+    return plans;
 }
 
 } // namespace
@@ -112,11 +122,26 @@
             need.memory_mb * step.waiting <= room.memory_mb)
             break;
         room += chosen.placed->need;
-        this->around.count.add("runs_reclaimed");
-        this->stop_run(*target, chosen.task, chosen.placed->run);
+        this->reclaim_run(*target, chosen.task, owner, "limit");
     }
 }
 
+void coordinator::reclaim_run(fleet_target& target, const task_name& task, const workflow& by,
+                              std::string_view reason)
+{
+    const auto& placed = target.tasks.at(task);
+    this->around.count.add("runs_reclaimed");
+    this->around.log.write("coordinator", "run_reclaimed",
+                           {{"workflow", task.workflow},
+                            {"step", task.step},
+                            {"index", task.index},
+                            {"target", target.report.name},
+                            {"for", by.record.id},
+                            {"reason", reason},
+                            {"ran_ms", (boot_time() - placed.started_at).count()}});
+    this->stop_run(target, task, placed.run);
+}
+
 bool coordinator::reclaim_room(workflow& owner, std::uint32_t number,
                                const queue_definition* queue, std::uint32_t wanted)
 {
@@ -131,15 +156,15 @@
     for (const auto& [name, target] : this->targets) {
         if (!this->may_use(*target, owner, number))
             continue;
-        auto plan = plan_for(*target, need, owner.priority);
-        if (plan.target == nullptr)
+        auto found = plans_for(*target, need, owner.priority, wanted);
+        if (found.empty())
             continue;
         const auto said = step.advice.find(name);
         const bool advised = queue != nullptr && queue->needs_advice;
         if (!advised || (said != step.advice.end() && said->second.allowed))
-            plans.push_back(std::move(plan));
+            std::ranges::move(found, std::back_inserter(plans));
         else if (said == step.advice.end())
-            unasked.emplace_back(plan.lost, target.get());
+            unasked.emplace_back(found.front().lost, target.get());
     }
     step.reclaim_after = now + reclaim_gap;
     if (plans.empty()) {
@@ -157,8 +182,7 @@
     std::ranges::sort(plans, {}, &reclaim_plan::lost);
     for (std::size_t taken = 0; taken < plans.size() && taken < wanted; ++taken) {
         for (const auto& chosen : plans[taken].victims) {
-            this->around.count.add("runs_reclaimed");
-            this->stop_run(*plans[taken].target, chosen.task, chosen.placed->run);
+            this->reclaim_run(*plans[taken].target, chosen.task, owner, "room");
         }
     }
     return true;
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -244,6 +244,8 @@
             this->stop_run(target, row.task, row.run);
         return;
     }
+    if (!placed.started)
+        placed.started_at = boot_time();
     placed.started = true;
     if (row.percent > placed.percent || placed.percent_at.count() == 0) {
         placed.percent = row.percent;
@@ -266,6 +268,7 @@
                        .started = true,
                        .settled_at = boot_time(),
                        .ordered_at = boot_time(),
+                       .started_at = boot_time(),
                        .percent = row.percent,
                        .percent_at = boot_time()};
     if (!wanted) {
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -0,0 +1,343 @@
+#include "coordinator/coordinator.h"
+
+#include "coordination/commit_chain.h"
+#include "coordination/leadership.h"
+#include "coordinator/target_session.h"
+#include "loop/event_loop.h"
+#include "testing/fake_store.h"
+#include "testing/fake_targets.h"
+#include "timeline/counters.h"
+#include "timeline/event_log.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+
+namespace verbenalever {
+namespace {
+
+/// A process that coordinates once it is elected.
+class process {
+public:
+    process(event_loop& loop, fake_store& store, fake_targets& targets,
+            std::shared_ptr<const fleet_configuration> configuration, const event_log& log,
+            const std::string& vm)
+        : loop(loop), store(store), targets(targets), configuration(std::move(configuration)),
+          log(log),
+          office(loop, store, log, "v/", {vm, "127.0.0.1:1", {}},
+                 {.won = [this](std::int64_t term,
+                                commit_chain& chain) { this->coordinate(term, chain); },
+                  .lost = [this] { this->duty.reset(); },
+                  .changed = [](const std::optional<coordinator_record>&) {},
+                  .coordinator_heard = [] { return false; }})
+    {
+        this->office.start();
+    }
+
+    event_loop& loop;
+    fake_store& store;
+    fake_targets& targets;
+    std::shared_ptr<const fleet_configuration> configuration;
+    const event_log& log;
+    counters count;
+    std::unique_ptr<coordinator> duty;
+    leadership office;
+
+private:
+    void coordinate(std::int64_t term, commit_chain& chain)
+    {
+        this->duty = std::make_unique<coordinator>(
+            coordinator::environment{.loop = this->loop,
+                                     .store = this->store,
+                                     .orders = this->targets,
+                                     .directory = this->targets,
+                                     .log = this->log,
+                                     .count = this->count,
+                                     .prefix = "v/",
+                                     .task_lease = milliseconds(600),
+                                     .finished_rest = milliseconds(60'000),
+                                     .members_complete = [] { return false; },
+                                     .forget_members = [](milliseconds) {}},
+            this->office, chain, term, this->configuration);
+        this->duty->begin();
+    }
+};
+
+class coordinator_test : public testing::Test {
+protected:
+    coordinator_test()
+    {
+        auto made = std::make_shared<fleet_configuration>();
+        made->version = 1;
+        made->queues.push_back({.name = "urgent",
+                                .pool = "pool",
+                                .priority = 0,
+                                .attempts = 3,
+                                .latency_objective = milliseconds(5000)});
+        made->queues.push_back({.name = "slow", .pool = "pool", .priority = 2, .attempts = 3});
+        made->teams.push_back({.name = "team", .keys = {}, .weight = 1, .limit = {}});
+        this->configuration = made;
+    }
+
+    void run_for(milliseconds span)
+    {
+        timer end(this->loop, [this] { this->loop.stop(); });
+        end.start_once(span);
+        this->loop.run();
+    }
+
+    /// Start a process and wait until it coordinates.
+    process& elect(const std::string& vm)
+    {
+        this->processes.push_back(std::make_unique<process>(
+            this->loop, this->store, this->targets, this->configuration, this->log, vm));
+        this->run_for(milliseconds(300));
+        EXPECT_NE(this->processes.back()->duty, nullptr);
+        return *this->processes.back();
+    }
+
+    /// The process is gone at once, and its lease with it.
+    void kill(process& gone)
+    {
+        std::erase_if(this->processes, [&gone](const auto& one) { return one.get() == &gone; });
+        this->store.expire(this->store.leases_of["v/leader"]);
+    }
+
+    static step_spec tasks(std::uint32_t count, std::int64_t cores, bool gang = false)
+    {
+        return {.count = count,
+                .need = {.processors_milli = cores * 1000, .memory_mb = 100},
+                .estimated_ms = 50,
+                .gang = gang};
+    }
+
+    void submit(process& to, const std::string& id, std::vector<step_spec> steps,
+                const std::string& queue = "urgent")
+    {
+        this->targets.need_of[id] = steps.front().need;
+        to.duty->submit({id, queue, "team", {.payload = "p", .steps = std::move(steps)}},
+                        [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
+    }
+
+    workflow_state state(process& of, const std::string& id)
+    {
+        workflow_state found = workflow_state::queued;
+        of.duty->status(id, [&found](call_outcome, workflow_state now) { found = now; });
+        return found;
+    }
+
+    event_loop loop;
+    fake_store store{this->loop};
+    fake_targets targets{this->loop};
+    event_log log{"test"};
+    std::shared_ptr<fleet_configuration> configuration;
+    std::map<std::string, call_outcome> outcomes;
+    std::vector<std::unique_ptr<process>> processes;
+};
+
+TEST_F(coordinator_test, steps_run_in_their_order_and_the_end_is_shown)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    auto second_step = this->tasks(2, 2);
+    second_step.after = {0};
+    this->submit(first, "w", {this->tasks(4, 2), second_step});
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(this->outcomes["w"], call_outcome::accepted);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 6);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+TEST_F(coordinator_test, the_same_id_again_is_the_same_workflow)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(400));
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->targets.starts, 1);
+    EXPECT_EQ(this->outcomes["w"], call_outcome::accepted);
+}
+
+// A gang's second end, or one of a workflow whose end was on its way to the store, used to be
+// acknowledged at once; a coordinator that died then left neither record nor end.
+TEST_F(coordinator_test, no_end_is_acknowledged_before_what_follows_from_it_is_kept)
+{
+    this->targets.add("t1", 4000).work = milliseconds(0);
+    this->targets.add("t2", 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "gang", {this->tasks(2, 4, true)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("gang"), 2);
+    this->store.down = true;
+    this->targets.end_all("t1", target_view::ending::done);
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    this->store.down = false;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->state(second, "gang"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+TEST_F(coordinator_test, a_successor_adopts_what_runs_and_starts_nothing_twice)
+{
+    for (const auto* name : {"t1", "t2", "t3"})
+        this->targets.add(name, 8000).work = milliseconds(900);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < 6; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(3, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->targets.starts, 18);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(1200));
+    for (int number = 0; number < 6; ++number)
+        EXPECT_EQ(this->state(second, "w" + std::to_string(number)), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 18);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+TEST_F(coordinator_test, only_tasks_that_may_be_on_a_silent_target_wait_for_it)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "placed", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    this->submit(first, "queued", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    this->targets.targets["t1"]->silent = true;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("queued"), 1);
+    EXPECT_EQ(this->targets.starts, 3);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+    EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
+}
+
+// A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
+TEST_F(coordinator_test, a_failed_run_counts_once_for_all_coordinators)
+{
+    auto& target = this->targets.add("t1", 4000);
+    target.work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    this->targets.end_all("t1", target_view::ending::failed);
+    // The record is kept, and the process is gone before its next look acknowledges the end.
+    while (!this->store.items.contains("v/s/w"))
+        this->run_for(milliseconds(1));
+    const auto ended = target.ended;
+    this->kill(first);
+    target.ended = ended;
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(200));
+    for (int again = 0; again < 1; ++again) {
+        this->targets.end_all("t1", target_view::ending::failed);
+        this->run_for(milliseconds(400));
+    }
+    EXPECT_EQ(this->state(second, "w"), workflow_state::running);
+}
+
+TEST_F(coordinator_test, a_task_that_fails_too_often_ends_its_workflow)
+{
+    this->targets.add("t1", 4000).fails_all = true;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    // Between its attempts the target is distrusted for a while.
+    this->run_for(milliseconds(6500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::failed);
+    EXPECT_EQ(this->targets.starts, 3);
+}
+
+// A submission taken back while the store was away used to leave its placed tasks behind.
+TEST_F(coordinator_test, submissions_are_refused_truly_while_the_store_is_away)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    this->store.down = true;
+    this->submit(first, "sent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    for (int number = 0; number < 5; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(2, 1)});
+    this->run_for(milliseconds(1000));
+    for (int number = 0; number < 5; ++number)
+        EXPECT_EQ(this->outcomes["w" + std::to_string(number)], call_outcome::refused);
+    EXPECT_FALSE(this->outcomes.contains("sent"));
+    this->store.down = false;
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->outcomes["sent"], call_outcome::accepted);
+    EXPECT_EQ(this->targets.starts, 1);
+}
+
+TEST_F(coordinator_test, a_cancelled_workflow_is_stopped_and_frees_its_room)
+{
+    this->targets.add("t1", 2000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    std::optional<call_outcome> answer;
+    first.duty->cancel("w", [&answer](call_outcome outcome) { answer = outcome; });
+    this->submit(first, "next", {this->tasks(2, 1)});
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(answer, call_outcome::accepted);
+    EXPECT_EQ(this->targets.running("w"), 0);
+    EXPECT_EQ(this->targets.running("next"), 2);
+    EXPECT_EQ(this->state(first, "w"), workflow_state::cancelled);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// Load pattern: urgent jobs arrive while a team's slow work fills its limit.
+TEST_F(coordinator_test, urgent_work_at_its_teams_limit_takes_the_place_of_its_slow_work)
+{
+    this->configuration->teams[0].limit = {.processors_milli = 4000};
+    this->targets.add("t1", 16'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "slow", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("slow"), 4);
+    this->submit(first, "urgent", {this->tasks(1, 2)});
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.running("urgent"), 1);
+    EXPECT_EQ(this->targets.running("slow"), 2);
+}
+
+// Load pattern: urgent jobs arrive while slow work of others fills the fleet.
+TEST_F(coordinator_test, urgent_work_takes_room_from_slow_work_that_has_just_begun)
+{
+    this->targets.add("t1", 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "slow", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    this->submit(first, "urgent", {this->tasks(2, 1)});
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->targets.running("urgent"), 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// One look for each end, however long the store takes to record it.
+TEST_F(coordinator_test, looks_follow_ends_and_not_each_other)
+{
+    this->targets.add("t1", 8000).work = milliseconds(100);
+    auto& first = this->elect("vm-1");
+    this->targets.looks = 0;
+    for (int number = 0; number < 20; ++number) {
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+        this->run_for(milliseconds(60));
+    }
+    this->run_for(milliseconds(300));
+    EXPECT_LE(this->targets.looks, 45) << "20 ends were listed";
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/team_ledger.cpp
+++ b/src/libverbenalever/coordinator/team_ledger.cpp
@@ -62,6 +62,20 @@
         found->second.suspected -= need;
 }
 
+void team_ledger::withhold(std::string_view team, const resources& need, std::uint32_t runs)
+{
+    if (const auto found = this->accounts.find(team); found != this->accounts.end()) {
+        for (std::uint32_t run = 0; run < runs; ++run)
+            found->second.withheld += need;
+    }
+}
+
+void team_ledger::release_withheld()
+{
+    for (auto& [team, held] : this->accounts)
+        held.withheld = {};
+}
+
 std::uint32_t team_ledger::fits(std::string_view team, const resources& limit,
                                 const resources& need, std::uint32_t wanted, bool urgent) const
 {
@@ -70,7 +84,7 @@
                                                : found->second.used + found->second.suspected;
     if (found != this->accounts.end() && !urgent) {
         const auto& held = found->second;
-        taken += held.urgent_peak - held.urgent;
+        taken += held.urgent_peak - held.urgent + held.withheld;
     }
     std::int64_t most = wanted;
     const auto bound = [&most](std::int64_t all, std::int64_t used, std::int64_t each) {
--- a/src/libverbenalever/coordinator/team_ledger.h
+++ b/src/libverbenalever/coordinator/team_ledger.h
@@ -23,6 +23,10 @@
     void suspect(std::string_view team, const resources& need);
     void clear(std::string_view team, const resources& need);
 
+    /// Keep room for urgent runs that wait at their team's limit, until release_withheld().
+    void withhold(std::string_view team, const resources& need, std::uint32_t runs);
+    void release_withheld();
+
     /// @return how many runs, of @p wanted, the team may start without passing its limit
     [[nodiscard]] std::uint32_t fits(std::string_view team, const resources& limit,
                                      const resources& need, std::uint32_t wanted,
@@ -44,6 +48,7 @@
         resources used;
         resources urgent;      ///< the part of it that is urgent
         resources urgent_peak; ///< most of that lately
+        resources withheld;    ///< for urgent runs that wait
         resources suspected;   ///< may be running where it cannot be seen
     };
 
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,7 +45,8 @@
     std::vector<workflow_task> tasks;
     std::uint32_t waiting = 0;
     std::uint32_t done = 0;
-    std::set<std::string, std::less<>> failed_on; ///< targets on which a task of it has failed
+    /// Targets on which a task of it has failed, and the boot time until which they are avoided.
+    std::map<std::string, milliseconds, std::less<>> failed_on;
 
     std::map<std::string, advice_memory, std::less<>> advice; ///< by target
     /// Room kept on targets while the advisor is asked again.
--- /dev/null
+++ b/src/libverbenalever/testing/fake_store.cpp
@@ -0,0 +1,187 @@
+#include "testing/fake_store.h"
+
+namespace verbenalever {
+
+fake_store::fake_store(event_loop& loop)
+    : loop(loop), runner(loop, [this] {
+          auto ready = std::move(this->queue);
+          this->queue.clear();
+          for (auto& action : ready)
+              action();
+          if (!this->queue.empty())
+              this->runner.start_once(milliseconds(1));
+      })
+{
+}
+
+void fake_store::later(std::function<void()> action)
+{
+    this->queue.push_back(std::move(action));
+    if (!this->runner.active())
+        this->runner.start_once(milliseconds(1));
+}
+
+store_result fake_store::apply(const store_transaction& change)
+{
+    this->largest_transaction =
+        std::max(this->largest_transaction,
+                 change.conditions.size() + change.writes.size() + change.deletes.size());
+    store_result conflict{.how = store_result::outcome::conflict};
+    bool holds = true;
+    for (const auto& condition : change.conditions) {
+        const auto found = this->items.find(condition.key);
+        const auto now = found == this->items.end() ? 0 : found->second.revision;
+        holds = holds && now == condition.revision;
+        conflict.current.push_back(found == this->items.end() ? store_item{.key = condition.key}
+                                                              : found->second);
+    }
+    if (!holds)
+        return conflict;
+    ++this->revision;
+    ++this->committed;
+    for (const auto& write : change.writes) {
+        this->items[write.key] = {write.key, write.value, this->revision, false};
+        this->leases_of[write.key] = write.lease;
+        this->tell(this->items[write.key]);
+    }
+    for (const auto& key : change.deletes) {
+        if (this->items.erase(key) > 0)
+            this->tell({key, {}, this->revision, true});
+    }
+    return {.how = store_result::outcome::committed, .revision = this->revision};
+}
+
+void fake_store::transact(store_transaction change, std::function<void(store_result)> done)
+{
+    if (this->down || this->transactions_late > 0) {
+        if (this->transactions_late > 0) {
+            --this->transactions_late;
+            this->late.push_back(change);
+        }
+        auto& timeout = this->timeouts.emplace_back(std::make_unique<timer>(
+            this->loop, [done = std::move(done)] { done({.how = store_result::outcome::unknown}); }));
+        timeout->start_once(change.timeout);
+        return;
+    }
+    const auto result = this->apply(change);
+    const bool lost = this->answers_to_lose > 0;
+    if (lost)
+        --this->answers_to_lose;
+    this->later([done = std::move(done), result, lost] {
+        done(lost ? store_result{.how = store_result::outcome::unknown} : result);
+    });
+}
+
+void fake_store::run_late()
+{
+    const auto changes = std::move(this->late);
+    this->late.clear();
+    for (const auto& change : changes)
+        this->apply(change);
+}
+
+void fake_store::read(const std::string& key,
+                      std::function<void(absl::StatusOr<std::optional<store_item>>)> done)
+{
+    std::optional<store_item> item;
+    if (const auto found = this->items.find(key); found != this->items.end())
+        item = found->second;
+    this->later([done = std::move(done), item, down = this->down] {
+        if (down)
+            done(absl::UnavailableError("down"));
+        else
+            done(item);
+    });
+}
+
+void fake_store::list(const std::string& prefix, const std::string& after,
+                      std::function<void(absl::StatusOr<store_page>)> done)
+{
+    constexpr std::size_t page_size = 3; // small, so that every list has several pages
+    store_page page{.revision = this->revision};
+    for (auto at = this->items.lower_bound(prefix);
+         at != this->items.end() && at->first.starts_with(prefix); ++at) {
+        if (at->first <= after)
+            continue;
+        page.more = page.items.size() == page_size;
+        if (page.more)
+            break;
+        page.items.push_back(at->second);
+    }
+    this->later([done = std::move(done), page, down = this->down] {
+        if (down)
+            done(absl::UnavailableError("down"));
+        else
+            done(page);
+    });
+}
+
+void fake_store::watch(const std::string& prefix, std::int64_t after, milliseconds,
+                       std::function<void(absl::StatusOr<store_changes>)> done)
+{
+    store_changes changes{.revision = this->revision};
+    for (const auto& item : this->history) {
+        if (item.revision > after && item.key.starts_with(prefix))
+            changes.items.push_back(item);
+    }
+    if (!changes.items.empty())
+        this->later([done = std::move(done), changes] { done(changes); });
+    else
+        this->watchers.push_back({prefix, after, std::move(done)});
+}
+
+void fake_store::tell(const store_item& item)
+{
+    this->history.push_back(item);
+    std::vector<watcher> woken;
+    std::erase_if(this->watchers, [&](auto& waiting) {
+        if (!item.key.starts_with(waiting.prefix))
+            return false;
+        woken.push_back(std::move(waiting));
+        return true;
+    });
+    for (auto& waiting : woken)
+        this->later([this, waiting = std::move(waiting)]() mutable {
+            this->watch(waiting.prefix, waiting.after, {}, std::move(waiting.done));
+        });
+}
+
+void fake_store::grant_lease(milliseconds, std::function<void(absl::StatusOr<std::int64_t>)> done)
+{
+    const auto lease = ++this->last_lease;
+    this->later([done = std::move(done), lease, down = this->down] {
+        if (down)
+            done(absl::UnavailableError("down"));
+        else
+            done(lease);
+    });
+}
+
+void fake_store::keep_lease(std::int64_t, std::function<void(absl::Status)> done)
+{
+    this->later([done = std::move(done), down = this->down] {
+        done(down ? absl::UnavailableError("down") : absl::OkStatus());
+    });
+}
+
+void fake_store::end_lease(std::int64_t lease, std::function<void(absl::Status)> done)
+{
+    this->expire(lease);
+    this->later([done = std::move(done)] { done(absl::OkStatus()); });
+}
+
+void fake_store::expire(std::int64_t lease)
+{
+    std::vector<std::string> gone;
+    for (const auto& [key, held_by] : this->leases_of) {
+        if (held_by == lease && this->items.contains(key))
+            gone.push_back(key);
+    }
+    for (const auto& key : gone) {
+        ++this->revision;
+        this->items.erase(key);
+        this->tell({key, {}, this->revision, true});
+    }
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/testing/fake_store.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "loop/event_loop.h"
+#include "loop/timer.h"
+#include "ports/metadata_store.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// A metadata store in memory, with the faults that a real one shows. For tests.
+class fake_store final : public metadata_store {
+public:
+    explicit fake_store(event_loop& loop);
+
+    void transact(store_transaction change, std::function<void(store_result)> done) override;
+    void read(const std::string& key,
+              std::function<void(absl::StatusOr<std::optional<store_item>>)> done) override;
+    void list(const std::string& prefix, const std::string& after,
+              std::function<void(absl::StatusOr<store_page>)> done) override;
+    void watch(const std::string& prefix, std::int64_t revision, milliseconds wait,
+               std::function<void(absl::StatusOr<store_changes>)> done) override;
+    void grant_lease(milliseconds ttl,
+                     std::function<void(absl::StatusOr<std::int64_t>)> done) override;
+    void keep_lease(std::int64_t lease, std::function<void(absl::Status)> done) override;
+    void end_lease(std::int64_t lease, std::function<void(absl::Status)> done) override;
+
+    /// End a lease now, as when its time is over.
+    void expire(std::int64_t lease);
+
+    bool down = false;        ///< answers nothing that changes anything
+    int answers_to_lose = 0;  ///< so many of the next transactions happen without an answer
+    int transactions_late = 0; ///< so many of the next happen only when run_late() is called
+    void run_late();
+
+    std::map<std::string, store_item> items;
+    std::map<std::string, std::int64_t> leases_of; ///< lease of each key that has one
+    std::int64_t revision = 1;
+    std::int64_t last_lease = 0;
+    std::size_t largest_transaction = 0;
+    int committed = 0;
+
+private:
+    store_result apply(const store_transaction& change);
+    void later(std::function<void()> action);
+    void tell(const store_item& item);
+
+    struct watcher {
+        std::string prefix;
+        std::int64_t after = 0;
+        std::function<void(absl::StatusOr<store_changes>)> done;
+    };
+
+    event_loop& loop;
+    std::vector<store_item> history;
+    std::vector<watcher> watchers;
+    std::vector<store_transaction> late;
+    std::deque<std::function<void()>> queue;
+    timer runner;
+    std::vector<std::unique_ptr<timer>> timeouts;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -0,0 +1,192 @@
+#include "testing/fake_targets.h"
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+std::string text_of(const task_name& task)
+{
+    return task.workflow + "/" + std::to_string(task.step) + "/" + std::to_string(task.index);
+}
+
+} // namespace
+
+fake_targets::fake_targets(event_loop& loop) : loop(loop) {}
+
+void fake_targets::later(milliseconds wait, std::function<void()> action)
+{
+    auto& made =
+        this->timers.emplace_back(std::make_unique<timer>(this->loop, std::move(action)));
+    made->start_once(wait);
+}
+
+fake_targets::target& fake_targets::add(const std::string& name, std::int64_t processors_milli,
+                                        const std::string& zone)
+{
+    auto made = std::make_unique<target>();
+    made->report.name = name;
+    made->report.born_ms = 1;
+    made->report.pool = "pool";
+    made->report.availability_zone = zone;
+    made->report.capacity.processors_milli = processors_milli;
+    made->report.capacity.memory_mb = 64'000;
+    auto& placed = this->targets[name];
+    placed = std::move(made);
+    return *placed;
+}
+
+void fake_targets::tell_list()
+{
+    std::vector<target_report> reports;
+    for (const auto& [name, known] : this->targets)
+        reports.push_back(known->report);
+    if (this->changed)
+        this->changed(reports);
+}
+
+void fake_targets::start(listener told)
+{
+    this->changed = std::move(told);
+    this->later(milliseconds(1), [this] { this->tell_list(); });
+}
+
+void fake_targets::stop()
+{
+    this->changed = nullptr;
+}
+
+std::size_t fake_targets::running(const std::string& workflow) const
+{
+    std::size_t count = 0;
+    for (const auto& [name, known] : this->targets) {
+        for (const auto& [task, run] : known->running)
+            count += task.workflow == workflow ? 1 : 0;
+    }
+    return count;
+}
+
+void fake_targets::start(const target_life& life, const order_authority& authority,
+                         const start_order& order, milliseconds timeout, order_callback done)
+{
+    auto& on = *this->targets.at(life.name);
+    ++this->starts;
+    if (on.silent) {
+        this->later(timeout, [done] { done({}); });
+        return;
+    }
+    order_result result{.how = order_result::outcome::done, .clock_ms = 1000};
+    if (authority.fencing_token < on.fence)
+        result.how = order_result::outcome::fenced;
+    on.fence = std::max(on.fence, authority.fencing_token);
+    if (result.how == order_result::outcome::done && !on.running.contains(order.task)) {
+        for (const auto& [name, other] : this->targets) {
+            if (other->running.contains(order.task))
+                this->breaches.push_back("two places: " + text_of(order.task));
+        }
+        if (this->acknowledged_done.contains(order.task))
+            this->breaches.push_back("again after an acknowledged end: " + text_of(order.task));
+        on.running[order.task] = order.run;
+        resources used;
+        for (const auto& [task, run] : on.running)
+            used += this->need_of[task.workflow];
+        if (used.processors_milli > on.report.capacity.processors_milli)
+            this->breaches.push_back("more than it has: " + life.name);
+        if (on.work.count() > 0)
+            this->later(on.work, [this, name = life.name, task = order.task, run = order.run] {
+                const bool fails = this->targets.at(name)->fails_all;
+                this->end(name, task, run,
+                          fails ? target_view::ending::failed : target_view::ending::done);
+            });
+    }
+    this->later(milliseconds(1), [done, result] { done(result); });
+}
+
+void fake_targets::stop(const target_life& life, const order_authority&, const task_name& task,
+                        std::int64_t run, milliseconds timeout, order_callback done)
+{
+    if (this->targets.at(life.name)->silent) {
+        this->later(timeout, [done] { done({}); });
+        return;
+    }
+    this->later(milliseconds(1), [this, name = life.name, task, run, done] {
+        done({.how = order_result::outcome::done, .clock_ms = 1000});
+        this->end(name, task, run, target_view::ending::stopped);
+    });
+}
+
+void fake_targets::end(const std::string& name, const task_name& task, std::int64_t run,
+                       target_view::ending how)
+{
+    auto& on = *this->targets.at(name);
+    const auto found = on.running.find(task);
+    if (found == on.running.end() || found->second != run)
+        return;
+    on.running.erase(found);
+    on.ended.push_back({++on.last_end, task, run, how, {}});
+    this->answer_looks(name);
+}
+
+void fake_targets::end_all(const std::string& name, target_view::ending how)
+{
+    const auto running = this->targets.at(name)->running;
+    for (const auto& [task, run] : running)
+        this->end(name, task, run, how);
+}
+
+target_view fake_targets::view_of(target& from, std::int64_t acknowledged)
+{
+    target_view view{.result = {.how = order_result::outcome::done, .clock_ms = 1000}};
+    for (const auto& end : from.ended) {
+        if (end.number <= acknowledged && end.how == target_view::ending::done)
+            this->acknowledged_done.insert(end.task);
+    }
+    std::erase_if(from.ended, [&](const auto& end) { return end.number <= acknowledged; });
+    for (const auto& [task, run] : from.running)
+        view.running.push_back({task, run, {}, 0});
+    view.ended = from.ended;
+    return view;
+}
+
+void fake_targets::answer_looks(const std::string& name)
+{
+    auto& on = *this->targets.at(name);
+    auto looks = std::move(this->waiting[name]);
+    this->waiting[name].clear();
+    for (auto& look : looks) {
+        look.until->stop();
+        if (!on.silent)
+            look.done(this->view_of(on, look.acknowledged));
+        this->timers.push_back(std::move(look.until));
+    }
+}
+
+void fake_targets::look(const target_life& life, const order_authority& authority,
+                        std::int64_t acknowledged, milliseconds wait, milliseconds timeout,
+                        view_callback done)
+{
+    auto& on = *this->targets.at(life.name);
+    ++this->looks;
+    if (on.silent) {
+        this->later(timeout, [done] { done({}); });
+        return;
+    }
+    if (authority.fencing_token < on.fence) {
+        this->later(milliseconds(1),
+                    [done] { done({.result = {.how = order_result::outcome::fenced}}); });
+        return;
+    }
+    on.fence = authority.fencing_token;
+    const auto view = this->view_of(on, acknowledged);
+    if (!view.ended.empty() || wait.count() == 0) {
+        this->later(milliseconds(1), [done, view] { done(view); });
+        return;
+    }
+    auto until = std::make_unique<timer>(this->loop,
+                                         [this, name = life.name] { this->answer_looks(name); });
+    until->start_once(wait);
+    this->waiting[life.name].push_back({std::move(done), acknowledged, std::move(until)});
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "loop/event_loop.h"
+#include "loop/timer.h"
+#include "ports/target_directory.h"
+#include "ports/target_orders.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// Targets in memory, and the platform's list of them. For tests.
+///
+/// It notes each breach of what must always hold: a target given more than it has, a task that runs
+/// in two places, a task started again after an acknowledged end.
+class fake_targets final : public target_orders, public target_directory {
+public:
+    struct target {
+        target_report report;
+        std::int64_t fence = 0;
+        std::int64_t lease_until_ms = 0;
+        std::int64_t last_end = 0;
+        bool silent = false;         ///< answers nothing
+        bool fails_all = false;      ///< each task ends as failed
+        milliseconds work{20};       ///< time that a task takes; 0: until end_all() is called
+        std::map<task_name, std::int64_t> running;
+        std::map<task_name, resources> needs;
+        std::vector<target_view::ended_task> ended;
+    };
+
+    explicit fake_targets(event_loop& loop);
+
+    target& add(const std::string& name, std::int64_t processors_milli,
+                const std::string& zone = "z1");
+    void tell_list();
+
+    /// End what runs on @p name.
+    void end_all(const std::string& name, target_view::ending how);
+
+    void start(const target_life& life, const order_authority& authority, const start_order& order,
+               milliseconds timeout, order_callback done) override;
+    void stop(const target_life& life, const order_authority& authority, const task_name& task,
+              std::int64_t run, milliseconds timeout, order_callback done) override;
+    void look(const target_life& life, const order_authority& authority, std::int64_t acknowledged,
+              milliseconds wait, milliseconds timeout, view_callback done) override;
+
+    void start(listener changed) override;
+    void stop() override;
+    [[nodiscard]] bool settled() const override
+    {
+        return true;
+    }
+
+    [[nodiscard]] std::size_t running(const std::string& workflow) const;
+
+    std::map<std::string, std::unique_ptr<target>> targets;
+    std::map<std::string, resources> need_of; ///< of a task of each workflow, for capacity
+    std::vector<std::string> breaches;
+    int looks = 0;
+    int starts = 0;
+
+private:
+    struct waiting_look {
+        view_callback done;
+        std::int64_t acknowledged = 0;
+        std::unique_ptr<timer> until;
+    };
+
+    void end(const std::string& name, const task_name& task, std::int64_t run,
+             target_view::ending how);
+    void answer_looks(const std::string& name);
+    [[nodiscard]] target_view view_of(target& from, std::int64_t acknowledged);
+    void later(milliseconds wait, std::function<void()> action);
+
+    event_loop& loop;
+    listener changed;
+    std::map<std::string, std::vector<waiting_look>> waiting;
+    std::set<task_name> acknowledged_done;
+    std::vector<std::unique_ptr<timer>> timers;
+};
+
+} // namespace verbenalever
