Tell placements of a target's earlier life apart; shorter coordinator lease

The gap after a coordinator's death was 1.6 to 2.1 s.

Change: each placement is judged by its own life (test fails before: two places); the coordinator's lease is 1.2 s, heartbeats come every 350 ms.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// A quarter of the lease, so that three renewals may be lost.
-constexpr milliseconds renewal_interval{500};
+constexpr milliseconds renewal_interval{300};
 /// Longest time that one watch waits at the store; a silent connection costs at most this much.
 constexpr milliseconds watch_wait{1500};
 /// The same while the coordinator is heard: its silence has the store asked at once.
@@ -26,7 +26,7 @@
 /// Candidates stand at random moments within this time, so that mostly one does.
 constexpr int stand_spread_ms = 80;
 /// A coordinator that is still heard gets this long to write its key again before others stand.
-constexpr milliseconds regain_time{1500};
+constexpr milliseconds regain_time{800};
 
 milliseconds random_spread()
 {
@@ -249,19 +249,17 @@
 
 void leadership::renew()
 {
-    if (this->renewing || !this->leads())
+    if (!this->leads())
         return;
-    this->renewing = true;
     const auto sent = boot_time();
     this->store.keep_lease(this->lease,
                            [this, alive = this->alive, sent, tenure = this->tenure](auto status) {
                                if (!*alive)
                                    return;
-                               this->renewing = false;
                                if (!this->leads() || tenure != this->tenure)
                                    return;
                                if (status.ok())
-                                   this->renewed = sent;
+                                   this->renewed = std::max(this->renewed, sent);
                                else if (absl::IsNotFound(status))
                                    this->regain();
                            });
@@ -269,15 +267,15 @@
 
 void leadership::regain()
 {
-    if (this->renewing)
+    if (this->regaining)
         return;
-    this->renewing = true;
+    this->regaining = true;
     this->log.write("coordination", "lease_ended", {{"tenure", this->tenure}});
     this->store.grant_lease(
         lease_time, [this, alive = this->alive, tenure = this->tenure](auto granted) {
             if (!*alive)
                 return;
-            this->renewing = false;
+            this->regaining = false;
             if (!granted.ok() || !this->leads() || tenure != this->tenure)
                 return;
             this->lease = *granted;
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -81,7 +81,7 @@
     [[nodiscard]] bool certain() const;
 
     /// How long the store keeps the key of a coordinator that has gone silent.
-    static constexpr milliseconds lease_time{2000};
+    static constexpr milliseconds lease_time{1200};
 
 private:
     void read();
@@ -111,7 +111,7 @@
     std::string tenure;                         ///< while this process leads
     std::int64_t lease = 0;
     milliseconds renewed{0};
-    bool renewing = false;
+    bool regaining = false;
     bool standing = false;
     bool retired = false;
     milliseconds resting_until{0}; ///< boot time before which it does not stand
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -30,9 +30,9 @@
     using handler = std::function<void(peer_topic, std::string_view, replier)>;
 
     /// Time between heartbeats: a third of the silence limit, so that one may be lost.
-    static constexpr milliseconds heartbeat_interval{500};
+    static constexpr milliseconds heartbeat_interval{350};
     /// Silence after which the connection counts as dead; below the coordinator's lease.
-    static constexpr milliseconds silence_limit{1600};
+    static constexpr milliseconds silence_limit{1050};
 
     /// @param closed called once when the connection has ended; may destroy the channel
     peer_channel(event_loop& loop, std::unique_ptr<frame_connection> connection, handler take,
--- a/src/libverbenalever/coordinator/advice_desk.cpp
+++ b/src/libverbenalever/coordinator/advice_desk.cpp
@@ -40,8 +40,8 @@
 {
     seat* best = nullptr;
     milliseconds best_end{0};
-    const auto long_seats = static_cast<std::size_t>(
-        std::ceil(long_share * static_cast<double>(this->seats.size())));
+    const auto long_seats =
+        static_cast<std::size_t>(std::ceil(long_share * static_cast<double>(this->seats.size())));
     std::size_t number = 0;
     for (auto& [vm, candidate] : this->seats) {
         if (candidate.open >= open_limit || (is_long && number++ >= long_seats))
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -132,6 +132,7 @@
     void lose_all(fleet_target& target, std::string_view reason);
     [[nodiscard]] bool may_extend_leases() const;
     void target_seen(const std::string& name);
+    void places_known(const std::vector<placement_entry>& entries);
     void check_adoption();
     void take_view(fleet_target& target, const target_view& view, milliseconds sent);
     void take_running(fleet_target& target, const target_view::running_task& row);
@@ -221,9 +222,9 @@
     /// Tasks that may be on a target not heard in this term, by target.
     std::map<std::string, std::vector<placement_entry>> unseen;
     std::vector<std::string> inherited_log; ///< keys of the log of earlier coordinators
-    std::vector<target_report> reports; ///< as the platform's list last had them
+    std::vector<target_report> reports;     ///< as the platform's list last had them
     team_ledger teams;
-    resources fleet;       ///< what all targets that can be used have
+    resources fleet;        ///< what all targets that can be used have
     double all_weights = 0; ///< of the teams in the configuration
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
     std::vector<std::function<void()>> after_load;
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -82,7 +82,7 @@
         this->teams.suspect(owner->record.team, owner->record.spec.steps[entry.step].need);
     }
     task.run = std::max(task.run, entry.run);
-    task.maybe_on.push_back(entry.target);
+    ++task.unseen_places;
     this->unseen[entry.target].push_back(entry);
 }
 
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -126,8 +126,7 @@
 
 coordinator::ready_key coordinator::key_of(const workflow& owner, std::uint32_t number) const
 {
-    return {owner.priority, owner.steps[number].rank, owner.due.count(), owner.record.id,
-            number};
+    return {owner.priority, owner.steps[number].rank, owner.due.count(), owner.record.id, number};
 }
 
 void coordinator::consider(workflow& owner, std::uint32_t number)
@@ -346,8 +345,7 @@
         if (target == nullptr)
             continue;
         const auto found = target->tasks.find(entry.task());
-        if (found == target->tasks.end() || found->second.run != entry.run ||
-            found->second.ordered)
+        if (found == target->tasks.end() || found->second.run != entry.run || found->second.ordered)
             continue;
         if (!this->ticket_holds(*found->second.owner, entry.step, entry.target)) {
             // It has run out while the store was slow: another place, or another ticket.
--- a/src/libverbenalever/coordinator/coordinator_reclaim.cpp
+++ b/src/libverbenalever/coordinator/coordinator_reclaim.cpp
@@ -142,8 +142,8 @@
     this->stop_run(target, task, placed.run);
 }
 
-bool coordinator::reclaim_room(workflow& owner, std::uint32_t number,
-                               const queue_definition* queue, std::uint32_t wanted)
+bool coordinator::reclaim_room(workflow& owner, std::uint32_t number, const queue_definition* queue,
+                               std::uint32_t wanted)
 {
     const auto now = boot_time();
     auto& step = owner.steps[number];
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -162,24 +162,27 @@
         return;
     const auto elapsed = boot_time() - this->began_at;
     const auto limit = predecessor_grace + this->around.task_lease * 102 / 100;
-    std::vector<std::string> over;
-    for (const auto& [name, entries] : this->unseen) {
+    std::vector<placement_entry> over;
+    for (auto& [name, entries] : this->unseen) {
         const auto found = this->targets.find(name);
-        const bool other_life = found != this->targets.end() &&
-                                found->second->report.born_ms != entries.front().target_born_ms;
-        if (elapsed >= limit || other_life)
-            over.push_back(name);
+        std::erase_if(entries, [&](const placement_entry& entry) {
+            const bool life_is_over = found != this->targets.end() &&
+                                      found->second->report.born_ms != entry.target_born_ms;
+            if (elapsed < limit && !life_is_over)
+                return false;
+            over.push_back(entry);
+            return true;
+        });
     }
-    for (const auto& name : over)
-        this->target_seen(name);
+    std::erase_if(this->unseen, [](const auto& known) { return known.second.empty(); });
+    this->places_known(over);
     if (!this->unseen.empty() || this->inherited_log.empty())
         return;
     this->around.log.write("coordinator", "adopted",
                            {{"ms", elapsed.count()}, {"term", this->term}});
     // What still runs is in the log of this term by now.
     for (const auto& key : this->inherited_log) {
-        this->chain.put(
-            key, [] { return std::nullopt; }, false, {});
+        this->chain.put(key, [] { return std::nullopt; }, false, {});
     }
     this->inherited_log.clear();
 }
@@ -191,14 +194,20 @@
         return;
     const auto entries = std::move(found->second);
     this->unseen.erase(found);
+    this->places_known(entries);
+}
+
+void coordinator::places_known(const std::vector<placement_entry>& entries)
+{
+    if (entries.empty())
+        return;
     for (const auto& entry : entries) {
         auto* owner = this->find(entry.workflow);
         if (owner == nullptr || is_final(owner->state))
             continue;
         auto& step = owner->steps[entry.step];
         auto& task = step.tasks[entry.index];
-        std::erase(task.maybe_on, name);
-        if (task.at != workflow_task::phase::unseen || !task.maybe_on.empty())
+        if (task.at != workflow_task::phase::unseen || --task.unseen_places > 0)
             continue;
         task.at = workflow_task::phase::waiting;
         ++step.waiting;
@@ -280,9 +289,9 @@
     auto& task = step.tasks[row.task.index];
     placed.owner = owner;
     placed.need = owner->record.spec.steps[row.task.step].need;
-    placed.batch = this->placements.add({row.task.workflow, row.task.occurrence, row.task.step,
-                                         row.task.index, row.run, target.report.name,
-                                         target.report.born_ms});
+    placed.batch =
+        this->placements.add({row.task.workflow, row.task.occurrence, row.task.step, row.task.index,
+                              row.run, target.report.name, target.report.born_ms});
     target.place(row.task, placed);
     this->teams.take(owner->record.team, placed.need, owner->urgent());
     ++owner->placed;
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -24,13 +24,12 @@
             std::shared_ptr<const fleet_configuration> configuration, const event_log& log,
             const std::string& vm)
         : loop(loop), store(store), targets(targets), configuration(std::move(configuration)),
-          log(log),
-          office(loop, store, log, "v/", {vm, "127.0.0.1:1", {}},
-                 {.won = [this](std::int64_t term,
-                                commit_chain& chain) { this->coordinate(term, chain); },
-                  .lost = [this] { this->duty.reset(); },
-                  .changed = [](const std::optional<coordinator_record>&) {},
-                  .coordinator_heard = [] { return false; }})
+          log(log), office(loop, store, log, "v/", {vm, "127.0.0.1:1", {}},
+                           {.won = [this](std::int64_t term,
+                                          commit_chain& chain) { this->coordinate(term, chain); },
+                            .lost = [this] { this->duty.reset(); },
+                            .changed = [](const std::optional<coordinator_record>&) {},
+                            .coordinator_heard = [] { return false; }})
     {
         this->office.start();
     }
@@ -90,8 +89,8 @@
     /// Start a process and wait until it coordinates.
     process& elect(const std::string& vm)
     {
-        this->processes.push_back(std::make_unique<process>(
-            this->loop, this->store, this->targets, this->configuration, this->log, vm));
+        this->processes.push_back(std::make_unique<process>(this->loop, this->store, this->targets,
+                                                            this->configuration, this->log, vm));
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->duty, nullptr);
         return *this->processes.back();
@@ -225,6 +224,29 @@
     EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
 }
 
+// Placements of an earlier life of a target used to be taken for those of its present one.
+TEST_F(coordinator_test, a_silent_target_that_was_reborn_before_is_waited_for)
+{
+    auto& reborn = this->targets.add("t1", 1000);
+    reborn.work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    reborn.running.clear();
+    reborn.report.born_ms = 2;
+    this->targets.tell_list();
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("w"), 2);
+    this->targets.add("t3", 1000).work = milliseconds(0);
+    reborn.silent = true;
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
 // A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
 TEST_F(coordinator_test, a_failed_run_counts_once_for_all_coordinators)
 {
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -21,11 +21,11 @@
     workflow* owner = nullptr; ///< null: of no workflow known here, to be stopped
     std::int64_t run = 0;
     resources need;
-    int open_orders = 0;   ///< starts that were not answered yet
+    int open_orders = 0;    ///< starts that were not answered yet
     std::int64_t batch = 0; ///< of the placement log
-    bool ordered = false; ///< the start was sent, or may have been by an earlier coordinator
-    bool started = false; ///< the target has confirmed it
-    bool stopping = false; ///< an order to stop it was given
+    bool ordered = false;   ///< the start was sent, or may have been by an earlier coordinator
+    bool started = false;   ///< the target has confirmed it
+    bool stopping = false;  ///< an order to stop it was given
     /// Boot time when the target last answered an order for it; 0: none was answered, so that it
     /// may still begin.
     milliseconds settled_at{0};
@@ -93,7 +93,7 @@
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_task> tasks;
     resources used;
-    resources reserved; ///< kept for steps about to start here
+    resources reserved;              ///< kept for steps about to start here
     milliseconds avoid_until{0};     ///< boot time; it has just turned a start away
     std::uint32_t unknown_tasks = 0; ///< tasks whose size is not known here
 
--- a/src/libverbenalever/coordinator/placement_log.cpp
+++ b/src/libverbenalever/coordinator/placement_log.cpp
@@ -75,8 +75,7 @@
     if (found == this->batches.end() || !found->second.kept || found->second.open > 0)
         return;
     this->batches.erase(found);
-    this->chain.put(
-        this->key(number), [] { return std::nullopt; }, false, {});
+    this->chain.put(this->key(number), [] { return std::nullopt; }, false, {});
 }
 
 absl::StatusOr<std::vector<placement_entry>> placement_log::read(std::string_view value)
--- a/src/libverbenalever/coordinator/team_ledger.cpp
+++ b/src/libverbenalever/coordinator/team_ledger.cpp
@@ -80,8 +80,8 @@
                                 const resources& need, std::uint32_t wanted, bool urgent) const
 {
     const auto found = this->accounts.find(team);
-    auto taken = found == this->accounts.end() ? resources{}
-                                               : found->second.used + found->second.suspected;
+    auto taken =
+        found == this->accounts.end() ? resources{} : found->second.used + found->second.suspected;
     if (found != this->accounts.end() && !urgent) {
         const auto& held = found->second;
         taken += held.urgent_peak - held.urgent + held.withheld;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -29,8 +29,8 @@
     std::uint32_t failures = 0;
     std::int64_t failed_run = 0; ///< the last run that failed; its end may be listed again
     std::string checkpoint;
-    fleet_target* target = nullptr;    ///< while placed
-    std::vector<std::string> maybe_on; ///< while unseen: targets to hear from
+    fleet_target* target = nullptr;  ///< while placed
+    std::uint32_t unseen_places = 0; ///< while unseen: lives of targets to hear from
 };
 
 /// What the advisor has said of one target for one step.
@@ -51,12 +51,12 @@
     std::map<std::string, advice_memory, std::less<>> advice; ///< by target
     /// Room kept on targets while the advisor is asked again.
     std::vector<std::pair<std::string, resources>> reserved;
-    bool asking = false;                                      ///< a question to the advisor is open
-    milliseconds ask_after{0};   ///< boot time before which nothing is asked
-    milliseconds ready_since{0}; ///< boot time; 0: its turn has not come
-    bool listed = false;         ///< in the list of steps that are ready
-    int rank = 0; ///< with which it is listed there, within its priority
-    milliseconds tail{0};        ///< estimated time from its start to the workflow's end
+    bool asking = false;           ///< a question to the advisor is open
+    milliseconds ask_after{0};     ///< boot time before which nothing is asked
+    milliseconds ready_since{0};   ///< boot time; 0: its turn has not come
+    bool listed = false;           ///< in the list of steps that are ready
+    int rank = 0;                  ///< with which it is listed there, within its priority
+    milliseconds tail{0};          ///< estimated time from its start to the workflow's end
     milliseconds reclaim_after{0}; ///< boot time before which it takes no room from others
 };
 
@@ -66,21 +66,21 @@
     workflow_state state = workflow_state::queued;
     std::vector<workflow_step> steps;
     int priority = 0;
-    milliseconds due{0};       ///< boot time by which it should have ended
+    milliseconds due{0};         ///< boot time by which it should have ended
     milliseconds accepted_at{0}; ///< boot time
     milliseconds began_at{0};    ///< boot time of its first start; 0: not in this term
-    milliseconds objective{0}; ///< time that it should take from its acceptance
-    std::int64_t run_base = 0; ///< runs of this term are numbered from here
-    bool stored = false;       ///< its record is kept
-    bool end_stored = false;   ///< its end is kept
+    milliseconds objective{0};   ///< time that it should take from its acceptance
+    std::int64_t run_base = 0;   ///< runs of this term are numbered from here
+    bool stored = false;         ///< its record is kept
+    bool end_stored = false;     ///< its end is kept
     bool progress_stored = false;
-    bool began = false;       ///< a task of it has started
+    bool began = false; ///< a task of it has started
     [[nodiscard]] bool urgent() const
     {
         return this->priority == 0;
     }
 
-    std::uint32_t placed = 0; ///< tasks on targets
+    std::uint32_t placed = 0;                          ///< tasks on targets
     std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
     std::vector<std::function<void()>> ends_to_record; ///< run when its end is kept
     std::vector<std::uint64_t> end_waiters; ///< open replies to close once its end is kept
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -31,9 +31,8 @@
 
 gateway_reply reply_of(const member_reply& from)
 {
-    gateway_reply reply{.state = static_cast<workflow_state>(from.state),
-                        .waiting = from.count,
-                        .decided = true};
+    gateway_reply reply{
+        .state = static_cast<workflow_state>(from.state), .waiting = from.count, .decided = true};
     switch (static_cast<call_outcome>(from.outcome)) {
     case call_outcome::accepted:
         reply.how = gateway_reply::outcome::accepted;
@@ -119,10 +118,10 @@
             .changed =
                 [this](bool up) {
                     this->log.write("coordination", up ? "coordinator_heard" : "coordinator_silent",
-                                {});
-                this->outside.operators.rely_on_peer(up);
-                if (!up)
-                    this->office.refresh();
+                                    {});
+                    this->outside.operators.rely_on_peer(up);
+                    if (!up)
+                        this->office.refresh();
                 }}),
       office(loop, outside.store, log, this->own.key_prefix,
              {.vm = this->own.vm, .address = this->own.peer.text(), .tenure = {}},
@@ -134,8 +133,8 @@
                       this->link.follow(other ? coordinator : std::nullopt);
                   },
               .coordinator_heard = [this] { return this->link.up(); }}),
-      former_timer(loop, [this] { this->former_duty.reset(); }),
-      lag(loop), lag_timer(loop, [this] { this->check_lag(); }),
+      former_timer(loop, [this] { this->former_duty.reset(); }), lag(loop),
+      lag_timer(loop, [this] { this->check_lag(); }),
       parked_timer(loop, [this] { this->retry_parked(); })
 {
 }
@@ -186,26 +185,25 @@
 
 std::string cluster_entry::greeting() const
 {
-    return pack_message(
-        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision,
-                                        this->lag.lag().count()});
+    return pack_message(member_greeting{this->own.vm, this->own.availability_zone,
+                                        this->configuration->revision, this->lag.lag().count()});
 }
 
 void cluster_entry::won(std::int64_t term, commit_chain& chain)
 {
     this->duty = std::make_unique<coordinator>(
-        coordinator::environment{.loop = this->loop,
-                                 .store = this->outside.store,
-                                 .orders = this->outside.orders,
-                                 .directory = this->outside.directory,
-                                 .log = this->log,
-                                 .count = this->count,
-                                 .prefix = this->own.key_prefix,
-                                 .task_lease = this->own.task_lease,
-                                 .finished_rest = this->own.finished_rest,
-                                 .members_complete = [this] { return this->hub.complete(); },
-                                 .forget_members =
-                                     [this](milliseconds when) { this->hub.forget_lost(when); }},
+        coordinator::environment{
+            .loop = this->loop,
+            .store = this->outside.store,
+            .orders = this->outside.orders,
+            .directory = this->outside.directory,
+            .log = this->log,
+            .count = this->count,
+            .prefix = this->own.key_prefix,
+            .task_lease = this->own.task_lease,
+            .finished_rest = this->own.finished_rest,
+            .members_complete = [this] { return this->hub.complete(); },
+            .forget_members = [this](milliseconds when) { this->hub.forget_lost(when); }},
         this->office, chain, term, this->configuration);
     this->add_advisor(this->own.vm);
     this->hub.each([this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
@@ -483,8 +481,7 @@
         done(permit.refusal);
         return;
     }
-    this->ask_until(
-        {peer_topic::cancel, std::move(id), boot_time() + patience, std::move(done)});
+    this->ask_until({peer_topic::cancel, std::move(id), boot_time() + patience, std::move(done)});
 }
 
 void cluster_entry::waiting(const caller_identity& caller, milliseconds patience, callback done)
--- a/src/libverbenalever/ports/operator_source.h
+++ b/src/libverbenalever/ports/operator_source.h
@@ -19,8 +19,8 @@
     /// Read the configuration and go on watching it.
     virtual void start(listener changed) = 0;
 
-    /// Say whether another process would tell of news (see absorb()), so that the source itself need
-    /// not be asked often. When that ends, the source is read at once.
+    /// Say whether another process would tell of news (see absorb()), so that the source itself
+    /// need not be asked often. When that ends, the source is read at once.
     virtual void rely_on_peer(bool peer) = 0;
 
     /// @return what was read, in a form for absorb() of another process; empty while there is none
--- a/src/libverbenalever/testing/fake_store.cpp
+++ b/src/libverbenalever/testing/fake_store.cpp
@@ -58,8 +58,10 @@
             --this->transactions_late;
             this->late.push_back(change);
         }
-        auto& timeout = this->timeouts.emplace_back(std::make_unique<timer>(
-            this->loop, [done = std::move(done)] { done({.how = store_result::outcome::unknown}); }));
+        auto& timeout = this->timeouts.emplace_back(
+            std::make_unique<timer>(this->loop, [done = std::move(done)] {
+                done({.how = store_result::outcome::unknown});
+            }));
         timeout->start_once(change.timeout);
         return;
     }
--- a/src/libverbenalever/testing/fake_store.h
+++ b/src/libverbenalever/testing/fake_store.h
@@ -35,8 +35,8 @@
     /// End a lease now, as when its time is over.
     void expire(std::int64_t lease);
 
-    bool down = false;        ///< answers nothing that changes anything
-    int answers_to_lose = 0;  ///< so many of the next transactions happen without an answer
+    bool down = false;         ///< answers nothing that changes anything
+    int answers_to_lose = 0;   ///< so many of the next transactions happen without an answer
     int transactions_late = 0; ///< so many of the next happen only when run_late() is called
     void run_late();
 
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -17,8 +17,7 @@
 
 void fake_targets::later(milliseconds wait, std::function<void()> action)
 {
-    auto& made =
-        this->timers.emplace_back(std::make_unique<timer>(this->loop, std::move(action)));
+    auto& made = this->timers.emplace_back(std::make_unique<timer>(this->loop, std::move(action)));
     made->start_once(wait);
 }
 
@@ -183,8 +182,8 @@
         this->later(milliseconds(1), [done, view] { done(view); });
         return;
     }
-    auto until = std::make_unique<timer>(this->loop,
-                                         [this, name = life.name] { this->answer_looks(name); });
+    auto until =
+        std::make_unique<timer>(this->loop, [this, name = life.name] { this->answer_looks(name); });
     until->start_once(wait);
     this->waiting[life.name].push_back({std::move(done), acknowledged, std::move(until)});
 }
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -26,9 +26,9 @@
         std::int64_t fence = 0;
         std::int64_t lease_until_ms = 0;
         std::int64_t last_end = 0;
-        bool silent = false;         ///< answers nothing
-        bool fails_all = false;      ///< each task ends as failed
-        milliseconds work{20};       ///< time that a task takes; 0: until end_all() is called
+        bool silent = false;    ///< answers nothing
+        bool fails_all = false; ///< each task ends as failed
+        milliseconds work{20};  ///< time that a task takes; 0: until end_all() is called
         std::map<task_name, std::int64_t> running;
         std::map<task_name, resources> needs;
         std::vector<target_view::ended_task> ended;
