--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -8,6 +8,8 @@
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace verbenalever {
@@ -392,8 +394,12 @@
         if (!placed.stopping)
             placed.settled_at = boot_time();
         if (placed.owner != nullptr) {
-            if (!placed.owner->began)
+            if (!placed.owner->began) {
                 placed.owner->began_at = boot_time();
+                this->around.count.observe(
+                    fmt::format("wait_to_start_priority_{}", placed.owner->priority),
+                    placed.owner->began_at - placed.owner->accepted_at);
+            }
             placed.owner->began = true;
         }
         this->around.count.add("tasks_started");
--- a/src/libverbenalever/timeline/counters.h
+++ b/src/libverbenalever/timeline/counters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "timeline/latency_histogram.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,14 +18,19 @@
     /// Set a gauge.
     void set(std::string_view name, std::int64_t value);
 
+    /// Count a latency into the histogram of that name.
+    void observe(std::string_view name, microseconds latency);
+
     /// @return the value, zero for a name never used
     [[nodiscard]] std::int64_t value(std::string_view name) const;
 
-    /// @return one "verbenalever_NAME VALUE" line for each, in name order
+    /// @return one "verbenalever_NAME VALUE" line for each, in name order; for a histogram its
+    ///         quantiles in seconds and its count
     [[nodiscard]] std::string text() const;
 
 private:
     std::map<std::string, std::int64_t, std::less<>> values;
+    std::map<std::string, latency_histogram, std::less<>> latencies;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/timeline/event_log.cpp
+++ b/src/libverbenalever/timeline/event_log.cpp
@@ -1,11 +1,13 @@
 #include "timeline/event_log.h"
 
 #include "loop/clock.h"
+#include "timeline/line_writer.h"
 
 #include <fmt/format.h>
 #include <unistd.h>
 
 #include <iterator>
+#include <utility>
 
 namespace verbenalever {
 
@@ -47,23 +49,43 @@
     }
 };
 
-void write_whole(std::string_view line)
+/// The one writer of this process.
+line_writer& standard_output()
 {
-    while (!line.empty()) {
-        const auto written = ::write(STDERR_FILENO, line.data(), line.size());
-        if (written <= 0)
-            return; // nowhere left to report it
-        line.remove_prefix(static_cast<std::size_t>(written));
-    }
+    static line_writer writer(STDOUT_FILENO);
+    return writer;
 }
 
 } // namespace
 
-event_log::event_log(std::string process) : process(std::move(process)) {}
+event_log::event_log(std::string process, int lines_per_second)
+    : process(std::move(process)), lines_per_second(lines_per_second)
+{
+}
+
+std::int64_t event_log::admit(std::string_view slice, std::string_view event) const
+{
+    if (this->lines_per_second == 0)
+        return 0;
+    const auto now = monotonic_microseconds() / 1'000'000;
+    auto& seen = this->rates[std::string(slice) + '/' + std::string(event)];
+    if (seen.second != now) {
+        seen.second = now;
+        seen.lines = 0;
+    }
+    if (++seen.lines > this->lines_per_second) {
+        ++seen.suppressed;
+        return -1;
+    }
+    return std::exchange(seen.suppressed, 0);
+}
 
 void event_log::write(std::string_view slice, std::string_view event,
                       std::initializer_list<event_field> fields) const
 {
+    const auto suppressed = this->admit(slice, event);
+    if (suppressed < 0)
+        return;
     std::string line;
     line.reserve(256);
     fmt::format_to(std::back_inserter(line),
@@ -80,8 +102,10 @@
         line += ':';
         std::visit(value_writer{line}, field.value);
     }
+    if (suppressed > 0)
+        fmt::format_to(std::back_inserter(line), ",\"suppressed\":{}", suppressed);
     line += "}\n";
-    write_whole(line);
+    standard_output().write(line);
 }
 
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/timeline/line_writer.cpp
@@ -0,0 +1,53 @@
+#include "timeline/line_writer.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace verbenalever {
+
+line_writer::line_writer(int descriptor) : descriptor(descriptor)
+{
+    struct stat about {};
+    if (::fstat(descriptor, &about) != 0 || !(S_ISFIFO(about.st_mode) || S_ISSOCK(about.st_mode)))
+        return; // files take everything at once
+    const int flags = ::fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void line_writer::write(std::string_view line)
+{
+    this->flush();
+    if (this->untold > 0 && this->buffer.empty()) {
+        this->buffer = fmt::format("{{\"event\":\"lines_dropped\",\"count\":{}}}\n", this->untold);
+        this->untold = 0;
+    }
+    if (this->buffer.size() + line.size() > buffer_limit) {
+        ++this->dropped_lines;
+        ++this->untold;
+        return;
+    }
+    this->buffer += line;
+    this->flush();
+}
+
+void line_writer::flush()
+{
+    std::size_t taken = 0;
+    while (taken < this->buffer.size()) {
+        const auto written =
+            ::write(this->descriptor, this->buffer.data() + taken, this->buffer.size() - taken);
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written <= 0)
+            break; // no room now; tried again with the next line
+        taken += static_cast<std::size_t>(written);
+    }
+    this->buffer.erase(0, taken);
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/testsuite/harness/platform_entries.py
@@ -0,0 +1,138 @@
+"""Entry daemons that run against the stand-in of the users' platform."""
+
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+from .client import call
+
+BUILD = pathlib.Path(os.environ.get("VERBENALEVER_BUILD", "build"))
+HOST, PREFIX, KEY = "desk.example", "/q/", "key-1"
+
+
+def free_ports(count):
+    """Ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Entries:
+    def __init__(self, platform, count):
+        self.platform = platform
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="verbenalever-platform-"))
+        self.processes, self.addresses, self.kept = {}, {}, True
+        for number in range(count):
+            name = f"entry-{number}"
+            callers, ready, peers, metrics = free_ports(4)
+            self.addresses[name] = {"callers": f"127.0.0.1:{callers}",
+                                    "ready": f"127.0.0.1:{ready}",
+                                    "metrics": f"127.0.0.1:{metrics}"}
+            (self.folder / f"{name}.yaml").write_text(f"""
+vm: "{name}"
+availability_zone: "z1"
+callers: "127.0.0.1:{callers}"
+readiness: "127.0.0.1:{ready}"
+peers: "127.0.0.1:{peers}"
+metrics: "127.0.0.1:{metrics}"
+store: "{platform.store_address}"
+advisor: "{platform.advice_address}"
+task_lease_limit: "6s"
+stop_grace: "6s"
+finished_rest: "120s"
+""")
+            self.start(name)
+
+    def start(self, name):
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [str(BUILD / "src/verbenaleverd/verbenaleverd"), "--platform",
+             "--settings", str(self.folder / f"{name}.yaml")],
+            stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+
+    def kill(self, name, how=signal.SIGKILL):
+        process = self.processes.pop(name)
+        process.send_signal(how)
+        return process.wait(10)
+
+    def lines(self, event):
+        for path in sorted(self.folder.glob("*.log")):
+            for line in path.read_text().splitlines():
+                if f'"event":"{event}"' in line:
+                    yield json.loads(line)
+
+    def coordinator(self):
+        """The entry that won the leadership last."""
+        return max(self.lines("leadership_won"), key=lambda line: line["term"])["process"]
+
+    def wait_ready(self, timeout=15):
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            answers = [call(self.addresses[name]["ready"], "GET", "/verbenalever/ready").status
+                       for name in self.processes]
+            if answers and all(status == 200 for status in answers):
+                return
+            time.sleep(0.05)
+        raise AssertionError(f"not ready: {answers}")
+
+    def job(self, method, job="", body=None, entry=None, key=KEY, timeout=4):
+        name = entry or random.choice(sorted(self.processes))
+        return call(self.addresses[name]["callers"], method, PREFIX + job, body=body, key=key,
+                    headers={"Host": HOST, "Time-Remaining": str(int(timeout * 1000))},
+                    timeout=timeout)
+
+    def submit(self, job, steps, tries=20):
+        """Hand a job in as a caller does: again with the same id until it is accepted."""
+        body = {"spec": "x", "steps": steps}
+        self.platform.fleet.jobs[job] = body
+        for _ in range(tries):
+            answer = self.job("POST", job, body)
+            if answer.status == 200:
+                return
+            assert answer.status in (0, 503, 504), answer
+            time.sleep(0.2)
+        raise AssertionError(f"{job} was not accepted")
+
+    def wait_completed(self, jobs, timeout):
+        end = time.monotonic() + timeout
+        left = set(jobs)
+        while left and time.monotonic() < end:
+            for job in sorted(left):
+                answer = self.job("GET", job)
+                if answer.status == 200 and answer.json()["state"] == "completed":
+                    left.discard(job)
+                else:
+                    assert answer.status in (0, 200, 503, 504), (job, answer)
+            time.sleep(0.1)
+        assert not left, f"not completed: {sorted(left)}"
+
+    def close(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        if not self.kept:
+            shutil.rmtree(self.folder)
+
+
+def configure(platform, limit_cpu=0):
+    """Write the operators' first configuration."""
+    document = {"version": 3, "routes": [
+        {"name": "r", "host": HOST, "prefix": PREFIX, "kind": "unsafe", "timeoutMs": 3000,
+         "targetLatencyMs": 1000, "priority": 0, "service": "pool", "maxAttempts": 3,
+         "stretch": 2.0, "advice": {"decideMs": 5.0, "eachMs": 0.2, "validMs": 2000},
+         "public": False}],
+        "services": [{"name": "pool"}], "limits": {},
+        "tenants": [{"name": "t", "apiKeys": [KEY], "weight": 1,
+                     "maxCount": {"cpu": limit_cpu, "memMb": 0, "gpu": 0}}]}
+    platform.do(lambda: platform.fleet.store.put("op/config", json.dumps(document).encode()))
--- /dev/null
+++ b/testsuite/harness/platform_standin.py
@@ -0,0 +1,342 @@
+"""A stand-in for the users' platform: store, targets and advice over HTTP, written from its pages.
+
+It notes each breach of what must always hold, as the callers' rules put it: a target given more than
+it has, a task in two places, a task started after an acknowledged end or before its turn, a gang
+member left alone, a team beyond its limit.
+"""
+
+import asyncio
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+STATUS_TEXT = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed",
+               421: "Misdirected Request", 429: "Too Many Requests", 503: "Service Unavailable"}
+
+
+class Store:
+    """The key-value store, with the faults that the platform's has."""
+
+    def __init__(self):
+        self.items = {}  # key -> (value, revision, lease)
+        self.history = []  # (revision, event)
+        self.revision = 1
+        self.leases = {}  # id -> end
+        self.changed = asyncio.Event()
+        self.refusing = False  # 503 to all
+        self.answers_to_lose = 0
+
+    def _note(self, event):
+        self.history.append((event["revision"], event))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        self.write(key, value, lease)
+
+    def write(self, key, value, lease):
+        self.items[key] = (value, self.revision, lease)
+        self._note(self.item(key))
+
+    def delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self._note({"key": key, "revision": self.revision, "removed": True})
+
+    def item(self, key):
+        value, revision, lease = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
+                "created": revision, "lease": lease}
+
+    def expire(self):
+        now = time.monotonic()
+        for lease in [lease for lease, end in self.leases.items() if end < now]:
+            del self.leases[lease]
+            self.revision += 1
+            for key in [key for key, entry in self.items.items() if entry[2] == lease]:
+                self.delete(key)
+
+    def transact(self, body):
+        for condition in body.get("expected", []):
+            entry = self.items.get(condition["key"])
+            if (entry[1] if entry else 0) != condition["revision"]:
+                keys = [c["key"] for c in body["expected"] if c["key"] in self.items]
+                return 412, {"items": [self.item(key) for key in keys]}
+        entries = sum(len(body.get(part, [])) for part in ("expected", "puts", "deletes"))
+        assert entries <= 32, "a transaction of more than 32 entries"
+        for put in body.get("puts", []):
+            if put.get("lease", 0) and put["lease"] not in self.leases:
+                return 404, {}
+        self.revision += 1
+        for put in body.get("puts", []):
+            self.write(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body.get("deletes", []):
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    async def handle(self, method, path, query, body):
+        if self.refusing:
+            return 503, {}
+        name = path.removeprefix("/verbenalever/")
+        if name == "kv-txn":
+            answer = self.transact(body)
+            if self.answers_to_lose > 0:
+                self.answers_to_lose -= 1
+                return None
+            return answer
+        if name == "kv-key":
+            key = query["key"]
+            return (200, self.item(key)) if key in self.items else (404, {})
+        if name == "kv-range":
+            keys = sorted(k for k in self.items
+                          if k.startswith(query["prefix"]) and k > query.get("after", ""))
+            page = keys[:50]
+            return 200, {"items": [self.item(key) for key in page], "hasMore": len(keys) > 50,
+                         "currentRev": self.revision}
+        if name == "kv-watch":
+            return await self.watch(query["prefix"], int(query["after"]), int(query["waitMs"]))
+        if name == "kv-lease":
+            lease = self.revision * 1000 + len(self.leases) + 1
+            self.leases[lease] = time.monotonic() + body["ttlMs"] / 1000
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        if name.startswith("kv-keep/"):
+            lease = int(name.split("/")[1])
+            if lease not in self.leases:
+                return 404, {}
+            self.leases[lease] = time.monotonic() + 1.2
+            return 200, {"ttlMs": 1200}
+        return 404, {}
+
+    async def watch(self, prefix, after, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        while True:
+            events = [event for revision, event in self.history
+                      if revision > after and event["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "currentRev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Target:
+    """One worker: runs tasks under leases, lists their ends, refuses older fencing tokens."""
+
+    def __init__(self, fleet, name, cpu):
+        self.fleet, self.name, self.cpu = fleet, name, cpu
+        self.fence, self.until, self.ends, self.running = 0, 0, [], {}
+        self.stopped, self.last_end, self.seen = {}, 0, 0
+        self.changed = asyncio.Event()
+
+    def clock(self):
+        return int(time.monotonic() * 1000) + 1000
+
+    def end(self, task, how):
+        run = self.running.pop(task)["run"]
+        self.stopped[task] = run
+        self.last_end += 1
+        self.ends.append([self.last_end, task, run, how, ""])
+        if how == "done":
+            self.fleet.done.setdefault(task, self)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def tick(self):
+        now = time.monotonic()
+        if self.running and self.clock() > self.until:
+            for task in list(self.running):
+                self.end(task, "lapsed")
+        for task, entry in list(self.running.items()):
+            gang = entry["gang"]
+            if gang and not self.fleet.gang_whole(task, entry):
+                if now - entry["since"] > 3:
+                    self.fleet.breach(f"a gang member waited alone: {task}")
+                    self.end(task, "alone")
+                continue
+            entry["begun"] = entry["begun"] or now
+            if now - entry["begun"] >= entry["work_s"]:
+                self.end(task, "failed" if self.fleet.fails(task, entry["run"]) else "done")
+
+    def start(self, body):
+        task, run = body["task"], body["run"]
+        if body["fencingToken"] < self.fence:
+            return 409, {"clockMs": self.clock(), "reason": "fence"}
+        self.fence = body["fencingToken"]
+        if task in self.running and self.running[task]["run"] == run:
+            return 200, {"clockMs": self.clock()}
+        if run <= self.stopped.get(task, 0):
+            return 409, {"clockMs": self.clock(), "reason": "old"}
+        if body["deadlineMs"] < self.clock():
+            return 409, {"clockMs": self.clock(), "reason": "late"}
+        self.until = max(self.until, min(body["deadlineMs"], self.clock() + 6000))
+        if self.fleet.advised and body.get("ticket") != f"{self.name}:{task.rsplit('.', 1)[0]}":
+            return 409, {"clockMs": self.clock(), "reason": "ticket"}
+        step = self.fleet.check_start(self, task, run)
+        self.running[task] = {"run": run, "since": time.monotonic(), "begun": 0,
+                              "gang": step.get("gang", False), "cpu": step["cpu"],
+                              "work_s": self.fleet.work_s}
+        used = sum(entry["cpu"] for entry in self.running.values())
+        if used > self.cpu:
+            self.fleet.breach(f"{self.name} was given {used} of {self.cpu}")
+        return 200, {"clockMs": self.clock()}
+
+    async def handle(self, path, body):
+        if path == "/verbenalever/run-start":
+            return self.start(body)
+        if body["fencingToken"] < self.fence:
+            return 409, {"clockMs": self.clock(), "reason": "fence"}
+        self.fence = body["fencingToken"]
+        if path == "/verbenalever/run-stop":
+            self.stopped[body["task"]] = max(self.stopped.get(body["task"], 0), body["run"])
+            if body["task"] in self.running:
+                self.end(body["task"], "stopped")
+            return 200, {"clockMs": self.clock()}
+        if body.get("deadlineMs"):
+            self.until = max(self.until, min(body["deadlineMs"], self.clock() + 6000))
+        for number, task, _, how, _ in self.ends:
+            if number <= body["ackCursor"] and how == "done":
+                self.fleet.noted.add(task)
+        self.ends = [end for end in self.ends if end[0] > body["ackCursor"]]
+        if not self.ends and body.get("waitMs"):
+            try:
+                await asyncio.wait_for(self.changed.wait(), body["waitMs"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        rows = [[task, entry["run"], "", 10] for task, entry in self.running.items()]
+        return 200, {"clockMs": self.clock(), "born": self.fleet.born, "running": rows,
+                     "ended": self.ends}
+
+
+class Fleet:
+    """All targets, the store and the advisor, and what must hold over them."""
+
+    def __init__(self, advised=True, work_s=0.1, failing=()):
+        self.advised, self.work_s, self.failing = advised, work_s, set(failing)
+        self.born = int(time.time() * 1000)
+        self.breaches, self.done, self.noted, self.jobs = [], {}, set(), {}
+        self.targets = {}
+        self.store = None
+        self.addresses = {}
+
+    def breach(self, text):
+        self.breaches.append(text)
+
+    def fails(self, task, run):
+        return task in self.failing and run == 1
+
+    def gang_whole(self, task, entry):
+        step = task.rsplit(".", 1)[0]
+        _, spec = self.step_of(task)
+        members = sum(1 for target in self.targets.values()
+                      for name, other in target.running.items()
+                      if name.rsplit(".", 1)[0] == step and other["run"] == entry["run"])
+        return members == spec["count"] or entry["begun"]
+
+    def step_of(self, task):
+        job, _, step, _ = task.split(".")
+        return self.jobs[job], self.jobs[job]["steps"][int(step)]
+
+    def check_start(self, target, task, run):
+        job, step = self.step_of(task)
+        for other in self.targets.values():
+            if task in other.running:
+                self.breach(f"{task} runs on {other.name} and {target.name}")
+        if task in self.noted:
+            self.breach(f"{task} started again after an acknowledged end")
+        name = task.split(".")[0]
+        for earlier in step.get("after", []):
+            for index in range(job["steps"][earlier]["count"]):
+                if f"{name}.0.{earlier}.{index}" not in self.done:
+                    self.breach(f"{task} started before its turn")
+        return step
+
+    async def advise(self, body):
+        await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
+        job = body["step"].split(".")[0]
+        allowed = [w for w in body["workers"] if (hash((job, w)) % 10) < 7]
+        return 200, {"granted": [[w, f"{w}:{body['step']}"] for w in allowed], "validMs": 2000}
+
+
+class Platform:
+    """Serves a fleet on loopback addresses from a thread of its own."""
+
+    def __init__(self, fleet, targets=6, cpu=4000):
+        self.fleet = fleet
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.run(self._start(targets, cpu))
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+
+    def do(self, action):
+        async def wrapped():
+            return action()
+        return self.run(wrapped())
+
+    async def _start(self, targets, cpu):
+        fleet = self.fleet
+        fleet.store = Store()
+        self.store_address = await self._serve(
+            lambda m, p, q, b: fleet.store.handle(m, p, q, b))
+        self.advice_address = await self._serve(lambda m, p, q, b: fleet.advise(b))
+        for number in range(targets):
+            target = Target(fleet, f"i-{number}", cpu)
+            fleet.targets[target.name] = target
+            fleet.addresses[target.name] = await self._serve(
+                lambda m, p, q, b, t=target: t.handle(p, b))
+        self.loop.create_task(self._tick())
+
+    async def _tick(self):
+        beat = 0
+        while True:
+            self.fleet.store.expire()
+            for target in self.fleet.targets.values():
+                target.tick()
+            beat += 1
+            if beat % 50 == 1:
+                for target in self.fleet.targets.values():
+                    self.fleet.store.put(f"servers/{target.name}", json.dumps({
+                        "service": "pool", "address": self.fleet.addresses[target.name],
+                        "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+                        "capacity": {"cpu": target.cpu, "memMb": 64000, "gpu": 0},
+                        "labels": ["a"], "born": self.fleet.born, "seq": beat}).encode())
+            await asyncio.sleep(0.02)
+
+    async def _serve(self, handler):
+        async def connection(reader, writer):
+            try:
+                while True:
+                    request = await reader.readline()
+                    if not request:
+                        break
+                    method, target, _ = request.decode().split(" ", 2)
+                    length = 0
+                    while (line := (await reader.readline()).strip()):
+                        name, _, value = line.decode().partition(":")
+                        if name.lower() == "content-length":
+                            length = int(value)
+                    raw = await reader.readexactly(length) if length else b""
+                    path, _, query = target.partition("?")
+                    answer = await handler(method, path, dict(urllib.parse.parse_qsl(query)),
+                                           json.loads(raw) if raw else None)
+                    if answer is None:  # lost: nothing further comes on this connection
+                        await asyncio.sleep(3600)
+                    status, body = answer
+                    text = json.dumps(body).encode()
+                    writer.write(f"HTTP/1.1 {status} {STATUS_TEXT[status]}\r\n"
+                                 f"Content-Type: application/json\r\n"
+                                 f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
+                    await writer.drain()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(connection, "127.0.0.1", 0)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
