A stall of a process is not its peer's silence

Change: no frames after the end; a process that stood still reads before it judges. The test failed before (the channel ended and took a frame).

--- a/src/libverbenalever/coordination/peer_channel.cpp
+++ b/src/libverbenalever/coordination/peer_channel.cpp
@@ -16,7 +16,7 @@
                            handler take, std::function<void()> closed)
     : loop(loop), connection(std::move(connection)), take(std::move(take)),
       closed(std::move(closed)), beat_timer(loop, [this] { this->beat(); }),
-      call_timer(loop, [this] { this->expire_calls(); })
+      call_timer(loop, [this] { this->expire_calls(); }), last_beat(monotonic_clock::now())
 {
     this->connection->on_events([this](std::string_view frame) { this->receive(frame); },
                                 [this] { this->end(); });
@@ -67,6 +67,8 @@
 
 void peer_channel::receive(std::string_view frame)
 {
+    if (this->ended)
+        return;
     this->anything_heard = true;
     auto message = unpack_message<peer_message>(frame);
     if (!message.ok())
@@ -99,7 +101,13 @@
 
 void peer_channel::beat()
 {
-    if (monotonic_clock::now() - this->connection->last_received() > silence_limit) {
+    const auto now = monotonic_clock::now();
+    // After a stall of this process what the peer has sent meanwhile is yet to be read.
+    if (now - this->last_beat > heartbeat_interval * 2)
+        this->excused_until = now + heartbeat_interval;
+    this->last_beat = now;
+    if (now >= this->excused_until &&
+        now - this->connection->last_received() > silence_limit) {
         this->end();
         return;
     }
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -84,6 +84,8 @@
     std::function<std::string()> heartbeat_payload;
     timer beat_timer;
     timer call_timer;
+    monotonic_time last_beat;
+    monotonic_time excused_until; ///< until then the peer's silence may be our own stall
     std::uint64_t last_call = 0;
     std::map<std::uint64_t, open_call> calls;
     bool anything_heard = false;
--- /dev/null
+++ b/src/libverbenalever/coordination/peer_channel_test.cpp
@@ -0,0 +1,100 @@
+#include "coordination/peer_channel.h"
+
+#include "loop/event_loop.h"
+#include "loop/timer.h"
+#include "membership/message_codec.h"
+#include "wire/frame_connection.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
+namespace verbenalever {
+namespace {
+
+class peer_channel_test : public testing::Test {
+protected:
+    peer_channel_test()
+    {
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, this->ends.data()), 0);
+        this->channel = std::make_unique<peer_channel>(
+            this->loop, std::make_unique<frame_connection>(this->loop, this->ends[0]),
+            [this](peer_topic, std::string_view, peer_channel::replier) {
+                ++this->taken;
+                this->taken_after_end += this->ends_seen;
+            },
+            [this] { ++this->ends_seen; });
+    }
+
+    ~peer_channel_test() override
+    {
+        ::close(this->ends[1]);
+    }
+    peer_channel_test(const peer_channel_test&) = delete;
+    peer_channel_test& operator=(const peer_channel_test&) = delete;
+
+    void run_for(milliseconds span)
+    {
+        timer end(this->loop, [this] { this->loop.stop(); });
+        end.start_once(span);
+        this->loop.run();
+    }
+
+    /// Send a note from the other end.
+    void note()
+    {
+        const auto frame = pack_message(
+            peer_message{static_cast<int>(peer_message::form::note), 0, 0, "news"});
+        const std::uint32_t length = htonl(static_cast<std::uint32_t>(frame.size()));
+        ASSERT_EQ(::write(this->ends[1], &length, sizeof length), sizeof length);
+        ASSERT_EQ(::write(this->ends[1], frame.data(), frame.size()),
+                  static_cast<ssize_t>(frame.size()));
+    }
+
+    event_loop loop;
+    std::array<int, 2> ends{};
+    std::unique_ptr<peer_channel> channel;
+    int taken = 0;
+    int ends_seen = 0;
+    int taken_after_end = 0;
+};
+
+TEST_F(peer_channel_test, a_silent_connection_ends_and_its_calls_with_it)
+{
+    absl::Status outcome;
+    this->channel->call(peer_topic::status, "x", milliseconds(5000),
+                        [&outcome](const auto& reply) { outcome = reply.status(); });
+    this->run_for(peer_channel::silence_limit + peer_channel::heartbeat_interval * 2);
+    EXPECT_EQ(this->ends_seen, 1);
+    EXPECT_TRUE(absl::IsUnavailable(outcome));
+}
+
+// A process that stood still finds the peer's silence and its frames at once. It used to end the
+// channel and then take a frame from it.
+TEST_F(peer_channel_test, a_stall_of_this_process_is_not_taken_for_the_peers_silence)
+{
+    this->run_for(milliseconds(900));
+    this->note();
+    std::this_thread::sleep_for(milliseconds(600));
+    this->run_for(milliseconds(50));
+    EXPECT_EQ(this->ends_seen, 0);
+    EXPECT_EQ(this->taken, 1);
+    EXPECT_EQ(this->taken_after_end, 0);
+}
+
+TEST_F(peer_channel_test, a_call_without_a_reply_ends_at_its_time)
+{
+    absl::Status outcome;
+    this->channel->call(peer_topic::status, "x", milliseconds(150),
+                        [&outcome](const auto& reply) { outcome = reply.status(); });
+    this->run_for(milliseconds(400));
+    EXPECT_TRUE(absl::IsDeadlineExceeded(outcome));
+    EXPECT_EQ(this->ends_seen, 0);
+}
+
+} // namespace
+} // namespace verbenalever
