--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -5,6 +5,8 @@
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
@@ -163,14 +165,13 @@
     if (step.tasks[name.index].at == workflow_task::phase::done)
         return false;
     // Each member of a gang lists the failed run, and an earlier coordinator may have counted it.
-    if (run <= task.failed_run)
+    if (std::ranges::find(task.failed_runs, run) != task.failed_runs.end())
         return false;
-    task.failed_run = run;
-    ++task.failures;
+    task.failed_runs.push_back(run);
     const auto* queue = this->configuration->queue(owner.record.queue);
     const std::uint32_t attempts =
         queue == nullptr ? 1U : static_cast<std::uint32_t>(std::max(1, queue->attempts));
-    if (task.failures >= attempts)
+    if (task.failed_runs.size() >= attempts)
         this->end_workflow(owner, workflow_state::failed);
     return true;
 }
@@ -278,10 +279,10 @@
     if (owner.state == workflow_state::completed && now <= owner.due)
         return;
     const bool here = owner.began_at.count() != 0;
-    std::uint32_t failures = 0;
+    std::size_t failures = 0;
     for (const auto& step : owner.steps) {
         for (const auto& task : step.tasks)
-            failures += task.failures;
+            failures += task.failed_runs.size();
     }
     this->around.log.write("coordinator", "workflow_ended",
                            {{"workflow", owner.record.id},
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -115,8 +115,7 @@
         const auto& kept = progress->steps[number];
         for (std::size_t index = 0; index < step.tasks.size() && index < kept.size(); ++index) {
             auto& task = step.tasks[index];
-            task.failures = kept[index].failures;
-            task.failed_run = kept[index].failed_run;
+            task.failed_runs = kept[index].failed_runs;
             task.checkpoint = kept[index].checkpoint;
             if (!kept[index].done)
                 continue;
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -33,8 +33,8 @@
     for (const auto& step : owner.steps) {
         auto& kept = progress.steps.emplace_back();
         for (const auto& task : step.tasks)
-            kept.push_back({task.at == workflow_task::phase::done, task.failures, task.failed_run,
-                            task.checkpoint});
+            kept.push_back(
+                {task.at == workflow_task::phase::done, task.failed_runs, task.checkpoint});
     }
     return progress;
 }
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -271,6 +271,28 @@
     EXPECT_EQ(this->state(second, "w"), workflow_state::running);
 }
 
+// A slow store kept nothing of two failures; their ends come from two targets, the later run first.
+TEST_F(coordinator_test, failed_runs_count_in_whatever_order_their_ends_are_listed)
+{
+    this->configuration->queues[0].attempts = 2;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    this->kill(first);
+    const task_name task{"w", 0, 0, 0};
+    auto& earlier = this->targets.add("t1", 0);
+    auto& later = this->targets.add("t2", 0);
+    earlier.ended = {{1, task, 1, target_view::ending::failed, {}}};
+    later.ended = {{1, task, 2, target_view::ending::failed, {}}};
+    earlier.silent = true;
+    timer heard(this->loop, [&earlier] { earlier.silent = false; });
+    heard.start_once(milliseconds(400));
+    auto& second = this->elect("vm-2");
+    EXPECT_EQ(this->state(second, "w"), workflow_state::running);
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(second, "w"), workflow_state::failed);
+}
+
 TEST_F(coordinator_test, a_task_that_fails_too_often_ends_its_workflow)
 {
     this->targets.add("t1", 4000).fails_all = true;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -25,9 +25,8 @@
     };
 
     phase at = phase::waiting;
-    std::int64_t run = 0; ///< number of the current run, or of the last one
-    std::uint32_t failures = 0;
-    std::int64_t failed_run = 0; ///< the last run that failed; its end may be listed again
+    std::int64_t run = 0;                  ///< number of the current run, or of the last one
+    std::vector<std::int64_t> failed_runs; ///< each counts once, however often its end is listed
     std::string checkpoint;
     fleet_target* target = nullptr;  ///< while placed
     std::uint32_t unseen_places = 0; ///< while unseen: lives of targets to hear from
--- a/src/libverbenalever/workflows/workflow_progress.h
+++ b/src/libverbenalever/workflows/workflow_progress.h
@@ -11,11 +11,12 @@
 /// What is known for good of one task.
 struct task_progress {
     bool done = false;
-    std::uint32_t failures = 0;  ///< runs that ended as failed
-    std::int64_t failed_run = 0; ///< the last of them, so that its end counts once
+    /// Numbers of the runs that ended as failed. Their ends may be listed again, in any order, so
+    /// that a count alone would not do.
+    std::vector<std::int64_t> failed_runs;
     std::string checkpoint;
 
-    MSGPACK_DEFINE(done, failures, failed_run, checkpoint)
+    MSGPACK_DEFINE(done, failed_runs, checkpoint)
 };
 
 /// What is known for good of a workflow that has not ended: its tasks, step by step.
