--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -31,13 +31,21 @@
 
 } // namespace
 
+/// A transaction from its composing until it is known to have happened.
+struct commit_chain::transaction {
+    store_transaction change;
+    std::string fence_value;
+    std::vector<callback> done;
+    milliseconds first_sent{0};
+    milliseconds last_sent{0};
+};
+
 commit_chain::commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
                            std::string fence_key, std::string holder, std::int64_t fence_revision,
                            std::function<void()> lost)
-    : loop(loop), store(store), log(log), fence_key(std::move(fence_key)),
-      holder(std::move(holder)), fence_revision(fence_revision), lost(std::move(lost)),
-      confirmed(boot_time()), timeout(shortest_timeout),
-      flush_timer(loop, [this] { this->flush(); }),
+    : store(store), log(log), fence_key(std::move(fence_key)), holder(std::move(holder)),
+      fence_revision(fence_revision), lost(std::move(lost)), confirmed(boot_time()),
+      timeout(shortest_timeout), flush_timer(loop, [this] { this->flush(); }),
       resend_timer(loop, [this] { this->transmit(); }), alive(std::make_shared<bool>(true))
 {
 }
@@ -89,7 +97,7 @@
 
 void commit_chain::compose()
 {
-    this->sent.emplace();
+    this->sent = std::make_unique<transaction>();
     ++this->sequence;
     this->sent->fence_value = fmt::format("{}/{}", this->holder, this->sequence);
     auto& change = this->sent->change;
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -57,7 +57,7 @@
     /// @return whether writes wait or are on their way
     [[nodiscard]] bool busy() const
     {
-        return this->sent.has_value() || !this->waiting.empty();
+        return this->sent != nullptr || !this->waiting.empty();
     }
 
     /// @return whether the last transaction sent has had no answer for long
@@ -70,18 +70,12 @@
     }
 
 private:
+    struct transaction;
     struct pending_write {
         producer value;
         std::int64_t lease = 0;
         std::vector<callback> done;
     };
-    struct transaction {
-        store_transaction change;
-        std::string fence_value;
-        std::vector<callback> done;
-        milliseconds first_sent{0};
-        milliseconds last_sent{0};
-    };
 
     void flush();
     void compose();
@@ -90,7 +84,6 @@
     void commit(std::int64_t revision);
     void send_again(milliseconds wait);
 
-    event_loop& loop;
     metadata_store& store;
     const event_log& log;
     std::string fence_key;
@@ -101,7 +94,7 @@
     std::map<std::string, pending_write> waiting;
     std::deque<std::string> urgent_order;
     std::deque<std::string> order;
-    std::optional<transaction> sent;
+    std::unique_ptr<transaction> sent; ///< the one that waits for its answer
     std::int64_t sequence = 0;
     milliseconds confirmed;
     milliseconds last_started{0};
--- a/src/libverbenalever/coordination/peer_channel.cpp
+++ b/src/libverbenalever/coordination/peer_channel.cpp
@@ -14,8 +14,8 @@
 
 peer_channel::peer_channel(event_loop& loop, std::unique_ptr<frame_connection> connection,
                            handler take, std::function<void()> closed)
-    : loop(loop), connection(std::move(connection)), take(std::move(take)),
-      closed(std::move(closed)), beat_timer(loop, [this] { this->beat(); }),
+    : connection(std::move(connection)), take(std::move(take)), closed(std::move(closed)),
+      beat_timer(loop, [this] { this->beat(); }),
       call_timer(loop, [this] { this->expire_calls(); }), last_beat(monotonic_clock::now())
 {
     this->connection->on_events([this](std::string_view frame) { this->receive(frame); },
@@ -106,8 +106,7 @@
     if (now - this->last_beat > heartbeat_interval * 2)
         this->excused_until = now + heartbeat_interval;
     this->last_beat = now;
-    if (now >= this->excused_until &&
-        now - this->connection->last_received() > silence_limit) {
+    if (now >= this->excused_until && now - this->connection->last_received() > silence_limit) {
         this->end();
         return;
     }
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -77,7 +77,6 @@
     void expire_calls();
     void end();
 
-    event_loop& loop;
     std::unique_ptr<frame_connection> connection;
     handler take;
     std::function<void()> closed;
--- a/src/libverbenalever/coordination/peer_channel_test.cpp
+++ b/src/libverbenalever/coordination/peer_channel_test.cpp
@@ -47,8 +47,8 @@
     /// Send a note from the other end.
     void note()
     {
-        const auto frame = pack_message(
-            peer_message{static_cast<int>(peer_message::form::note), 0, 0, "news"});
+        const auto frame =
+            pack_message(peer_message{static_cast<int>(peer_message::form::note), 0, 0, "news"});
         const std::uint32_t length = htonl(static_cast<std::uint32_t>(frame.size()));
         ASSERT_EQ(::write(this->ends[1], &length, sizeof length), sizeof length);
         ASSERT_EQ(::write(this->ends[1], frame.data(), frame.size()),
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -117,12 +117,9 @@
         return;
     }
     // An end is shown only when it can no longer be lost.
-    if (is_final(known->state) && !known->end_stored)
-        reply(call_outcome::accepted, workflow_state::running);
-    else if (known->state == workflow_state::queued && known->began)
-        reply(call_outcome::accepted, workflow_state::running);
-    else
-        reply(call_outcome::accepted, known->state);
+    const bool end_hidden = is_final(known->state) && !known->end_stored;
+    const bool runs = known->state == workflow_state::queued && known->began;
+    reply(call_outcome::accepted, end_hidden || runs ? workflow_state::running : known->state);
 }
 
 void coordinator::cancel(const std::string& id, std::function<void(call_outcome)> reply)
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -46,9 +46,8 @@
 /// @return each target once
 std::vector<fleet_target*> distinct(std::vector<fleet_target*> targets)
 {
-    std::ranges::sort(targets);
-    const auto [first, last] = std::ranges::unique(targets);
-    targets.erase(first, last);
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
     return targets;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -63,7 +63,7 @@
             .viewed = [this, &target](const target_view& view,
                                       milliseconds sent) { this->take_view(target, view, sent); },
             .fenced = [this] { this->office.abdicate("a target has heard a newer coordinator"); },
-            .reborn = [this, &target] { target.ended_life = true; },
+            .reborn = [&target] { target.ended_life = true; },
             .reached =
                 [this, &target](bool reachable) {
                     this->around.log.write(
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -22,13 +22,13 @@
 
 fleet_target::~fleet_target() = default;
 
-placed_task& fleet_target::place(const task_name& task, placed_task run)
+placed_task& fleet_target::place(const task_name& task, const placed_task& run)
 {
     this->remove(task);
     this->used += run.need;
     if (run.owner == nullptr)
         ++this->unknown_tasks;
-    return this->tasks.emplace(task, std::move(run)).first->second;
+    return this->tasks.emplace(task, run).first->second;
 }
 
 void fleet_target::remove(const task_name& task)
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -50,7 +50,7 @@
     fleet_target& operator=(const fleet_target&) = delete;
 
     /// Add a run; its room counts from now on.
-    placed_task& place(const task_name& task, placed_task run);
+    placed_task& place(const task_name& task, const placed_task& run);
 
     /// Remove a run; its room is free.
     void remove(const task_name& task);
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -46,11 +46,13 @@
 {
     std::vector<fleet_target*> chosen;
     // Largest room first: fewer targets to ask about.
-    for (auto at = this->candidates.rbegin(); at != this->candidates.rend(); ++at) {
-        if (at->may_run == step_candidate::permission::not_asked)
+    const std::vector<step_candidate> largest_first(this->candidates.rbegin(),
+                                                    this->candidates.rend());
+    for (const auto& candidate : largest_first) {
+        if (candidate.may_run == step_candidate::permission::not_asked)
             continue;
-        const auto take = std::min<std::size_t>(at->fits, wanted - chosen.size());
-        chosen.insert(chosen.end(), take, at->target);
+        const auto take = std::min<std::size_t>(candidate.fits, wanted - chosen.size());
+        chosen.insert(chosen.end(), take, candidate.target);
         if (chosen.size() == wanted)
             return chosen;
     }
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -27,7 +27,7 @@
 
 target_session::target_session(event_loop& loop, target_orders& orders, target_life life,
                                std::int64_t fencing_token, milliseconds lease, callbacks notify)
-    : loop(loop), orders(orders), life(std::move(life)), fencing_token(fencing_token), lease(lease),
+    : orders(orders), life(std::move(life)), fencing_token(fencing_token), lease(lease),
       notify(std::move(notify)), look_timer(loop, [this] { this->look(); })
 {
 }
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -82,7 +82,6 @@
     void note_answer(const order_result& result);
     void miss();
 
-    event_loop& loop;
     target_orders& orders;
     target_life life;
     std::int64_t fencing_token;
--- a/src/libverbenalever/ports/task_order.h
+++ b/src/libverbenalever/ports/task_order.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace verbenalever {
 
@@ -22,7 +23,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const task_name&, const task_name&) = default;
+    friend bool operator==(const task_name&, const task_name&) = default;
+    friend bool operator<(const task_name& left, const task_name& right)
+    {
+        return std::tie(left.workflow, left.occurrence, left.step, left.index) <
+               std::tie(right.workflow, right.occurrence, right.step, right.index);
+    }
 };
 
 /// Asks a target to start one run of a task.
