--- a/src/libverbenalever/coordination/peer_channel_test.cpp
+++ b/src/libverbenalever/coordination/peer_channel_test.cpp
@@ -30,12 +30,10 @@
             [this] { ++this->ends_seen; });
     }
 
-    ~peer_channel_test() override
+    void TearDown() override
     {
         ::close(this->ends[1]);
     }
-    peer_channel_test(const peer_channel_test&) = delete;
-    peer_channel_test& operator=(const peer_channel_test&) = delete;
 
     void run_for(milliseconds span)
     {
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -348,7 +348,13 @@
         const auto found = target->tasks.find(entry.task());
         if (found == target->tasks.end() || found->second.run != entry.run || found->second.ordered)
             continue;
-        if (!this->ticket_holds(*found->second.owner, entry.step, entry.target)) {
+        auto& owner = *found->second.owner;
+        if (!owner.stored) {
+            // Its place was kept before it was: a batch may stand before the record in the chain.
+            owner.starts_waiting.push_back(entry);
+            continue;
+        }
+        if (!this->ticket_holds(owner, entry.step, entry.target)) {
             // It has run out while the store was slow: another place, or another ticket.
             this->stop_run(*target, entry.task(), entry.run);
             continue;
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -8,6 +8,7 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenalever {
 
@@ -126,6 +127,7 @@
                 return;
             if (auto* kept = this->find(id)) {
                 kept->stored = true;
+                this->send_starts(std::exchange(kept->starts_waiting, {}));
                 const auto waiters = std::move(kept->stored_waiters);
                 kept->stored_waiters.clear();
                 for (const auto number : waiters)
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -266,6 +266,27 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// Load pattern: more submissions at once than one transaction takes. A placement could join a batch
+// that stood before its workflow's record, and its start was sent before the workflow was kept.
+TEST_F(coordinator_test, no_task_starts_before_its_workflow_is_kept)
+{
+    for (int number = 0; number < 10; ++number)
+        this->targets.add("t" + std::to_string(number), 16'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    int early = 0;
+    this->targets.on_start = [this, &early](const start_order& order) {
+        early += this->store.items.contains("v/w/" + order.task.workflow) ? 0 : 1;
+    };
+    for (int number = 0; number < 100; ++number) {
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+        if (number % 20 == 0)
+            this->run_for(milliseconds(3));
+    }
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.starts, 100);
+    EXPECT_EQ(early, 0);
+}
+
 // A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
 TEST_F(coordinator_test, a_failed_run_counts_once_for_all_coordinators)
 {
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordinator/placement_log.h"
 #include "loop/clock.h"
 #include "workflows/workflow_progress.h"
 #include "workflows/workflow_record.h"
@@ -81,6 +82,7 @@
 
     std::uint32_t placed = 0;                          ///< tasks on targets
     std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
+    std::vector<placement_entry> starts_waiting;       ///< sent once its record is kept
     std::vector<std::function<void()>> ends_to_record; ///< run when its end is kept
     std::vector<std::uint64_t> end_waiters; ///< open replies to close once its end is kept
 };
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -71,6 +71,8 @@
 {
     auto& on = *this->targets.at(life.name);
     ++this->starts;
+    if (this->on_start)
+        this->on_start(order);
     if (on.silent) {
         this->later(timeout, [done] { done({}); });
         return;
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -62,6 +62,7 @@
     std::map<std::string, std::unique_ptr<target>> targets;
     std::map<std::string, resources> need_of; ///< of a task of each workflow, for capacity
     std::vector<std::string> breaches;
+    std::function<void(const start_order&)> on_start; ///< sees each order to start
     int looks = 0;
     int starts = 0;
 
--- a/src/libverbenalever/workflows/workflow_spec.cpp
+++ b/src/libverbenalever/workflows/workflow_spec.cpp
@@ -13,6 +13,10 @@
     if (step.need.processors_milli < 0 || step.need.memory_mb < 0 || step.need.accelerators < 0)
         return absl::InvalidArgumentError(
             fmt::format("step {} asks for less than nothing", number));
+    // Run once and then forgotten would be worse than an answer that says so.
+    if (step.long_running || step.fills)
+        return absl::UnimplementedError(
+            fmt::format("step {} runs until cancelled or fills, which is not served", number));
     for (const auto earlier : step.after) {
         if (earlier >= number)
             return absl::InvalidArgumentError(fmt::format(
@@ -27,6 +31,8 @@
 {
     if (this->payload.size() > payload_limit)
         return absl::InvalidArgumentError("the payload is too long");
+    if (this->occurrences != 0)
+        return absl::UnimplementedError("recurring workflows are not served");
     if (this->steps.empty() || this->steps.size() > step_limit)
         return absl::InvalidArgumentError(fmt::format("1 to {} steps are allowed", step_limit));
     std::uint64_t tasks = 0;
--- a/src/libverbenalever/workflows/workflow_spec.h
+++ b/src/libverbenalever/workflows/workflow_spec.h
@@ -23,7 +23,8 @@
     static constexpr std::size_t step_limit = 64;       ///< steps; keeps a record within a value
     static constexpr std::uint32_t task_limit = 10'000; ///< tasks of all steps, for the same reason
 
-    /// @return INVALID_ARGUMENT with the first fault found
+    /// @return INVALID_ARGUMENT with the first fault found; UNIMPLEMENTED for a kind of work that
+    ///         is read and not served
     [[nodiscard]] absl::Status check() const;
 
     MSGPACK_DEFINE(payload, steps, occurrences, first_due_ms, interval_ms)
