--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -154,7 +154,7 @@
     void log_end(const workflow& owner);
     void stop_all(workflow& owner);
 
-    // Placing (coordinator_pass.cpp).
+    // Placing (coordinator_pass.cpp, _advice.cpp, _starts.cpp, _reclaim.cpp).
     void request_pass(milliseconds wait = milliseconds(2));
     void pass();
     void consider(workflow& owner, std::uint32_t step);
@@ -226,6 +226,8 @@
     team_ledger teams;
     resources fleet;        ///< what all targets that can be used have
     double all_weights = 0; ///< of the teams in the configuration
+    /// Part of the targets that the advisor allows, until there is experience.
+    static constexpr double first_grant_share = 0.5;
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
     std::vector<std::function<void()>> after_load;
     std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -0,0 +1,90 @@
+// Questions to the advisor, and room kept while they are open.
+
+#include "coordinator/coordinator.h"
+#include "coordinator/target_session.h"
+#include "timeline/event_log.h"
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+/// Wait before the advisor is asked again after it was busy.
+constexpr milliseconds advice_retry{15};
+/// Weight of one answer in the part of the targets that the advisor allows.
+constexpr double grant_share_weight = 0.1;
+
+} // namespace
+
+void coordinator::reserve(workflow_step& step, const resources& need,
+                          const std::vector<fleet_target*>& places)
+{
+    for (auto* target : places) {
+        target->reserved += need;
+        step.reserved.emplace_back(target->report.name, need);
+    }
+}
+
+void coordinator::free_reservation(workflow_step& step)
+{
+    for (const auto& [name, need] : step.reserved) {
+        if (const auto found = this->targets.find(name); found != this->targets.end())
+            found->second->reserved -= need;
+    }
+    step.reserved.clear();
+}
+
+bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
+                             const std::vector<fleet_target*>& named)
+{
+    auto& step = owner.steps[number];
+    advice_question question{.workflow = owner.record.id, .occurrence = 0, .step = number};
+    for (const auto* target : named)
+        question.targets.push_back(target->report.name);
+    const milliseconds cost(static_cast<std::int64_t>(
+        queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
+    const bool taken = this->desk.ask(
+        question, cost,
+        [this, alive = this->alive, id = owner.record.id, number, question](advice_answer answer) {
+            if (*alive)
+                this->take_advice(id, number, question, answer);
+        });
+    if (taken)
+        step.asking = true;
+    else
+        step.ask_after = boot_time() + advice_retry;
+    return taken;
+}
+
+void coordinator::take_advice(const std::string& id, std::uint32_t number,
+                              const advice_question& question, const advice_answer& answer)
+{
+    auto* owner = this->find(id);
+    if (owner == nullptr || is_final(owner->state))
+        return;
+    auto& step = owner->steps[number];
+    step.asking = false;
+    this->request_pass(milliseconds(0));
+    if (!answer.answered) {
+        step.ask_after = boot_time() + advice_retry;
+        this->around.log.write("coordinator", "advice_missed",
+                               {{"workflow", id}, {"step", number}});
+        return;
+    }
+    for (const auto& name : question.targets)
+        step.advice.try_emplace(name);
+    const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
+    for (const auto& grant : answer.granted)
+        step.advice[grant.target] = {true, grant.ticket, valid_until};
+    // Whoever waits longest at the advisor has its answer used before others take the room.
+    if (step.listed)
+        this->consider(*owner, number);
+    auto [share, fresh] = this->grant_share.try_emplace(owner->record.queue, first_grant_share);
+    share->second += grant_share_weight *
+                     (static_cast<double>(answer.granted.size()) /
+                          static_cast<double>(std::max<std::size_t>(1, question.targets.size())) -
+                      share->second);
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -1,14 +1,10 @@
-// Placing: which steps are considered in which order, and how their tasks are started.
+// Placing: which steps are considered in which order, and which targets they may use.
 
 #include "coordination/commit_chain.h"
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
 #include "coordinator/target_session.h"
-#include "timeline/counters.h"
-#include "timeline/event_log.h"
-
-#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -18,14 +14,6 @@
 
 /// A ticket is not used when it has less than this left, since the start takes time to arrive.
 constexpr milliseconds ticket_slack{150};
-/// Wait before the advisor is asked again after it was busy.
-constexpr milliseconds advice_retry{15};
-/// Part of the targets that the advisor allows, until there is experience.
-constexpr double first_grant_share = 0.5;
-/// Weight of one answer in that experience.
-constexpr double grant_share_weight = 0.1;
-/// A target that has turned a start away gets none for this long.
-constexpr milliseconds avoid_time{300};
 /// Steps looked at in one pass; those behind them would find no room either.
 constexpr int steps_per_pass = 400;
 
@@ -175,24 +163,6 @@
         this->reclaim_room(owner, number, queue, wanted);
 }
 
-void coordinator::reserve(workflow_step& step, const resources& need,
-                          const std::vector<fleet_target*>& places)
-{
-    for (auto* target : places) {
-        target->reserved += need;
-        step.reserved.emplace_back(target->report.name, need);
-    }
-}
-
-void coordinator::free_reservation(workflow_step& step)
-{
-    for (const auto& [name, need] : step.reserved) {
-        if (const auto found = this->targets.find(name); found != this->targets.end())
-            found->second->reserved -= need;
-    }
-    step.reserved.clear();
-}
-
 bool coordinator::may_use(const fleet_target& target, const workflow& owner,
                           std::uint32_t number) const
 {
@@ -248,193 +218,4 @@
     return this->teams.fits(owner.record.team, team->limit, need, wanted, owner.urgent());
 }
 
-bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
-                             const std::vector<fleet_target*>& named)
-{
-    auto& step = owner.steps[number];
-    advice_question question{.workflow = owner.record.id, .occurrence = 0, .step = number};
-    for (const auto* target : named)
-        question.targets.push_back(target->report.name);
-    const milliseconds cost(static_cast<std::int64_t>(
-        queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
-    const bool taken = this->desk.ask(
-        question, cost,
-        [this, alive = this->alive, id = owner.record.id, number, question](advice_answer answer) {
-            if (*alive)
-                this->take_advice(id, number, question, answer);
-        });
-    if (taken)
-        step.asking = true;
-    else
-        step.ask_after = boot_time() + advice_retry;
-    return taken;
-}
-
-void coordinator::take_advice(const std::string& id, std::uint32_t number,
-                              const advice_question& question, const advice_answer& answer)
-{
-    auto* owner = this->find(id);
-    if (owner == nullptr || is_final(owner->state))
-        return;
-    auto& step = owner->steps[number];
-    step.asking = false;
-    this->request_pass(milliseconds(0));
-    if (!answer.answered) {
-        step.ask_after = boot_time() + advice_retry;
-        this->around.log.write("coordinator", "advice_missed",
-                               {{"workflow", id}, {"step", number}});
-        return;
-    }
-    for (const auto& name : question.targets)
-        step.advice.try_emplace(name);
-    const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
-    for (const auto& grant : answer.granted)
-        step.advice[grant.target] = {true, grant.ticket, valid_until};
-    // Whoever waits longest at the advisor has its answer used before others take the room.
-    if (step.listed)
-        this->consider(*owner, number);
-    auto [share, fresh] = this->grant_share.try_emplace(owner->record.queue, first_grant_share);
-    share->second += grant_share_weight *
-                     (static_cast<double>(answer.granted.size()) /
-                          static_cast<double>(std::max<std::size_t>(1, question.targets.size())) -
-                      share->second);
-}
-
-void coordinator::start_tasks(workflow& owner, std::uint32_t number,
-                              const std::vector<fleet_target*>& chosen)
-{
-    if (chosen.empty())
-        return;
-    auto& step = owner.steps[number];
-    const auto& spec = owner.record.spec.steps[number];
-    std::int64_t gang_run = owner.run_base;
-    for (const auto& task : step.tasks)
-        gang_run = std::max(gang_run, task.run);
-    ++gang_run;
-    std::uint32_t index = 0;
-    for (auto* target : chosen) {
-        while (step.tasks[index].at != workflow_task::phase::waiting)
-            ++index;
-        auto& task = step.tasks[index];
-        const task_name name{owner.record.id, 0, number, index};
-        task.at = workflow_task::phase::placed;
-        task.target = target;
-        task.run = spec.gang ? gang_run : std::max(task.run, owner.run_base) + 1;
-        --step.waiting;
-        ++owner.placed;
-        this->teams.take(owner.record.team, spec.need, owner.urgent());
-        const auto batch = this->placements.add({owner.record.id, 0, number, index, task.run,
-                                                 target->report.name, target->report.born_ms});
-        target->place(name, {.owner = &owner, .run = task.run, .need = spec.need, .batch = batch});
-    }
-    if (step.waiting == 0)
-        this->unlist(owner, number);
-}
-
-bool coordinator::ticket_holds(const workflow& owner, std::uint32_t number,
-                               const std::string& target) const
-{
-    const auto& memory = owner.steps[number].advice;
-    const auto said = memory.find(target);
-    return said == memory.end() || said->second.valid_until > boot_time();
-}
-
-void coordinator::send_starts(const std::vector<placement_entry>& kept)
-{
-    for (const auto& entry : kept) {
-        auto* target = this->find_life(entry.target, entry.target_born_ms);
-        if (target == nullptr)
-            continue;
-        const auto found = target->tasks.find(entry.task());
-        if (found == target->tasks.end() || found->second.run != entry.run || found->second.ordered)
-            continue;
-        auto& owner = *found->second.owner;
-        if (!owner.stored) {
-            // Its place was kept before it was: a batch may stand before the record in the chain.
-            owner.starts_waiting.push_back(entry);
-            continue;
-        }
-        if (!this->ticket_holds(owner, entry.step, entry.target)) {
-            // It has run out while the store was slow: another place, or another ticket.
-            this->stop_run(*target, entry.task(), entry.run);
-            continue;
-        }
-        found->second.ordered = true;
-        this->send_start(*target, entry.task());
-        target->session->want_looks(true);
-    }
-}
-
-void coordinator::send_start(fleet_target& target, const task_name& name)
-{
-    auto& placed = target.tasks.at(name);
-    const auto& owner = *placed.owner;
-    const auto& step = owner.steps[name.step];
-    const bool gang = owner.record.spec.steps[name.step].gang;
-    start_order order{.task = name, .run = placed.run, .payload = owner.record.spec.payload};
-    order.checkpoint = step.tasks[gang ? 0 : name.index].checkpoint;
-    if (const auto said = step.advice.find(target.report.name); said != step.advice.end())
-        order.ticket = said->second.ticket;
-    placed.ordered_at = boot_time();
-    ++placed.open_orders;
-    target.session->start(order, [this, alive = this->alive, &target, name,
-                                  run = placed.run](const order_result& result) {
-        if (*alive)
-            this->take_start(target, name, run, result);
-    });
-}
-
-void coordinator::take_start(fleet_target& target, const task_name& name, std::int64_t run,
-                             const order_result& result)
-{
-    const auto found = target.tasks.find(name);
-    if (found == target.tasks.end() || found->second.run != run)
-        return;
-    auto& placed = found->second;
-    --placed.open_orders;
-    placed.ordered_at = boot_time();
-    if (result.how == order_result::outcome::done) {
-        placed.started = true;
-        placed.started_at = boot_time();
-        if (!placed.stopping)
-            placed.settled_at = boot_time();
-        if (placed.owner != nullptr) {
-            if (!placed.owner->began) {
-                placed.owner->began_at = boot_time();
-                this->around.count.observe(
-                    fmt::format("wait_to_start_priority_{}", placed.owner->priority),
-                    placed.owner->began_at - placed.owner->accepted_at);
-            }
-            placed.owner->began = true;
-        }
-        this->around.count.add("tasks_started");
-        return;
-    }
-    if (result.how == order_result::outcome::unknown)
-        return; // sent again after a while, or found by a look
-    if (!placed.stopping && !placed.started)
-        this->start_refused(target, name, result);
-}
-
-void coordinator::start_refused(fleet_target& target, const task_name& name,
-                                const order_result& result)
-{
-    auto& owner = *target.tasks.at(name).owner;
-    this->around.log.write("coordinator", "start_refused",
-                           {{"workflow", name.workflow},
-                            {"step", name.step},
-                            {"index", name.index},
-                            {"target", target.report.name},
-                            {"reason", static_cast<int>(result.how)}});
-    target.avoid_until = boot_time() + avoid_time;
-    if (result.how == order_result::outcome::bad_ticket) {
-        auto& said = owner.steps[name.step].advice[target.report.name];
-        said.valid_until = milliseconds(0);
-        target.avoid_until = milliseconds(0);
-    }
-    // An earlier sending of the order may still arrive: only a stop makes sure that it does
-    // nothing.
-    this->stop_run(target, name, target.tasks.at(name).run);
-}
-
 } // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/daemon/cluster_entry_serve.cpp
@@ -0,0 +1,88 @@
+// What other entries ask of this one.
+
+#include "daemon/cluster_entry.h"
+
+#include "coordination/member_messages.h"
+#include "membership/message_codec.h"
+#include "ports/operator_source.h"
+#include "ports/placement_advisor.h"
+
+namespace verbenalever {
+
+namespace {
+
+std::string pack_reply(call_outcome outcome, workflow_state state = workflow_state::queued,
+                       std::int64_t count = 0)
+{
+    return pack_message(
+        member_reply{true, static_cast<int>(outcome), static_cast<int>(state), count});
+}
+
+} // namespace
+
+void cluster_entry::serve(peer_topic topic, std::string_view payload, peer_channel::replier reply)
+{
+    if (topic == peer_topic::configuration) {
+        this->outside.operators.absorb(payload);
+        return;
+    }
+    if (!reply)
+        return;
+    if (topic == peer_topic::advise) {
+        this->serve_advise(payload, reply);
+        return;
+    }
+    if (!this->duty) {
+        reply(pack_message(member_reply{}));
+        return;
+    }
+    if (topic == peer_topic::submit)
+        this->serve_submit(payload, reply);
+    else if (topic == peer_topic::status)
+        this->serve_status(payload, reply);
+    else if (topic == peer_topic::cancel)
+        this->serve_cancel(payload, reply);
+    else if (topic == peer_topic::waiting)
+        reply(this->duty->ready() ? pack_reply(call_outcome::accepted, workflow_state::queued,
+                                               this->duty->waiting_in(payload))
+                                  : pack_reply(call_outcome::refused));
+}
+
+void cluster_entry::serve_submit(std::string_view payload, const peer_channel::replier& reply)
+{
+    auto submission = unpack_message<workflow_submission>(payload);
+    if (!submission.ok()) {
+        reply(pack_reply(call_outcome::invalid));
+        return;
+    }
+    this->duty->submit(*std::move(submission),
+                       [reply](call_outcome outcome) { reply(pack_reply(outcome)); });
+}
+
+void cluster_entry::serve_status(std::string_view payload, const peer_channel::replier& reply)
+{
+    this->duty->status(std::string(payload), [reply](call_outcome outcome, workflow_state state) {
+        reply(pack_reply(outcome, state));
+    });
+}
+
+void cluster_entry::serve_cancel(std::string_view payload, const peer_channel::replier& reply)
+{
+    this->duty->cancel(std::string(payload),
+                       [reply](call_outcome outcome) { reply(pack_reply(outcome)); });
+}
+
+void cluster_entry::serve_advise(std::string_view payload, const peer_channel::replier& reply)
+{
+    auto question = unpack_message<advice_question>(payload);
+    if (!question.ok()) {
+        reply(pack_message(advice_answer{}));
+        return;
+    }
+    constexpr milliseconds longest_question{5000}; // beyond it the coordinator has given up
+    this->outside.advisor.ask(*question, longest_question, [reply](const advice_answer& answer) {
+        reply(pack_message(answer));
+    });
+}
+
+} // namespace verbenalever
