A late end of a task that has its next place finishes it

Ruled out: an owner removed with its tasks placed. Change: the task is done before its other run is stopped (the test failed before); a miscount is logged and starts nothing; the end of a copy says nothing of the run placed elsewhere; room reserved for a submission taken back is freed.

--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -6,6 +6,7 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenalever {
 
@@ -75,7 +76,9 @@
                     boot_time() + failed_target_rest;
                 changed = this->task_failed(*owner, end.task, end.run);
             }
-            if (ours && !is_final(owner->state)) {
+            // The end of a copy says nothing of the run that is placed elsewhere.
+            const bool placed_here = task.target == &target;
+            if (ours && placed_here && !is_final(owner->state)) {
                 this->back_to_waiting(*owner, end.task);
                 if (owner->record.spec.steps[end.task.step].gang)
                     this->break_gang(*owner, end.task.step);
@@ -125,16 +128,15 @@
             --step.waiting;
         else if (task.at == workflow_task::phase::unseen)
             this->teams.clear(owner.record.team, spec.need);
-        else if (index == name.index && task.target != nullptr) {
-            // It ended here while another run of it was ordered elsewhere.
-            const task_name other{name.workflow, name.occurrence, name.step, index};
-            if (const auto found = task.target->tasks.find(other);
-                found != task.target->tasks.end())
-                this->stop_run(*task.target, other, found->second.run);
-        }
         task.at = workflow_task::phase::done;
-        task.target = nullptr;
         ++step.done;
+        auto* elsewhere = std::exchange(task.target, nullptr);
+        if (index != name.index || elsewhere == nullptr)
+            return true;
+        // It has ended while another run of it has a place elsewhere.
+        const task_name other{name.workflow, name.occurrence, name.step, index};
+        if (const auto found = elsewhere->tasks.find(other); found != elsewhere->tasks.end())
+            this->stop_run(*elsewhere, other, found->second.run);
         return true;
     };
     bool changed = finish(name.index);
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -174,6 +174,8 @@
         const auto waiters = known.stored_waiters;
         // Its tasks were at most chosen a place: no start is sent before the record is kept.
         this->stop_all(known);
+        for (auto& step : known.steps)
+            this->free_reservation(step);
         for (std::uint32_t step = 0; step < known.steps.size(); ++step)
             this->unlist(known, step);
         this->workflows.erase(id);
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -31,8 +31,19 @@
     ++gang_run;
     std::uint32_t index = 0;
     for (auto* target : chosen) {
-        while (step.tasks[index].at != workflow_task::phase::waiting)
+        while (index < step.tasks.size() && step.tasks[index].at != workflow_task::phase::waiting)
             ++index;
+        if (index == step.tasks.size()) {
+            // More tasks are counted as waiting than do wait.
+            this->around.count.add("waiting_miscounted");
+            this->around.log.write("coordinator", "waiting_miscounted",
+                                   {{"workflow", owner.record.id},
+                                    {"step", number},
+                                    {"waiting", step.waiting},
+                                    {"done", step.done},
+                                    {"tasks", step.tasks.size()}});
+            break;
+        }
         auto& task = step.tasks[index];
         const task_name name{owner.record.id, 0, number, index};
         task.at = workflow_task::phase::placed;
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -287,6 +287,38 @@
     EXPECT_EQ(early, 0);
 }
 
+// The end of a run thought lost comes while its next run has a place and was not ordered yet.
+// Giving that place up counted the finished task as waiting.
+TEST_F(coordinator_test, a_late_end_of_a_task_that_has_its_next_place_finishes_it)
+{
+    auto& lost = this->targets.add("t1", 1000);
+    lost.work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(lost.running.size(), 1);
+    const auto [task, run] = *lost.running.begin();
+    lost.silent = true;
+    lost.running.clear();
+    lost.ended = {{1, task, run, target_view::ending::done, {}}};
+    lost.last_end = 1;
+    this->targets.add("t3", 1000).work = milliseconds(0);
+    this->targets.tell_list();
+    this->run_for(milliseconds(1000));
+    constexpr int held_back = 5;
+    this->store.transactions_late = held_back;
+    while (this->store.transactions_late == held_back)
+        this->run_for(milliseconds(1));
+    lost.silent = false;
+    this->run_for(milliseconds(4000));
+    EXPECT_EQ(first.count.value("waiting_miscounted"), 0);
+    EXPECT_EQ(this->targets.starts, 2);
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
 // A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
 TEST_F(coordinator_test, a_failed_run_counts_once_for_all_coordinators)
 {
