Do not repeat an unconfirmed start of a workflow that has ended

Cause: a gang ends with the first member's end. A member whose start was never confirmed stayed in its target's list as not started; 200 ms after the target answered anything again, the order was repeated from the workflow's steps, which are dropped at its end: a read through a null pointer, exit 139. Also: a question to the advisor that fails within the call left its step asking for ever; a connection to a coordinator that is no longer followed could end its successor's. Ruled out by reading: sessions and channels destroyed within their own callbacks, the placement log's batches, late answers of orders. Change: such a run is stopped instead; the step counts as asking before the question is given; events of a channel no longer followed are dropped.

--- a/src/libverbenalever/coordination/coordinator_link.cpp
+++ b/src/libverbenalever/coordination/coordinator_link.cpp
@@ -64,6 +64,8 @@
     this->open = std::make_unique<peer_channel>(
         this->loop, *std::move(connection),
         [this](peer_topic topic, std::string_view payload, peer_channel::replier reply) {
+            if (!this->open)
+                return; // of a coordinator that is no longer followed
             if (!this->announced) {
                 this->announced = true;
                 this->notify.changed(true);
@@ -77,6 +79,9 @@
 
 void coordinator_link::closed()
 {
+    // A channel that is no longer followed ends: it stays until the loop has it again.
+    if (!this->open)
+        return;
     this->former = std::move(this->open);
     if (this->announced) {
         this->announced = false;
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -44,16 +44,18 @@
         question.targets.push_back(target->report.name);
     const milliseconds cost(static_cast<std::int64_t>(
         queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
+    // Set before, since the answer may come within the call.
+    step.asking = true;
     const bool taken = this->desk.ask(
         question, cost,
         [this, alive = this->alive, id = owner.record.id, number, question](advice_answer answer) {
             if (*alive)
                 this->take_advice(id, number, question, answer);
         });
-    if (taken)
-        step.asking = true;
-    else
+    if (!taken) {
+        step.asking = false;
         step.ask_after = boot_time() + advice_retry;
+    }
     return taken;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -379,7 +379,9 @@
         if (placed.settled_at.count() != 0 || placed.open_orders > 0 || !placed.ordered ||
             now - placed.ordered_at < resend_wait)
             continue;
-        if (placed.stopping)
+        // A gang has ended with one member's end, perhaps before this member's start was confirmed.
+        const bool over = placed.owner == nullptr || is_final(placed.owner->state);
+        if (placed.stopping || (over && !placed.started))
             stops.emplace_back(task, placed.run);
         else if (!placed.started)
             starts.push_back(task);
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -319,6 +319,64 @@
     EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
 }
 
+// One member of a gang has told its end; the start of another was never confirmed. The order to
+// start it used to be given again from the workflow's steps, which are dropped when it ends.
+TEST_F(coordinator_test, an_unconfirmed_start_is_not_repeated_after_its_workflow_has_ended)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& unsure = this->targets.add("t2", 2000);
+    unsure.work = milliseconds(0);
+    unsure.loses_answer = [](const start_order& order) { return order.task.workflow == "gang"; };
+    unsure.order_delay = milliseconds(150);
+    auto& first = this->elect("vm-1");
+    auto members = this->tasks(2, 1, true);
+    members.max_per_target = 1;
+    this->submit(first, "gang", {members});
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("gang"), 2);
+    this->targets.end_all("t1", target_view::ending::done);
+    this->run_for(milliseconds(130));
+    ASSERT_EQ(this->state(first, "gang"), workflow_state::completed);
+    // Its answer makes the target reachable again, and says nothing of the other order.
+    this->submit(first, "other", {this->tasks(2, 1)});
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.running("gang"), 0);
+    EXPECT_EQ(this->targets.starts, 4);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// A question given to a VM whose connection has just ended fails within the call; its step used to
+// count as asking for ever.
+TEST_F(coordinator_test, a_question_that_fails_at_once_is_asked_again)
+{
+    this->configuration->queues.push_back({.name = "advised",
+                                           .pool = "pool",
+                                           .priority = 0,
+                                           .attempts = 3,
+                                           .latency_objective = milliseconds(5000),
+                                           .needs_advice = true,
+                                           .advice_base_ms = 1,
+                                           .advice_target_ms = 1});
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    int questions = 0;
+    first.duty->advisors().add_vm("vm-1", [&questions](const advice_question& question,
+                                                       milliseconds,
+                                                       advice_desk::answer_callback done) {
+        if (++questions == 1) {
+            done({});
+            return;
+        }
+        advice_answer answer{.answered = true, .valid_ms = 10'000};
+        answer.granted.push_back({question.targets.front(), "ticket"});
+        done(answer);
+    });
+    this->submit(first, "w", {this->tasks(1, 1)}, "advised");
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(questions, 2);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 // A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
 TEST_F(coordinator_test, a_failed_run_counts_once_for_all_coordinators)
 {
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -101,7 +101,10 @@
                           fails ? target_view::ending::failed : target_view::ending::done);
             });
     }
-    this->later(milliseconds(1), [done, result] { done(result); });
+    if (on.loses_answer && on.loses_answer(order))
+        this->later(timeout, [done] { done({}); });
+    else
+        this->later(on.order_delay, [done, result] { done(result); });
 }
 
 void fake_targets::stop(const target_life& life, const order_authority&, const task_name& task,
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -26,9 +26,12 @@
         std::int64_t fence = 0;
         std::int64_t lease_until_ms = 0;
         std::int64_t last_end = 0;
-        bool silent = false;    ///< answers nothing
-        bool fails_all = false; ///< each task ends as failed
-        milliseconds work{20};  ///< time that a task takes; 0: until end_all() is called
+        bool silent = false; ///< answers nothing
+        /// Orders to start that it carries out and whose answers are lost.
+        std::function<bool(const start_order&)> loses_answer;
+        milliseconds order_delay{1}; ///< until it answers an order to start
+        bool fails_all = false;      ///< each task ends as failed
+        milliseconds work{20};       ///< time that a task takes; 0: until end_all() is called
         std::map<task_name, std::int64_t> running;
         std::map<task_name, resources> needs;
         std::vector<target_view::ended_task> ended;
