Coordinate on strong VMs; weigh only targets with room; refuse what cannot be kept in time

Cause: on the grown strapping site a VM of 0.12 of a core won after the coordinator was replaced. Its loop fell seconds behind: each pass weighed all 350 targets for up to 400 waiting steps, its hand-over waited behind 1,843 records that were not kept, and callers waited until their deadline without knowing what became of their submissions. Ruled out: the store (calm until second 18), memory (73 of 160 MB). Change: VMs tell their processor share; weak ones let strong ones stand first and hand over to them; a hand-over goes before all that waits; a pass surveys the targets with room once and rests for twice its duration; submissions whose record would be kept too late are refused at once.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -65,10 +65,32 @@
         entry->second.done.push_back(std::move(done));
     if (fresh)
         (urgent ? this->urgent_order : this->order).push_back(key);
-    if (!this->sent && !this->flush_timer.active()) {
-        const auto since = boot_time() - this->last_started;
-        this->flush_timer.start_once(std::max(milliseconds(0), transaction_gap - since));
-    }
+    if (!this->sent && !this->flush_timer.active())
+        this->flush_soon();
+}
+
+void commit_chain::put_first(const std::string& key, producer value, callback done)
+{
+    this->withdraw(key);
+    auto& entry = this->waiting[key];
+    entry.value = std::move(value);
+    entry.done.push_back(std::move(done));
+    this->urgent_order.push_front(key);
+    if (!this->sent)
+        this->flush_soon();
+}
+
+milliseconds commit_chain::expected_wait() const
+{
+    const auto each = std::max(transaction_gap, this->last_took);
+    const auto transactions = this->waiting.size() / writes_per_transaction;
+    return each * static_cast<std::int64_t>(transactions);
+}
+
+void commit_chain::flush_soon()
+{
+    const auto since = boot_time() - this->last_started;
+    this->flush_timer.start_once(std::max(milliseconds(0), transaction_gap - since));
 }
 
 bool commit_chain::withdraw(const std::string& key)
@@ -169,15 +191,14 @@
 void commit_chain::commit(std::int64_t revision)
 {
     const auto took = boot_time() - this->sent->last_sent;
+    this->last_took = boot_time() - this->sent->first_sent;
     this->timeout = std::clamp(took * timeout_factor, shortest_timeout, longest_timeout);
     this->confirmed = this->sent->last_sent;
     this->fence_revision = revision;
     const auto done = std::move(this->sent->done);
     this->sent.reset();
-    if (!this->waiting.empty()) {
-        const auto since = boot_time() - this->last_started;
-        this->flush_timer.start_once(std::max(milliseconds(0), transaction_gap - since));
-    }
+    if (!this->waiting.empty())
+        this->flush_soon();
     const auto still_here = this->alive;
     for (const auto& callback : done) {
         if (!*still_here)
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -45,6 +45,12 @@
     void put(const std::string& key, producer value, bool urgent, callback done,
              std::int64_t lease = 0);
 
+    /// Write a key before all that waits.
+    void put_first(const std::string& key, producer value, callback done);
+
+    /// @return how long a write given now waits until it is kept, as things stand
+    [[nodiscard]] milliseconds expected_wait() const;
+
     /// Take back a write that has not been sent. @return false when it has, or never was given
     bool withdraw(const std::string& key);
 
@@ -78,6 +84,7 @@
     };
 
     void flush();
+    void flush_soon();
     void compose();
     void transmit();
     void settle(const store_result& result);
@@ -98,6 +105,7 @@
     std::int64_t sequence = 0;
     milliseconds confirmed;
     milliseconds last_started{0};
+    milliseconds last_took{0}; ///< from sending the last transaction until its answer
     milliseconds timeout;
     timer flush_timer;
     timer resend_timer;
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -76,6 +76,7 @@
     this->store.list(this->leader_key, {}, [this, alive = this->alive](auto page) {
         if (!*alive)
             return;
+        this->last_answered = page.ok();
         if (!page.ok()) {
             this->watch_timer.start_once(retry_wait);
             return;
@@ -94,24 +95,25 @@
 {
     this->watching = true;
     const auto wait = this->notify.coordinator_heard() ? relaxed_wait : watch_wait;
-    this->store.watch(this->leader_key, this->watched_revision, wait,
-                      [this, alive = this->alive, round = this->round](auto changes) {
-                          if (!*alive || round != this->round)
-                              return;
-                          this->watching = false;
-                          if (!changes.ok()) {
-                              // After a gap in the history only a fresh read tells the present.
-                              this->watched_revision = 0;
-                              this->watch_timer.start_once(absl::IsOutOfRange(changes.status())
-                                                               ? milliseconds(0)
-                                                               : retry_wait);
-                              return;
-                          }
-                          this->watched_revision = changes->revision;
-                          if (!changes->items.empty())
-                              this->take(changes->items.back());
-                          this->watch();
-                      });
+    this->store.watch(
+        this->leader_key, this->watched_revision, wait,
+        [this, alive = this->alive, round = this->round](auto changes) {
+            if (!*alive || round != this->round)
+                return;
+            this->watching = false;
+            this->last_answered = changes.ok() || absl::IsOutOfRange(changes.status());
+            if (!changes.ok()) {
+                // After a gap in the history only a fresh read tells the present.
+                this->watched_revision = 0;
+                this->watch_timer.start_once(absl::IsOutOfRange(changes.status()) ? milliseconds(0)
+                                                                                  : retry_wait);
+                return;
+            }
+            this->watched_revision = changes->revision;
+            if (!changes->items.empty())
+                this->take(changes->items.back());
+            this->watch();
+        });
 }
 
 void leadership::refresh()
@@ -153,7 +155,8 @@
 void leadership::stand_after(milliseconds wait)
 {
     if (!this->retired && !this->standing && !this->leads())
-        this->stand_timer.start_once(std::max(wait, this->resting_until - boot_time()));
+        this->stand_timer.start_once(
+            std::max(wait + this->notify.courtesy(), this->resting_until - boot_time()));
 }
 
 void leadership::stand()
@@ -306,9 +309,8 @@
     this->resting_until = boot_time() + rest;
     if (!this->leads())
         return;
-    this->chain->put(
-        this->leader_key, [] { return std::nullopt; }, true,
-        [this] { this->step_down("handed over"); });
+    this->chain->put_first(
+        this->leader_key, [] { return std::nullopt; }, [this] { this->step_down("handed over"); });
 }
 
 void leadership::step_down(std::string_view reason)
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -46,6 +46,8 @@
         std::function<void(const std::optional<coordinator_record>&)> changed;
         /// @return whether the coordinator last known was heard from just now
         std::function<bool()> coordinator_heard;
+        /// @return how long to let VMs that are better suited stand first
+        std::function<milliseconds()> courtesy;
     };
 
     /// @param prefix keys of this class begin so; "PREFIXleader" and "PREFIXfence"
@@ -74,6 +76,12 @@
         return this->chain != nullptr;
     }
 
+    /// @return whether the last question to the store about the coordinator was answered
+    [[nodiscard]] bool store_answers() const
+    {
+        return this->last_answered;
+    }
+
     /// @return time since the store last confirmed that this process coordinates
     [[nodiscard]] milliseconds unconfirmed_for() const;
 
@@ -116,7 +124,8 @@
     bool retired = false;
     milliseconds resting_until{0}; ///< boot time before which it does not stand
     bool watching = false;
-    std::uint64_t round = 0; ///< answers to watches of earlier rounds are dropped
+    bool last_answered = false; ///< the last read or watch of the coordinator's key
+    std::uint64_t round = 0;    ///< answers to watches of earlier rounds are dropped
     int tenures = 0;
     timer watch_timer;
     timer stand_timer;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -15,16 +15,23 @@
 struct candidate {
     candidate(event_loop& loop, metadata_store& store, const event_log& log, const std::string& vm)
         : office(loop, store, log, "v/", {vm, "127.0.0.1:1", {}},
-                 {.won = [this](std::int64_t term, commit_chain&) { this->terms.push_back(term); },
+                 {.won =
+                      [this](std::int64_t term, commit_chain& chain) {
+                          this->terms.push_back(term);
+                          this->chain = &chain;
+                      },
                   .lost = [this] { ++this->losses; },
                   .changed = [](const std::optional<coordinator_record>&) {},
-                  .coordinator_heard = [] { return false; }})
+                  .coordinator_heard = [] { return false; },
+                  .courtesy = [this] { return this->courtesy; }})
     {
         this->office.start();
     }
 
     std::vector<std::int64_t> terms;
+    commit_chain* chain = nullptr; ///< of the last term
     int losses = 0;
+    milliseconds courtesy{0};
     leadership office;
 };
 
@@ -51,6 +58,33 @@
     EXPECT_NE(this->first.office.leads(), this->second.office.leads());
 }
 
+TEST_F(leadership_test, a_weak_process_lets_others_win)
+{
+    this->first.courtesy = milliseconds(300);
+    this->run_for(milliseconds(250));
+    EXPECT_TRUE(this->second.office.leads());
+    this->second.office.hand_over(milliseconds(5000));
+    this->run_for(milliseconds(700));
+    EXPECT_TRUE(this->first.office.leads()) << "the other rests";
+}
+
+// Load pattern: a coordinator too slow for its backlog hands over. The hand-over used to wait
+// behind all records that were not kept yet.
+TEST_F(leadership_test, a_hand_over_goes_before_a_backlog)
+{
+    this->run_for(milliseconds(400));
+    auto& old = this->first.office.leads() ? this->first : this->second;
+    auto& next = this->first.office.leads() ? this->second : this->first;
+    for (int number = 0; number < 3000; ++number)
+        old.chain->put("v/w/" + std::to_string(number), [] { return std::string("record"); }, true,
+                       {});
+    EXPECT_GT(old.chain->expected_wait(), milliseconds(1500));
+    old.office.hand_over(milliseconds(5000));
+    this->run_for(milliseconds(400));
+    EXPECT_TRUE(next.office.leads());
+    EXPECT_LT(this->store.items.size(), 1000);
+}
+
 TEST_F(leadership_test, a_hand_over_gives_a_later_term_to_the_other)
 {
     this->run_for(milliseconds(400));
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -14,9 +14,13 @@
     std::string vm;
     std::string availability_zone;
     std::int64_t configuration_revision = 0;
-    std::int64_t lag_ms = 0; ///< how late its loop is
+    std::int64_t lag_ms = 0;    ///< how late its loop is
+    double processor_share = 0; ///< of one core, that its VM has
+    double strongest_share = 0; ///< largest share of any VM that it knows of
+    bool store_answers = false; ///< whether its last call to the store was answered
 
-    MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms)
+    MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms, processor_share,
+                   strongest_share, store_answers)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -13,6 +13,9 @@
 
 /// How often orders without an answer, leases that have lapsed and the like are looked at.
 constexpr milliseconds check_interval{200};
+/// A submission that would wait longer for its record to be kept is refused: its caller's patience
+/// of three seconds must cover the way here and back too.
+constexpr milliseconds longest_record_wait{1500};
 /// How often ended workflows whose time is over are removed.
 constexpr milliseconds forget_interval{10'000};
 
@@ -75,7 +78,7 @@
         return;
     }
     const auto* queue = this->configuration->queue(submission.queue);
-    if (queue == nullptr || this->chain.stalled()) {
+    if (queue == nullptr || this->overloaded()) {
         this->close_reply(number, call_outcome::refused);
         return;
     }
@@ -99,6 +102,16 @@
     this->around.count.add("workflows_received");
 }
 
+bool coordinator::overloaded()
+{
+    if (this->chain.stalled())
+        return true;
+    if (this->chain.expected_wait() <= longest_record_wait)
+        return false;
+    this->around.count.add("submissions_refused_backlog");
+    return true;
+}
+
 void coordinator::status(const std::string& id,
                          std::function<void(call_outcome, workflow_state)> reply)
 {
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -160,6 +160,7 @@
     void consider(workflow& owner, std::uint32_t step);
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
     void measure_fleet();
+    void survey_room();
     [[nodiscard]] ready_key key_of(const workflow& owner, std::uint32_t step) const;
     void reclaim_run(fleet_target& target, const task_name& task, const workflow& by,
                      std::string_view reason);
@@ -168,8 +169,11 @@
                       std::uint32_t wanted);
     [[nodiscard]] bool may_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step) const;
+    [[nodiscard]] bool suits(const fleet_target& target, const workflow& owner,
+                             std::uint32_t step) const;
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
                                                          const queue_definition* queue) const;
+    [[nodiscard]] bool overloaded();
     void send_starts(const std::vector<placement_entry>& kept);
     [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
                                              std::uint32_t wanted) const;
@@ -224,8 +228,13 @@
     std::vector<std::string> inherited_log; ///< keys of the log of earlier coordinators
     std::vector<target_report> reports;     ///< as the platform's list last had them
     team_ledger teams;
-    resources fleet;        ///< what all targets that can be used have
-    double all_weights = 0; ///< of the teams in the configuration
+    /// Targets with room that can be used, and their unused processors when surveyed, least first.
+    /// Valid within one pass or one answer of the advisor: what is unused only shrinks meanwhile.
+    std::vector<std::pair<std::int64_t, fleet_target*>> open_room;
+    int reclaims_left = 0;        ///< in this pass
+    milliseconds next_pass_at{0}; ///< boot time
+    resources fleet;              ///< what all targets that can be used have
+    double all_weights = 0;       ///< of the teams in the configuration
     /// Part of the targets that the advisor allows, until there is experience.
     static constexpr double first_grant_share = 0.5;
     std::map<std::string, double, std::less<>> grant_share; ///< by queue
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -80,8 +80,10 @@
     for (const auto& grant : answer.granted)
         step.advice[grant.target] = {true, grant.ticket, valid_until};
     // Whoever waits longest at the advisor has its answer used before others take the room.
-    if (step.listed)
+    if (step.listed) {
+        this->survey_room();
         this->consider(*owner, number);
+    }
     auto [share, fresh] = this->grant_share.try_emplace(owner->record.queue, first_grant_share);
     share->second += grant_share_weight *
                      (static_cast<double>(answer.granted.size()) /
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -5,6 +5,7 @@
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
 #include "coordinator/target_session.h"
+#include "timeline/counters.h"
 
 #include <algorithm>
 
@@ -16,6 +17,11 @@
 constexpr milliseconds ticket_slack{150};
 /// Steps looked at in one pass; those behind them would find no room either.
 constexpr int steps_per_pass = 400;
+/// A pass is followed by this many times its own duration without one, so that placing leaves most
+/// of the processor to orders, looks and callers.
+constexpr int pass_rest_factor = 2;
+/// Steps for which one pass makes room: each looks through all that runs.
+constexpr int reclaims_per_pass = 6;
 
 /// An answer that takes this many times its objective is worth nothing to its caller.
 constexpr int worthless_factor = 3;
@@ -44,7 +50,20 @@
 void coordinator::request_pass(milliseconds wait)
 {
     if (!this->pass_timer.active())
-        this->pass_timer.start_once(wait);
+        this->pass_timer.start_once(std::max(wait, this->next_pass_at - boot_time()));
+}
+
+void coordinator::survey_room()
+{
+    const auto now = boot_time();
+    this->open_room.clear();
+    for (const auto& [name, target] : this->targets) {
+        const auto room = target->unused().processors_milli;
+        if (room > 0 && target->usable(now) &&
+            !this->configuration->zones_out.contains(target->report.availability_zone))
+            this->open_room.emplace_back(room, target.get());
+    }
+    std::ranges::sort(this->open_room);
 }
 
 void coordinator::list_ready(workflow& owner)
@@ -83,7 +102,10 @@
 {
     if (!this->loaded || !this->office.leads())
         return;
+    const auto began = boot_time();
     this->teams.release_withheld();
+    this->survey_room();
+    this->reclaims_left = reclaims_per_pass;
     int left = steps_per_pass;
     std::vector<std::pair<workflow*, std::uint32_t>> later;
     for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
@@ -102,6 +124,8 @@
         this->unlist(*owner, number);
         this->list_ready(*owner);
     }
+    const auto now = boot_time();
+    this->next_pass_at = now + (now - began) * pass_rest_factor;
 }
 
 int coordinator::rank_of(const workflow& owner, std::uint32_t number) const
@@ -165,16 +189,22 @@
 
 bool coordinator::may_use(const fleet_target& target, const workflow& owner,
                           std::uint32_t number) const
+{
+    return target.usable(boot_time()) &&
+           !this->configuration->zones_out.contains(target.report.availability_zone) &&
+           this->suits(target, owner, number);
+}
+
+bool coordinator::suits(const fleet_target& target, const workflow& owner,
+                        std::uint32_t number) const
 {
     const auto& report = target.report;
     const auto& label = owner.record.spec.steps[number].required_label;
-    const auto now = boot_time();
     const auto& failed_on = owner.steps[number].failed_on;
     const auto failed = failed_on.find(report.name);
-    return target.usable(now) && report.pool == owner.record.pool &&
-           !this->configuration->zones_out.contains(report.availability_zone) &&
+    return report.pool == owner.record.pool &&
            (label.empty() || std::ranges::find(report.labels, label) != report.labels.end()) &&
-           (failed == failed_on.end() || now >= failed->second);
+           (failed == failed_on.end() || boot_time() >= failed->second);
 }
 
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
@@ -184,10 +214,15 @@
     const auto& spec = owner.record.spec.steps[number];
     const auto& memory = owner.steps[number].advice;
     std::vector<step_candidate> found;
-    for (const auto& [name, target] : this->targets) {
-        if (!this->may_use(*target, owner, number))
+    const auto with_room = std::ranges::lower_bound(this->open_room, spec.need.processors_milli, {},
+                                                    &std::pair<std::int64_t, fleet_target*>::first);
+    this->around.count.add("targets_weighed", std::distance(with_room, this->open_room.end()));
+    for (auto at = with_room; at != this->open_room.end(); ++at) {
+        auto* target = at->second;
+        const auto fits = target->fits(spec.need);
+        if (fits == 0 || !this->suits(*target, owner, number))
             continue;
-        step_candidate candidate{.target = target.get(), .fits = target->fits(spec.need)};
+        step_candidate candidate{.target = target, .fits = fits};
         if (spec.max_per_target > 0) {
             const auto here = target->count_of(owner.record.id, number);
             candidate.fits =
@@ -196,7 +231,7 @@
         if (candidate.fits == 0)
             continue;
         if (queue != nullptr && queue->needs_advice) {
-            const auto said = memory.find(name);
+            const auto said = memory.find(target->report.name);
             if (said != memory.end() && !said->second.allowed)
                 continue;
             candidate.may_run = said == memory.end() ? step_candidate::permission::not_asked
--- a/src/libverbenalever/coordinator/coordinator_reclaim.cpp
+++ b/src/libverbenalever/coordinator/coordinator_reclaim.cpp
@@ -104,8 +104,9 @@
 {
     const auto now = boot_time();
     auto& step = owner.steps[number];
-    if (!owner.urgent() || step.rank > 0 || now < step.reclaim_after)
+    if (!owner.urgent() || step.rank > 0 || now < step.reclaim_after || this->reclaims_left == 0)
         return;
+    --this->reclaims_left;
     step.reclaim_after = now + reclaim_gap;
     const auto& need = owner.record.spec.steps[number].need;
     std::vector<std::pair<victim, fleet_target*>> found;
@@ -148,8 +149,9 @@
     const auto now = boot_time();
     auto& step = owner.steps[number];
     if (!owner.urgent() || step.rank > 0 || now < step.ready_since + reclaim_wait ||
-        now < step.reclaim_after)
+        now < step.reclaim_after || this->reclaims_left == 0)
         return false;
+    --this->reclaims_left;
     const auto& need = owner.record.spec.steps[number].need;
     std::vector<reclaim_plan> plans;
     std::vector<std::pair<double, fleet_target*>> unasked;
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -29,7 +29,8 @@
                                           commit_chain& chain) { this->coordinate(term, chain); },
                             .lost = [this] { this->duty.reset(); },
                             .changed = [](const std::optional<coordinator_record>&) {},
-                            .coordinator_heard = [] { return false; }})
+                            .coordinator_heard = [] { return false; },
+                            .courtesy = [] { return milliseconds(0); }})
     {
         this->office.start();
     }
@@ -499,6 +500,45 @@
     EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
 }
 
+// Load pattern: far more work waits than there is room for. Each pass used to weigh every target
+// for every waiting step.
+TEST_F(coordinator_test, a_full_fleet_is_not_weighed_for_each_waiting_step)
+{
+    constexpr int fleet = 100;
+    constexpr int waiting = 300;
+    for (int number = 0; number < fleet; ++number)
+        this->targets.add("t" + std::to_string(number), 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "filling", {this->tasks(fleet, 1)});
+    this->run_for(milliseconds(400));
+    ASSERT_EQ(this->targets.running("filling"), fleet);
+    for (int number = 0; number < waiting; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(800));
+    const auto before = first.count.value("targets_weighed");
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(first.count.value("targets_weighed") - before, 0);
+    this->targets.end_all("t7", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.starts, fleet + 1);
+}
+
+// Load pattern: submissions arrive faster than the store keeps them. They used to wait beyond
+// their callers' patience, so that neither side knew what became of them.
+TEST_F(coordinator_test, submissions_beyond_what_the_store_keeps_in_time_are_refused_at_once)
+{
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < 5000; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+    int refused = 0;
+    for (const auto& [id, outcome] : this->outcomes)
+        refused += outcome == call_outcome::refused ? 1 : 0;
+    EXPECT_GT(refused, 2000);
+    EXPECT_LT(refused, 4000);
+    this->run_for(milliseconds(3000));
+    EXPECT_EQ(this->outcomes.size(), 5000);
+}
+
 // One look for each end, however long the store takes to record it.
 TEST_F(coordinator_test, looks_follow_ends_and_not_each_other)
 {
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -46,7 +46,14 @@
 {
     if (this->unknown_tasks > 0)
         return {};
-    return this->report.capacity - this->used - this->reserved;
+    return this->unused() - this->reserved;
+}
+
+resources fleet_target::unused() const
+{
+    if (this->unknown_tasks > 0)
+        return {};
+    return this->report.capacity - this->used;
 }
 
 std::uint32_t fleet_target::fits(const resources& need) const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -58,6 +58,9 @@
     /// @return what is not taken; nothing while something of unknown size runs here
     [[nodiscard]] resources free() const;
 
+    /// @return what is not taken by runs, reserved or not; nothing while the size of one is unknown
+    [[nodiscard]] resources unused() const;
+
     /// @return how many tasks of this size fit now
     [[nodiscard]] std::uint32_t fits(const resources& need) const;
 
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -24,6 +24,13 @@
 constexpr int lag_factor = 4;
 /// A new coordinator is busy at first, and a hand-over has its own cost.
 constexpr milliseconds lag_patience{2000};
+/// Until other VMs are known, one of this share of a core is thought to be among them: what each VM
+/// has on the users' smaller sites, enough to coordinate them.
+constexpr double usual_share = 0.25;
+/// A VM with less than this part of the strongest one's share is weak beside it.
+constexpr double weak_part = 0.6;
+/// How long a weak VM lets the strong ones stand first: some times their random spread.
+constexpr milliseconds weak_courtesy{400};
 /// A coordinator that handed over does not stand again for this long.
 constexpr milliseconds lag_rest{15'000};
 
@@ -37,10 +44,14 @@
           {.joined =
                [this](const member_greeting& member) {
                    this->add_advisor(member.vm);
-                   this->log.write("coordination", "member_joined", {{"vm", member.vm}});
+                   this->log.write(
+                       "coordination", "member_joined",
+                       {{"vm", member.vm}, {"processor_share", member.processor_share}});
                },
            .left =
                [this](const std::string& vm) {
+                   this->member_shares.erase(vm);
+                   this->member_lags.erase(vm);
                    if (this->duty)
                        this->duty->advisors().remove_vm(vm);
                    this->log.write("coordination", "member_left", {{"vm", vm}});
@@ -48,6 +59,9 @@
            .heartbeat =
                [this](const member_greeting& member) {
                    this->member_lags[member.vm] = member.lag_ms;
+                   // One that cannot reach the store could not take over.
+                   this->member_shares[member.vm] =
+                       member.store_answers ? member.processor_share : 0;
                    this->spread(member.configuration_revision, this->hub.find(member.vm));
                },
            .take =
@@ -64,8 +78,10 @@
                         return;
                     }
                     const auto other = unpack_message<member_greeting>(payload);
-                    if (other.ok())
-                        this->spread(other->configuration_revision, this->link.channel());
+                    if (!other.ok())
+                        return;
+                    this->strongest_heard = other->strongest_share;
+                    this->spread(other->configuration_revision, this->link.channel());
                 },
             .changed =
                 [this](bool up) {
@@ -84,7 +100,8 @@
                       const bool other = coordinator && coordinator->vm != this->own.vm;
                       this->link.follow(other ? coordinator : std::nullopt);
                   },
-              .coordinator_heard = [this] { return this->link.up(); }}),
+              .coordinator_heard = [this] { return this->link.up(); },
+              .courtesy = [this] { return this->courtesy(); }}),
       former_timer(loop, [this] { this->former_duty.reset(); }), lag(loop),
       lag_timer(loop, [this] { this->check_lag(); }),
       parked_timer(loop, [this] { this->retry_parked(); })
@@ -138,7 +155,32 @@
 std::string cluster_entry::greeting() const
 {
     return pack_message(member_greeting{this->own.vm, this->own.availability_zone,
-                                        this->configuration->revision, this->lag.lag().count()});
+                                        this->configuration->revision, this->lag.lag().count(),
+                                        this->own.processor_share, this->strongest_share(),
+                                        this->office.store_answers()});
+}
+
+double cluster_entry::strongest_share() const
+{
+    double strongest = this->own.processor_share;
+    for (const auto& [vm, share] : this->member_shares)
+        strongest = std::max(strongest, share);
+    return strongest;
+}
+
+milliseconds cluster_entry::courtesy() const
+{
+    const bool weak = this->own.processor_share < this->strongest_heard * weak_part;
+    return weak ? weak_courtesy : milliseconds(0);
+}
+
+const std::string* cluster_entry::stronger_member()
+{
+    for (const auto& [vm, share] : this->member_shares) {
+        if (this->own.processor_share < share * weak_part && this->hub.find(vm) != nullptr)
+            return &vm;
+    }
+    return nullptr;
 }
 
 void cluster_entry::won(std::int64_t term, commit_chain& chain)
@@ -170,8 +212,19 @@
         this->lag_timer.stop();
         return;
     }
+    if (boot_time() - this->won_at < lag_patience)
+        return;
+    if (const auto* stronger = this->stronger_member()) {
+        this->log.write("coordination", "handing_over",
+                        {{"reason", "weak"},
+                         {"processor_share", this->own.processor_share},
+                         {"member", *stronger}});
+        this->won_at = boot_time();
+        this->office.hand_over(lag_rest);
+        return;
+    }
     const auto own_lag = this->lag.lag();
-    if (own_lag < lag_limit || boot_time() - this->won_at < lag_patience)
+    if (own_lag < lag_limit)
         return;
     const auto better = std::ranges::find_if(this->member_lags, [&](const auto& member) {
         return this->hub.find(member.first) != nullptr &&
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -35,6 +35,7 @@
         std::string vm;
         std::string availability_zone;
         endpoint peer;                 ///< where other entries connect
+        double processor_share = 1;    ///< of one core, that this VM has
         std::string key_prefix;        ///< of this product's keys in the store
         milliseconds task_lease{0};    ///< how long tasks go on without word from the coordinator
         milliseconds finished_rest{0}; ///< how long ended workflows are remembered
@@ -96,6 +97,9 @@
     void ask_until(parked_call call);
     void retry_parked();
     void check_lag();
+    [[nodiscard]] const std::string* stronger_member();
+    [[nodiscard]] double strongest_share() const;
+    [[nodiscard]] milliseconds courtesy() const;
     void ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
                          coordinator_reply done);
     void serve(peer_topic topic, std::string_view payload, peer_channel::replier reply);
@@ -124,7 +128,9 @@
     timer former_timer;
     lag_meter lag;
     std::map<std::string, std::int64_t> member_lags; ///< milliseconds, by VM
-    milliseconds won_at{0};                          ///< boot time
+    std::map<std::string, double> member_shares;     ///< of one core, by VM
+    double strongest_heard; ///< share of the strongest VM that the coordinator knows of
+    milliseconds won_at{0}; ///< boot time
     timer lag_timer;
     std::vector<parked_call> parked;
     timer parked_timer;
