Keep ends of runs under one key a transaction; gangs in time before late ones

Gangs that were late already held the tickets for most targets and took all room while the advisor was asked for those still in time, so that each gang started tens of seconds late. Ruled out by the load line that the coordinator now writes each 5 s: team limits (0 to 4 steps at them), processors (2,600 of 5,400 free). Change: a progress log beside the placement log; full transactions follow at once; targets named in an open question of a better gang are left to it, room kept for a gang's own renewal is not; a gang is asked about in several questions with the share of grants that its own answers show.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Least time between the starts of two transactions: bounds the calls to about fifty a second, an
-/// eighth of the writes that the store allows all processes together.
+/// Least time between the starts of two transactions that are not full: bounds the calls to about
+/// fifty a second, an eighth of the writes that the store allows all processes together. Full ones
+/// follow each other at once.
 constexpr milliseconds transaction_gap{20};
 /// Entries of one transaction that carry writes: the fence takes a condition and a write.
 constexpr std::size_t writes_per_transaction = store_transaction::entry_limit - 2;
@@ -45,7 +46,8 @@
                            std::function<void()> lost)
     : store(store), log(log), fence_key(std::move(fence_key)), holder(std::move(holder)),
       fence_revision(fence_revision), lost(std::move(lost)), confirmed(boot_time()),
-      timeout(shortest_timeout), flush_timer(loop, [this] { this->flush(); }),
+      last_took(transaction_gap), timeout(shortest_timeout),
+      flush_timer(loop, [this] { this->flush(); }),
       resend_timer(loop, [this] { this->transmit(); }), alive(std::make_shared<bool>(true))
 {
 }
@@ -82,15 +84,16 @@
 
 milliseconds commit_chain::expected_wait() const
 {
-    const auto each = std::max(transaction_gap, this->last_took);
     const auto transactions = this->waiting.size() / writes_per_transaction;
-    return each * static_cast<std::int64_t>(transactions);
+    return this->last_took * static_cast<std::int64_t>(transactions);
 }
 
 void commit_chain::flush_soon()
 {
     const auto since = boot_time() - this->last_started;
-    this->flush_timer.start_once(std::max(milliseconds(0), transaction_gap - since));
+    const bool full = this->waiting.size() >= writes_per_transaction;
+    this->flush_timer.start_once(full ? milliseconds(0)
+                                      : std::max(milliseconds(0), transaction_gap - since));
 }
 
 bool commit_chain::withdraw(const std::string& key)
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -105,7 +105,7 @@
     std::int64_t sequence = 0;
     milliseconds confirmed;
     milliseconds last_started{0};
-    milliseconds last_took{0}; ///< from sending the last transaction until its answer
+    milliseconds last_took; ///< from sending the last transaction until its answer
     milliseconds timeout;
     timer flush_timer;
     timer resend_timer;
--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -72,6 +72,16 @@
     EXPECT_EQ(this->done, 2);
 }
 
+// Load pattern: a backlog. Full transactions used to keep the gap of those that gather writes.
+TEST_F(commit_chain_test, full_transactions_follow_each_other_at_once)
+{
+    constexpr int backlog = 900;
+    for (int number = 0; number < backlog; ++number)
+        this->put("k" + std::to_string(number), "1");
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->done, backlog);
+}
+
 TEST_F(commit_chain_test, nothing_is_written_after_another_process_took_the_fence)
 {
     this->store.items["fence"] = {"fence", "other", 7, false};
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds longest_record_wait{1500};
 /// How often ended workflows whose time is over are removed.
 constexpr milliseconds forget_interval{10'000};
+/// How often the load is written to the log, for whoever looks for the cause of long waits.
+constexpr milliseconds load_interval{5000};
 
 } // namespace
 
@@ -28,9 +30,11 @@
       configuration(std::move(configuration)),
       placements(chain, this->placement_key({}), term,
                  [this](const std::vector<placement_entry>& kept) { this->send_starts(kept); }),
+      progress(chain, this->progress_key({}), term),
       pass_timer(this->around.loop, [this] { this->pass(); }),
       check_timer(this->around.loop, [this] { this->check_targets(); }),
-      forget_timer(this->around.loop, [this] { this->forget_ended(); })
+      forget_timer(this->around.loop, [this] { this->forget_ended(); }),
+      load_timer(this->around.loop, [this] { this->log_load(); })
 {
 }
 
@@ -51,6 +55,7 @@
     this->load_page(this->record_key({}), {});
     this->check_timer.start_repeating(check_interval);
     this->forget_timer.start_repeating(forget_interval);
+    this->load_timer.start_repeating(load_interval);
 }
 
 void coordinator::configure(std::shared_ptr<const fleet_configuration> configuration)
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -3,6 +3,7 @@
 #include "coordinator/advice_desk.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/placement_log.h"
+#include "coordinator/progress_log.h"
 #include "coordinator/team_ledger.h"
 #include "coordinator/workflow.h"
 #include "loop/timer.h"
@@ -32,6 +33,8 @@
 class target_directory;
 class target_orders;
 struct step_candidate;
+/// @return where a gang stands among gangs; lower ones take room first
+[[nodiscard]] int gang_order(const workflow& owner, std::uint32_t step);
 struct store_page;
 
 /// What a caller hands in, after its key and queue were checked.
@@ -121,7 +124,8 @@
     void take_record(std::string_view value);
     void take_placements(const std::string& key, std::string_view value);
     void await_target(const placement_entry& entry);
-    void take_progress(const std::string& id, std::string_view value);
+    void take_progress(const std::string& key, std::string_view value);
+    [[nodiscard]] bool apply(const progress_entry& entry);
     void finish_load();
 
     // Targets (coordinator_targets.cpp).
@@ -171,19 +175,24 @@
                                std::uint32_t step) const;
     [[nodiscard]] bool suits(const fleet_target& target, const workflow& owner,
                              std::uint32_t step) const;
+    /// @param kept targets on which room was kept for this very step
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
-                                                         const queue_definition* queue) const;
+                                                         const queue_definition* queue,
+                                                         const std::set<std::string>& kept) const;
+    [[nodiscard]] double expected_grant(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] bool overloaded();
     void send_starts(const std::vector<placement_entry>& kept);
     [[nodiscard]] std::uint32_t within_limit(const workflow& owner, const resources& need,
                                              std::uint32_t wanted) const;
     void reserve(workflow_step& step, const resources& need,
                  const std::vector<fleet_target*>& places);
-    void free_reservation(workflow_step& step);
+    std::set<std::string> free_reservation(workflow_step& step);
     [[nodiscard]] bool ticket_holds(const workflow& owner, std::uint32_t step,
                                     const std::string& target) const;
     bool ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
                     const std::vector<fleet_target*>& targets);
+    void claim(const advice_question& question, int order);
+    void give_up_claim(const advice_question& question, int order);
     void take_advice(const std::string& id, std::uint32_t step, const advice_question& question,
                      const advice_answer& answer);
     void start_tasks(workflow& owner, std::uint32_t step,
@@ -202,8 +211,8 @@
     void refuse_unsent();
     workflow& add_workflow(workflow_record record);
     void store_record(workflow& owner, std::function<void()> done);
-    void store_progress(workflow& owner, std::function<void()> done);
     void forget_ended();
+    void log_load();
     [[nodiscard]] workflow* find(const std::string& id);
     [[nodiscard]] fleet_target* find_life(const std::string& target, std::int64_t born);
     [[nodiscard]] std::string record_key(const std::string& id) const;
@@ -217,6 +226,7 @@
     std::shared_ptr<const fleet_configuration> configuration;
     advice_desk desk;
     placement_log placements;
+    progress_log progress;
 
     bool loaded = false;
     milliseconds began_at{0};
@@ -245,6 +255,7 @@
     timer pass_timer;
     timer check_timer;
     timer forget_timer;
+    timer load_timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -12,6 +12,8 @@
 
 /// Wait before the advisor is asked again after it was busy.
 constexpr milliseconds advice_retry{15};
+/// Answers about a step that weigh as much as the experience with its queue.
+constexpr double usual_weight = 8;
 /// Weight of one answer in the part of the targets that the advisor allows.
 constexpr double grant_share_weight = 0.1;
 
@@ -26,13 +28,28 @@
     }
 }
 
-void coordinator::free_reservation(workflow_step& step)
+std::set<std::string> coordinator::free_reservation(workflow_step& step)
 {
+    std::set<std::string> names;
     for (const auto& [name, need] : step.reserved) {
+        names.insert(name);
         if (const auto found = this->targets.find(name); found != this->targets.end())
             found->second->reserved -= need;
     }
     step.reserved.clear();
+    return names;
+}
+
+double coordinator::expected_grant(const workflow& owner, std::uint32_t number) const
+{
+    const auto found = this->grant_share.find(owner.record.queue);
+    const auto usual = found == this->grant_share.end() ? first_grant_share : found->second;
+    // Steps of one queue differ: what was said of this one counts as it grows.
+    const auto& memory = owner.steps[number].advice;
+    const auto allowed =
+        std::ranges::count_if(memory, [](const auto& said) { return said.second.allowed; });
+    return (static_cast<double>(allowed) + usual * usual_weight) /
+           (static_cast<double>(memory.size()) + usual_weight);
 }
 
 bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
@@ -42,23 +59,59 @@
     advice_question question{.workflow = owner.record.id, .occurrence = 0, .step = number};
     for (const auto* target : named)
         question.targets.push_back(target->report.name);
+    const bool gang = owner.record.spec.steps[number].gang;
+    const int order = gang_order(owner, number);
     const milliseconds cost(static_cast<std::int64_t>(
         queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
     // Set before, since the answer may come within the call.
     step.asking = true;
-    const bool taken = this->desk.ask(
-        question, cost,
-        [this, alive = this->alive, id = owner.record.id, number, question](advice_answer answer) {
-            if (*alive)
-                this->take_advice(id, number, question, answer);
-        });
+    if (gang)
+        this->claim(question, order);
+    const bool taken = this->desk.ask(question, cost,
+                                      [this, alive = this->alive, id = owner.record.id, number,
+                                       gang, order, question](const advice_answer& answer) {
+                                          if (!*alive)
+                                              return;
+                                          if (gang)
+                                              this->give_up_claim(question, order);
+                                          this->take_advice(id, number, question, answer);
+                                      });
     if (!taken) {
+        if (gang)
+            this->give_up_claim(question, order);
         step.asking = false;
         step.ask_after = boot_time() + advice_retry;
     }
     return taken;
 }
 
+int gang_order(const workflow& owner, std::uint32_t step)
+{
+    constexpr int ranks = 16; // more than there are within a priority
+    return owner.priority * ranks + owner.steps[step].rank;
+}
+
+void coordinator::claim(const advice_question& question, int order)
+{
+    for (const auto& name : question.targets) {
+        if (const auto found = this->targets.find(name); found != this->targets.end())
+            found->second->gang_claims.insert(order);
+    }
+}
+
+void coordinator::give_up_claim(const advice_question& question, int order)
+{
+    for (const auto& name : question.targets) {
+        const auto found = this->targets.find(name);
+        if (found == this->targets.end())
+            continue;
+        // One that was born again since the question was given has none of it.
+        auto& claims = found->second->gang_claims;
+        if (const auto held = claims.find(order); held != claims.end())
+            claims.erase(held);
+    }
+}
+
 void coordinator::take_advice(const std::string& id, std::uint32_t number,
                               const advice_question& question, const advice_answer& answer)
 {
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -37,6 +37,21 @@
     return "unrecognised";
 }
 
+progress_entry entry_of(const target_view::ended_task& end)
+{
+    auto how = progress_entry::ending::other;
+    if (end.how == target_view::ending::done)
+        how = progress_entry::ending::done;
+    else if (end.how == target_view::ending::failed)
+        how = progress_entry::ending::failed;
+    return {.workflow = end.task.workflow,
+            .step = end.task.step,
+            .index = end.task.index,
+            .run = end.run,
+            .how = static_cast<int>(how),
+            .checkpoint = end.checkpoint};
+}
+
 } // namespace
 
 bool coordinator::take_end(fleet_target& target, const target_view::ended_task& end)
@@ -63,8 +78,10 @@
     if (wanted) {
         owner->began = true;
         auto& task = owner->steps[end.task.step].tasks[end.task.index];
-        if (!end.checkpoint.empty())
+        if (!end.checkpoint.empty()) {
             task.checkpoint = end.checkpoint;
+            task.checkpoint_run = end.run;
+        }
         if (end.how == target_view::ending::done) {
             target.note_success();
             changed = this->task_done(*owner, end.task);
@@ -91,12 +108,13 @@
     // repeat another that is still on its way to the store.
     const bool counts =
         end.how == target_view::ending::done || end.how == target_view::ending::failed;
-    if (owner == nullptr || owner->end_stored || (!changed && !counts))
+    const bool saved = wanted && !end.checkpoint.empty();
+    if (owner == nullptr || owner->end_stored || (!changed && !counts && !saved))
         kept();
     else if (is_final(owner->state))
         owner->ends_to_record.push_back(kept);
     else
-        this->store_progress(*owner, kept);
+        this->progress.add(entry_of(end), kept);
     return true;
 }
 
@@ -261,6 +279,7 @@
         if (kept == nullptr)
             return;
         kept->end_stored = true;
+        this->progress.forget(id);
         const auto ends = std::move(kept->ends_to_record);
         kept->ends_to_record.clear();
         for (const auto& record : ends)
@@ -270,8 +289,6 @@
         for (const auto number : waiters)
             this->close_reply(number, call_outcome::accepted);
     });
-    if (owner.progress_stored)
-        this->store_progress(owner, [] {});
 }
 
 void coordinator::log_end(const workflow& owner)
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -5,6 +5,8 @@
 #include "ports/metadata_store.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
@@ -40,7 +42,7 @@
         if (records)
             this->take_record(item.value);
         else if (progress)
-            this->take_progress(item.key.substr(prefix.size()), item.value);
+            this->take_progress(item.key, item.value);
         else
             this->take_placements(item.key, item.value);
     }
@@ -98,32 +100,52 @@
     added.end_stored = is_final(added.state);
 }
 
-void coordinator::take_progress(const std::string& id, std::string_view value)
+void coordinator::take_progress(const std::string& key, std::string_view value)
 {
-    auto* owner = this->find(id);
-    if (owner == nullptr || is_final(owner->state))
-        return; // it was written just before the end, whose record is what counts
-    owner->progress_stored = true;
-    auto progress = unpack_message<workflow_progress>(value);
-    if (!progress.ok() || progress->steps.size() != owner->steps.size()) {
-        this->around.log.write("coordinator", "progress_unreadable", {{"workflow", id}});
+    auto entries = progress_log::read(value);
+    if (!entries.ok()) {
+        this->around.log.write("coordinator", "progress_unreadable", {{"key", key}});
         return;
     }
+    std::erase_if(*entries, [this](const progress_entry& entry) { return !this->apply(entry); });
+    this->progress.inherit(key, *entries);
+}
+
+bool coordinator::apply(const progress_entry& entry)
+{
+    auto* owner = this->find(entry.workflow);
+    // Of a workflow that has ended its record alone counts.
+    if (owner == nullptr || is_final(owner->state) || entry.step >= owner->steps.size() ||
+        entry.index >= owner->steps[entry.step].tasks.size())
+        return false;
     owner->began = true;
-    for (std::size_t number = 0; number < owner->steps.size(); ++number) {
-        auto& step = owner->steps[number];
-        const auto& kept = progress->steps[number];
-        for (std::size_t index = 0; index < step.tasks.size() && index < kept.size(); ++index) {
-            auto& task = step.tasks[index];
-            task.failed_runs = kept[index].failed_runs;
-            task.checkpoint = kept[index].checkpoint;
-            if (!kept[index].done)
-                continue;
-            task.at = workflow_task::phase::done;
-            --step.waiting;
-            ++step.done;
-        }
+    auto& step = owner->steps[entry.step];
+    auto& task = step.tasks[entry.index];
+    task.run = std::max(task.run, entry.run);
+    if (!entry.checkpoint.empty() && entry.run >= task.checkpoint_run) {
+        task.checkpoint = entry.checkpoint;
+        task.checkpoint_run = entry.run;
+    }
+    const bool gang = owner->record.spec.steps[entry.step].gang;
+    if (entry.how == static_cast<int>(progress_entry::ending::failed)) {
+        // The members of a gang count their failures together.
+        auto& failed = (gang ? step.tasks[0] : task).failed_runs;
+        if (std::ranges::find(failed, entry.run) == failed.end())
+            failed.push_back(entry.run);
+    }
+    if (entry.how != static_cast<int>(progress_entry::ending::done))
+        return true;
+    // One end of a gang stands for all.
+    const auto first = gang ? std::size_t{0} : entry.index;
+    const auto end = gang ? step.tasks.size() : entry.index + std::size_t{1};
+    for (auto index = first; index < end; ++index) {
+        if (step.tasks[index].at == workflow_task::phase::done)
+            continue;
+        step.tasks[index].at = workflow_task::phase::done;
+        --step.waiting;
+        ++step.done;
     }
+    return true;
 }
 
 void coordinator::finish_load()
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -37,6 +37,13 @@
     return end <= owner.due + owner.objective * (worthless_factor - 1) ? 1 : 2;
 }
 
+/// @return whether a gang must leave this target to a better one that asks the advisor about it: it
+/// would take the room meanwhile, since it has asked before
+bool claimed_before(const fleet_target& target, int order)
+{
+    return !target.gang_claims.empty() && *target.gang_claims.begin() < order;
+}
+
 /// @return each target once
 std::vector<fleet_target*> distinct(std::vector<fleet_target*> targets)
 {
@@ -156,8 +163,8 @@
     }
     if (step.asking && spec.gang)
         return;
-    this->free_reservation(step);
-    const step_placer placer(this->candidates(owner, number, queue), spec.need);
+    const auto kept = this->free_reservation(step);
+    const step_placer placer(this->candidates(owner, number, queue, kept), spec.need);
     std::uint32_t wanted = allowed;
     if (this->office.certain() && !this->chain.stalled()) {
         const auto chosen = placer.place(wanted, spec.gang);
@@ -170,8 +177,7 @@
         this->reclaim_room(owner, number, queue, wanted);
         return;
     }
-    const auto found = this->grant_share.find(owner.record.queue);
-    const auto share = found == this->grant_share.end() ? first_grant_share : found->second;
+    const auto share = this->expected_grant(owner, number);
     if (spec.gang) {
         // Where the advisor has agreed before, the room is kept while the tickets are renewed.
         if (const auto places = placer.place_renewing(wanted); !places.empty()) {
@@ -208,12 +214,14 @@
 }
 
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
-                                                    const queue_definition* queue) const
+                                                    const queue_definition* queue,
+                                                    const std::set<std::string>& kept) const
 {
     const auto now = boot_time();
     const auto& spec = owner.record.spec.steps[number];
     const auto& memory = owner.steps[number].advice;
     std::vector<step_candidate> found;
+    const int order = gang_order(owner, number);
     const auto with_room = std::ranges::lower_bound(this->open_room, spec.need.processors_milli, {},
                                                     &std::pair<std::int64_t, fleet_target*>::first);
     this->around.count.add("targets_weighed", std::distance(with_room, this->open_room.end()));
@@ -222,6 +230,8 @@
         const auto fits = target->fits(spec.need);
         if (fits == 0 || !this->suits(*target, owner, number))
             continue;
+        if (spec.gang && !kept.contains(target->report.name) && claimed_before(*target, order))
+            continue;
         step_candidate candidate{.target = target, .fits = fits};
         if (spec.max_per_target > 0) {
             const auto here = target->count_of(owner.record.id, number);
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -27,19 +27,6 @@
     return tails;
 }
 
-/// @return the checkpoint and counts of all tasks, as they are kept
-workflow_progress progress_of(const workflow& owner)
-{
-    workflow_progress progress;
-    for (const auto& step : owner.steps) {
-        auto& kept = progress.steps.emplace_back();
-        for (const auto& task : step.tasks)
-            kept.push_back(
-                {task.at == workflow_task::phase::done, task.failed_runs, task.checkpoint});
-    }
-    return progress;
-}
-
 } // namespace
 
 std::uint64_t coordinator::open_reply(std::function<void(call_outcome)> reply)
@@ -76,7 +63,7 @@
 
 std::string coordinator::progress_key(const std::string& id) const
 {
-    return this->around.prefix + "s/" + id;
+    return this->around.prefix + "e/" + id;
 }
 
 workflow& coordinator::add_workflow(workflow_record record)
@@ -137,25 +124,6 @@
         });
 }
 
-void coordinator::store_progress(workflow& owner, std::function<void()> done)
-{
-    owner.progress_stored = true;
-    const auto id = owner.record.id;
-    this->chain.put(
-        this->progress_key(id),
-        [this, alive = this->alive, id]() -> std::optional<std::string> {
-            const auto* kept = *alive ? this->find(id) : nullptr;
-            if (kept == nullptr || is_final(kept->state))
-                return std::nullopt;
-            return pack_message(progress_of(*kept));
-        },
-        false,
-        [alive = this->alive, done = std::move(done)] {
-            if (*alive)
-                done();
-        });
-}
-
 void coordinator::refuse_unsent()
 {
     if (!this->chain.stalled())
@@ -184,6 +152,40 @@
     }
 }
 
+void coordinator::log_load()
+{
+    std::int64_t used = 0;
+    std::size_t usable = 0;
+    std::size_t runs = 0;
+    for (const auto& [name, target] : this->targets) {
+        used += target->used.processors_milli;
+        runs += target->tasks.size();
+        usable += target->usable(boot_time()) ? 1 : 0;
+    }
+    std::map<int, int> ready;
+    int asking = 0;
+    int at_limit = 0;
+    for (const auto& [priority, rank, due, id, number] : this->ready_steps) {
+        const auto& owner = *this->workflows.at(id);
+        const auto& step = owner.steps[number];
+        ++ready[priority];
+        asking += step.asking ? 1 : 0;
+        at_limit += this->within_limit(owner, owner.record.spec.steps[number].need, 1) == 0 ? 1 : 0;
+    }
+    this->around.log.write("coordinator", "load",
+                           {{"targets", this->targets.size()},
+                            {"usable", usable},
+                            {"runs", runs},
+                            {"processors_used", used / 1000},
+                            {"processors_usable", this->fleet.processors_milli / 1000},
+                            {"ready_priority_0", ready[0]},
+                            {"ready_priority_1", ready[1]},
+                            {"ready_priority_2", ready[2]},
+                            {"asking", asking},
+                            {"at_limit", at_limit},
+                            {"record_wait_ms", this->chain.expected_wait().count()}});
+}
+
 void coordinator::forget_ended()
 {
     const auto limit = wall_microseconds() / 1000 - this->around.finished_rest.count();
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -263,6 +263,7 @@
     if (placed.owner != nullptr && !row.checkpoint.empty() && !is_final(placed.owner->state)) {
         auto& step = placed.owner->steps[row.task.step];
         step.tasks[row.task.index].checkpoint = row.checkpoint;
+        step.tasks[row.task.index].checkpoint_run = row.run;
     }
 }
 
@@ -311,8 +312,10 @@
     task.at = workflow_task::phase::placed;
     task.target = &target;
     task.run = std::max(task.run, row.run);
-    if (!row.checkpoint.empty())
+    if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
+        task.checkpoint_run = row.run;
+    }
     if (unseen)
         this->teams.clear(owner->record.team, placed.need);
     else if (--step.waiting == 0)
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace verbenalever {
 namespace {
@@ -388,7 +389,10 @@
     this->run_for(milliseconds(200));
     this->targets.end_all("t1", target_view::ending::failed);
     // The record is kept, and the process is gone before its next look acknowledges the end.
-    while (!this->store.items.contains("v/s/w"))
+    const auto kept = [this] {
+        return this->store.items.lower_bound("v/e/") != this->store.items.lower_bound("v/e0");
+    };
+    while (!kept())
         this->run_for(milliseconds(1));
     const auto ended = target.ended;
     this->kill(first);
@@ -402,6 +406,45 @@
     EXPECT_EQ(this->state(second, "w"), workflow_state::running);
 }
 
+// Load pattern: many tasks end while the store is slow. Each workflow had a key of its own for its
+// progress, so that a store of four transactions a second kept 120 ends a second.
+TEST_F(coordinator_test, ends_of_many_workflows_cost_the_store_few_entries)
+{
+    constexpr int count = 200;
+    for (int number = 0; number < 20; ++number)
+        this->targets.add("t" + std::to_string(number), 40'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < count; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(2, 1)});
+    this->run_for(milliseconds(800));
+    ASSERT_EQ(this->targets.starts, 2 * count);
+    const auto before = this->store.committed;
+    for (auto& [name, target] : this->targets.targets) {
+        // One task of each workflow ends.
+        const auto running = target->running;
+        for (const auto& [task, run] : running) {
+            if (task.index == 0) {
+                target->running.erase(task);
+                target->ended.push_back(
+                    {++target->last_end, task, run, target_view::ending::done, {}});
+            }
+        }
+    }
+    this->run_for(milliseconds(1500));
+    EXPECT_LE(this->store.committed - before, 12);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    for (auto& [name, target] : this->targets.targets)
+        this->targets.end_all(name, target_view::ending::done);
+    this->run_for(milliseconds(1500));
+    for (int number = 0; number < count; ++number)
+        EXPECT_EQ(this->state(second, "w" + std::to_string(number)), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2 * count);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->store.items.lower_bound("v/e/"), this->store.items.lower_bound("v/e0"));
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
 // A slow store kept nothing of two failures; their ends come from two targets, the later run first.
 TEST_F(coordinator_test, failed_runs_count_in_whatever_order_their_ends_are_listed)
 {
@@ -539,6 +582,40 @@
     EXPECT_EQ(this->outcomes.size(), 5000);
 }
 
+// Load pattern: a backlog of large gangs, most of them late. Those knew by now where they may run
+// and took all room while the advisor was asked for the few that could still be in time.
+TEST_F(coordinator_test, a_late_gang_leaves_targets_to_one_in_time_that_asks_about_them)
+{
+    this->configuration->queues.push_back({.name = "advised",
+                                           .pool = "pool",
+                                           .priority = 1,
+                                           .attempts = 3,
+                                           .latency_objective = milliseconds(5000),
+                                           .needs_advice = true,
+                                           .advice_base_ms = 1,
+                                           .advice_target_ms = 1});
+    constexpr int fleet = 60;
+    for (int number = 0; number < fleet; ++number)
+        this->targets.add("t" + std::to_string(number), 2000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    std::map<std::string, std::set<std::string>> named;
+    for (const auto* vm : {"vm-1", "vm-2", "vm-3", "vm-4"})
+        first.duty->advisors().add_vm(
+            vm, [&named](const advice_question& question, milliseconds, const auto&) {
+                named[question.workflow].insert(question.targets.begin(), question.targets.end());
+            });
+    this->submit(first, "in time", {this->tasks(10, 1, true)}, "advised");
+    this->run_for(milliseconds(100));
+    auto late = this->tasks(10, 1, true);
+    late.estimated_ms = 60'000;
+    this->submit(first, "late", {late}, "advised");
+    this->run_for(milliseconds(300));
+    ASSERT_FALSE(named["in time"].empty());
+    ASSERT_FALSE(named["late"].empty());
+    for (const auto& name : named["in time"])
+        EXPECT_FALSE(named["late"].contains(name)) << name;
+}
+
 // One look for each end, however long the store takes to record it.
 TEST_F(coordinator_test, looks_follow_ends_and_not_each_other)
 {
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace verbenalever {
@@ -96,7 +97,9 @@
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_task> tasks;
     resources used;
-    resources reserved;              ///< kept for steps about to start here
+    resources reserved; ///< kept for steps about to start here
+    /// Order of each gang for which an open question to the advisor names it.
+    std::multiset<int> gang_claims;
     milliseconds avoid_until{0};     ///< boot time; it has just turned a start away
     std::uint32_t unknown_tasks = 0; ///< tasks whose size is not known here
 
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -11,9 +11,16 @@
 
 /// Targets named beyond the expected need, since how many are allowed varies.
 constexpr double ask_margin = 1.4;
+/// The same for tasks that need all their places at once: one place short, and the whole question
+/// was for nothing.
+constexpr double whole_ask_margin = 1.8;
 constexpr std::size_t ask_extra = 2;
 /// Targets named in one question, for which the advisor's time still pays.
 constexpr std::size_t ask_limit = 40;
+/// The same for tasks that need all their places at once: as many as the advisor takes.
+constexpr std::size_t whole_ask_limit = 100;
+/// With room for this many times the tasks it is worth asking whatever the experience says.
+constexpr std::uint64_t ample_factor = 2;
 
 } // namespace
 
@@ -70,17 +77,20 @@
         else
             open.push_back(&candidate);
     }
+    if (whole && !this->may_fit(wanted, grant_share))
+        return {};
     // Those known to be allowed first, then those with most room.
     std::ranges::sort(open, [](const auto* left, const auto* right) {
         if (left->may_run != right->may_run)
             return left->may_run == step_candidate::permission::lapsed;
         return left->fits > right->fits;
     });
-    const double goal = wanted * ask_margin;
+    const double goal = wanted * (whole ? whole_ask_margin : ask_margin);
     std::vector<fleet_target*> named;
     std::size_t extra = ask_extra;
+    const auto limit = whole ? whole_ask_limit : ask_limit;
     for (const auto* candidate : open) {
-        if (named.size() >= ask_limit)
+        if (named.size() >= limit)
             break;
         if (expected >= goal) {
             if (extra == 0 || candidate->may_run == step_candidate::permission::lapsed)
@@ -91,9 +101,20 @@
         expected += std::min(candidate->fits, wanted) * (lapsed ? 1.0 : grant_share);
         named.push_back(candidate->target);
     }
-    if (whole && expected < wanted)
-        named.clear();
     return named;
 }
 
+bool step_placer::may_fit(std::uint32_t wanted, double grant_share) const
+{
+    double expected = 0;
+    std::uint64_t room = 0;
+    for (const auto& candidate : this->candidates) {
+        const auto fits = std::min(candidate.fits, wanted);
+        const bool asked = candidate.may_run != step_candidate::permission::not_asked;
+        expected += fits * (asked ? 1.0 : grant_share);
+        room += fits;
+    }
+    return expected >= wanted || room >= wanted * ample_factor;
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/step_placer.h
+++ b/src/libverbenalever/coordinator/step_placer.h
@@ -45,6 +45,9 @@
                                                     double grant_share) const;
 
 private:
+    /// @return whether all tasks may find places at once
+    [[nodiscard]] bool may_fit(std::uint32_t wanted, double grant_share) const;
+
     std::vector<step_candidate> candidates;
     resources need;
 };
--- a/src/libverbenalever/coordinator/step_placer_test.cpp
+++ b/src/libverbenalever/coordinator/step_placer_test.cpp
@@ -72,6 +72,31 @@
     EXPECT_FALSE(this->placer().to_ask(4, false, 0.3).empty());
 }
 
+// Load pattern: a wave of large gangs. One whose places were not to be had from one question was
+// never asked about and never ran, on an empty fleet.
+TEST_F(step_placer_test, a_gang_too_large_for_one_question_is_asked_about_in_several)
+{
+    constexpr int fleet = 150;
+    constexpr std::uint32_t gang = 37;
+    for (int count = 0; count < fleet; ++count)
+        this->add(4, permission::not_asked);
+    std::set<fleet_target*> asked;
+    for (int question = 0; question < 3; ++question) {
+        for (auto* target : this->placer().to_ask(gang, true, 0.3)) {
+            asked.insert(target);
+            for (auto& candidate : this->candidates) {
+                // The advisor allows every fourth; those it forbids are no candidates any more.
+                if (candidate.target == target && asked.size() % 4 == 0)
+                    candidate.may_run = permission::lapsed;
+            }
+        }
+        std::erase_if(this->candidates, [&](const auto& candidate) {
+            return candidate.may_run == permission::not_asked && asked.contains(candidate.target);
+        });
+    }
+    EXPECT_EQ(asked.size(), fleet);
+}
+
 TEST_F(step_placer_test, more_are_asked_about_where_fewer_are_allowed)
 {
     for (int count = 0; count < 40; ++count)
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -2,7 +2,6 @@
 
 #include "coordinator/placement_log.h"
 #include "loop/clock.h"
-#include "workflows/workflow_progress.h"
 #include "workflows/workflow_record.h"
 
 #include <cstdint>
@@ -29,6 +28,7 @@
     std::int64_t run = 0;                  ///< number of the current run, or of the last one
     std::vector<std::int64_t> failed_runs; ///< each counts once, however often its end is listed
     std::string checkpoint;
+    std::int64_t checkpoint_run = 0; ///< that has told the checkpoint
     fleet_target* target = nullptr;  ///< while placed
     std::uint32_t unseen_places = 0; ///< while unseen: lives of targets to hear from
 };
@@ -73,8 +73,7 @@
     std::int64_t run_base = 0;   ///< runs of this term are numbered from here
     bool stored = false;         ///< its record is kept
     bool end_stored = false;     ///< its end is kept
-    bool progress_stored = false;
-    bool began = false; ///< a task of it has started
+    bool began = false;          ///< a task of it has started
     [[nodiscard]] bool urgent() const
     {
         return this->priority == 0;
