Test gangs' claims with a queue whose objective does not stretch

Cause: in the test as committed the long gang's objective stretched with its estimate, so that it was not late, and the test failed. Change: stretch 0. Before: failed; after: passes. Conclusion: the check is the same.

--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -590,6 +590,7 @@
                                            .pool = "pool",
                                            .priority = 1,
                                            .attempts = 3,
+                                           .stretch = 0,
                                            .latency_objective = milliseconds(5000),
                                            .needs_advice = true,
                                            .advice_base_ms = 1,
