Replace a coordinator that is gone before its lease ends

Cause: when the coordinator's process is killed, nothing is placed until its lease of 1.2 s has ended at the store, though every member sees its connection reset at once and nobody listening afterwards. Change: a member that had heard the coordinator and now finds nobody listening, or a process there that does not coordinate, stands at once, on condition that the leader's key is the one it knew. The fence makes a mistaken one harmless. Not for coordinators never heard: zones cut off from each other would take over from one another (ruled out by a test). Tests: leadership and link, which fail without it (the key stayed its lease).

--- a/src/libverbenalever/coordination/coordinator_link.cpp
+++ b/src/libverbenalever/coordination/coordinator_link.cpp
@@ -29,6 +29,7 @@
     if (coordinator && this->coordinator && coordinator->tenure == this->coordinator->tenure)
         return;
     this->coordinator = coordinator;
+    this->known = false;
     if (this->open) {
         this->former = std::move(this->open);
         if (this->announced) {
@@ -59,6 +60,8 @@
     auto connection = frame_connection::connect(this->loop, *address, this->local_address);
     if (!connection.ok()) {
         this->retry_timer.start_once(reconnect_wait);
+        if (this->known && absl::IsFailedPrecondition(connection.status()))
+            this->notify.refused();
         return;
     }
     this->open = std::make_unique<peer_channel>(
@@ -68,6 +71,7 @@
                 return; // of a coordinator that is no longer followed
             if (!this->announced) {
                 this->announced = true;
+                this->known = true;
                 this->notify.changed(true);
             }
             this->notify.take(topic, payload, std::move(reply));
@@ -82,12 +86,17 @@
     // A channel that is no longer followed ends: it stays until the loop has it again.
     if (!this->open)
         return;
+    const bool by_peer = this->open->closed_by_peer();
+    const bool was_heard = this->open->heard();
     this->former = std::move(this->open);
     if (this->announced) {
         this->announced = false;
         this->notify.changed(false);
     }
-    this->retry_timer.start_once(reconnect_wait);
+    // After a reset the next try tells at once whether the process is still there.
+    this->retry_timer.start_once(by_peer && was_heard ? milliseconds(0) : reconnect_wait);
+    if (this->known && by_peer && !was_heard)
+        this->notify.refused();
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordination/coordinator_link.h
+++ b/src/libverbenalever/coordination/coordinator_link.h
@@ -20,6 +20,9 @@
         std::function<std::string()> greeting; ///< sent first and with each heartbeat
         std::function<void(peer_topic, std::string_view, peer_channel::replier)> take;
         std::function<void(bool up)> changed;
+        /// Nobody listens any more where the coordinator was heard: its process is gone. Not told
+        /// of one that was never heard: it may be out of reach from here alone.
+        std::function<void()> refused;
     };
 
     coordinator_link(event_loop& loop, std::string local_address, callbacks notify);
@@ -47,6 +50,7 @@
     std::unique_ptr<peer_channel> open;
     std::unique_ptr<peer_channel> former; ///< kept until it has returned to the loop
     bool announced = false;
+    bool known = false; ///< the coordinator followed was heard
     timer retry_timer;
 };
 
--- /dev/null
+++ b/src/libverbenalever/coordination/coordinator_link_test.cpp
@@ -0,0 +1,88 @@
+#include "coordination/coordinator_link.h"
+
+#include "loop/endpoint.h"
+#include "loop/event_loop.h"
+#include "wire/frame_connection.h"
+#include "wire/frame_listener.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_link_test : public testing::Test {
+protected:
+    coordinator_link_test()
+    {
+        auto made = frame_listener::listen(
+            this->loop, endpoint{.address = "127.0.0.1", .port = 0},
+            [this](std::unique_ptr<frame_connection> connection) {
+                this->accepted.push_back(std::make_unique<peer_channel>(
+                    this->loop, std::move(connection), [](peer_topic, auto, auto) {}, [] {}));
+            });
+        EXPECT_TRUE(made.ok()) << made.status();
+        this->listener = *std::move(made);
+        this->link.follow(coordinator_record{
+            "vm-1", "127.0.0.1:" + std::to_string(this->listener->port()), "tenure"});
+    }
+
+    void run_for(milliseconds span)
+    {
+        timer end(this->loop, [this] { this->loop.stop(); });
+        end.start_once(span);
+        this->loop.run();
+    }
+
+    event_loop loop;
+    std::unique_ptr<frame_listener> listener;
+    std::vector<std::unique_ptr<peer_channel>> accepted;
+    int refusals = 0;
+    std::vector<bool> changes;
+    coordinator_link link{this->loop,
+                          "127.0.0.1",
+                          {.greeting = [] { return std::string(); },
+                           .take = [](peer_topic, auto, auto) {},
+                           .changed = [this](bool up) { this->changes.push_back(up); },
+                           .refused = [this] { ++this->refusals; }}};
+};
+
+TEST_F(coordinator_link_test, a_reset_connection_is_opened_again)
+{
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->link.up());
+    this->accepted.clear();
+    this->run_for(milliseconds(100));
+    EXPECT_TRUE(this->link.up());
+    EXPECT_EQ(this->changes, (std::vector<bool>{true, false, true}));
+    EXPECT_EQ(this->refusals, 0);
+}
+
+// A killed coordinator was only noticed when its lease had ended at the store.
+TEST_F(coordinator_link_test, a_process_that_is_gone_is_noticed_at_once)
+{
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->link.up());
+    this->listener.reset();
+    this->accepted.clear();
+    this->run_for(milliseconds(100));
+    EXPECT_FALSE(this->link.up());
+    EXPECT_GE(this->refusals, 1);
+}
+
+// Zones cut off from each other would take over from one another for as long as the cut lasts.
+TEST_F(coordinator_link_test, a_coordinator_never_heard_is_not_called_gone)
+{
+    const auto port = this->listener->port();
+    this->listener.reset();
+    this->link.follow(
+        coordinator_record{"vm-2", "127.0.0.1:" + std::to_string(port), "another tenure"});
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->refusals, 0);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -141,7 +141,12 @@
         if (this->leads())
             return;
     }
+    // What the store still has of a coordinator that is gone is no news.
+    if (now && this->replaced != 0 && item.revision == this->replaced)
+        return;
+    this->replaced = 0;
     this->known = now;
+    this->known_revision = item.revision;
     this->notify.changed(now);
     if (now) {
         this->stand_timer.stop();
@@ -152,6 +157,16 @@
                       (this->notify.coordinator_heard() ? regain_time : milliseconds(0)));
 }
 
+void leadership::replace_coordinator()
+{
+    if (this->retired || this->leads() || !this->known || this->known_revision == 0)
+        return;
+    this->log.write("coordination", "coordinator_gone", {{"tenure", this->known->tenure}});
+    this->replaced = this->known_revision;
+    this->known.reset();
+    this->stand_after(random_spread());
+}
+
 void leadership::stand_after(milliseconds wait)
 {
     if (!this->retired && !this->standing && !this->leads())
@@ -185,7 +200,7 @@
     auto record = this->self;
     record.tenure = fmt::format("{}-{}-{}", this->self.vm, random_hex(4), ++this->tenures);
     store_transaction change;
-    change.conditions.push_back({this->leader_key, 0});
+    change.conditions.push_back({this->leader_key, this->replaced});
     change.writes.push_back({this->leader_key, pack_message(record), lease});
     change.writes.push_back({this->fence_key, record.tenure, 0});
     this->renewed = boot_time();
@@ -207,8 +222,12 @@
     if (result.how != store_result::outcome::unknown) {
         this->standing = false;
         for (const auto& item : result.current) {
-            if (item.key == this->leader_key && item.revision != 0)
+            if (item.key != this->leader_key)
+                continue;
+            if (item.revision != 0)
                 this->take(item);
+            else
+                this->replaced = 0; // its lease has ended meanwhile
         }
         if (this->known)
             return;
@@ -237,6 +256,7 @@
 void leadership::win(std::int64_t lease, std::int64_t term)
 {
     this->standing = false;
+    this->replaced = 0;
     this->lease = lease;
     this->chain = std::make_unique<commit_chain>(
         this->loop, this->store, this->log, this->fence_key, this->tenure, term,
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -62,6 +62,9 @@
     /// Ask the store anew who coordinates: the coordinator is not heard any more.
     void refresh();
 
+    /// The coordinator's process is gone: stand without waiting for its lease to end.
+    void replace_coordinator();
+
     /// Step down because another process was seen to have taken over.
     void abdicate(std::string_view reason);
 
@@ -114,6 +117,8 @@
 
     std::optional<coordinator_record> known;
     std::int64_t watched_revision = 0;
+    std::int64_t known_revision = 0; ///< of the coordinator's key as last seen
+    std::int64_t replaced = 0;       ///< revision of the key of a coordinator that is gone; 0: none
     std::unique_ptr<commit_chain> chain;
     std::unique_ptr<commit_chain> former_chain; ///< kept until it has returned to the loop
     std::string tenure;                         ///< while this process leads
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -58,6 +58,23 @@
     EXPECT_NE(this->first.office.leads(), this->second.office.leads());
 }
 
+// The coordinator's process was killed: its key used to stay until its lease ended.
+TEST_F(leadership_test, a_coordinator_that_is_gone_is_replaced_before_its_lease_ends)
+{
+    this->run_for(milliseconds(400));
+    auto& old = this->first.office.leads() ? this->first : this->second;
+    auto& next = this->first.office.leads() ? this->second : this->first;
+    const auto term = old.terms.back();
+    next.office.replace_coordinator();
+    this->run_for(milliseconds(200));
+    ASSERT_TRUE(next.office.leads());
+    EXPECT_GT(next.terms.back(), term);
+    EXPECT_FALSE(old.office.leads()) << "it lives after all, and has heard of the other";
+    this->run_for(milliseconds(1500));
+    EXPECT_TRUE(next.office.leads());
+    EXPECT_EQ(old.terms.size() + next.terms.size(), 2);
+}
+
 TEST_F(leadership_test, a_weak_process_lets_others_win)
 {
     this->first.courtesy = milliseconds(300);
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -18,9 +18,10 @@
     double processor_share = 0; ///< of one core, that its VM has
     double strongest_share = 0; ///< largest share of any VM that it knows of
     bool store_answers = false; ///< whether its last call to the store was answered
+    bool coordinating = false;
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms, processor_share,
-                   strongest_share, store_answers)
+                   strongest_share, store_answers, coordinating)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordination/peer_channel.cpp
+++ b/src/libverbenalever/coordination/peer_channel.cpp
@@ -19,7 +19,10 @@
       call_timer(loop, [this] { this->expire_calls(); }), last_beat(monotonic_clock::now())
 {
     this->connection->on_events([this](std::string_view frame) { this->receive(frame); },
-                                [this] { this->end(); });
+                                [this] {
+                                    this->peer_closed = true;
+                                    this->end();
+                                });
     this->beat_timer.start_repeating(heartbeat_interval);
     this->note(peer_topic::heartbeat, {});
 }
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -61,6 +61,12 @@
         return this->anything_heard;
     }
 
+    /// @return whether the other end, or its host, has closed the connection
+    [[nodiscard]] bool closed_by_peer() const
+    {
+        return this->peer_closed;
+    }
+
     /// @return bytes queued and not yet taken by the kernel
     [[nodiscard]] std::size_t unsent() const;
 
@@ -88,6 +94,7 @@
     std::uint64_t last_call = 0;
     std::map<std::uint64_t, open_call> calls;
     bool anything_heard = false;
+    bool peer_closed = false;
     bool ended = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -80,17 +80,18 @@
                     const auto other = unpack_message<member_greeting>(payload);
                     if (!other.ok())
                         return;
-                    this->strongest_heard = other->strongest_share;
-                    this->spread(other->configuration_revision, this->link.channel());
+                    this->hear_coordinator(*other);
                 },
             .changed =
                 [this](bool up) {
                     this->log.write("coordination", up ? "coordinator_heard" : "coordinator_silent",
                                     {});
                     this->outside.operators.rely_on_peer(up);
+                    this->idle_heartbeats = 0;
                     if (!up)
                         this->office.refresh();
-                }}),
+                },
+            .refused = [this] { this->office.replace_coordinator(); }}),
       office(loop, outside.store, log, this->own.key_prefix,
              {.vm = this->own.vm, .address = this->own.peer.text(), .tenure = {}},
              {.won = [this](std::int64_t term, commit_chain& chain) { this->won(term, chain); },
@@ -157,7 +158,19 @@
     return pack_message(member_greeting{this->own.vm, this->own.availability_zone,
                                         this->configuration->revision, this->lag.lag().count(),
                                         this->own.processor_share, this->strongest_share(),
-                                        this->office.store_answers()});
+                                        this->office.store_answers(), this->duty != nullptr});
+}
+
+void cluster_entry::hear_coordinator(const member_greeting& greeting)
+{
+    this->strongest_heard = greeting.strongest_share;
+    this->spread(greeting.configuration_revision, this->link.channel());
+    // A process that has started anew listens where the coordinator did. One that has just won may
+    // say so a heartbeat late.
+    constexpr int idle_limit = 2;
+    this->idle_heartbeats = greeting.coordinating ? 0 : this->idle_heartbeats + 1;
+    if (this->idle_heartbeats == idle_limit)
+        this->office.replace_coordinator();
 }
 
 double cluster_entry::strongest_share() const
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -19,6 +19,7 @@
 namespace verbenalever {
 
 class counters;
+struct member_greeting;
 class event_log;
 class event_loop;
 class metadata_store;
@@ -100,6 +101,7 @@
     [[nodiscard]] const std::string* stronger_member();
     [[nodiscard]] double strongest_share() const;
     [[nodiscard]] milliseconds courtesy() const;
+    void hear_coordinator(const member_greeting& greeting);
     void ask_coordinator(peer_topic topic, std::string payload, milliseconds patience,
                          coordinator_reply done);
     void serve(peer_topic topic, std::string_view payload, peer_channel::replier reply);
@@ -129,8 +131,9 @@
     lag_meter lag;
     std::map<std::string, std::int64_t> member_lags; ///< milliseconds, by VM
     std::map<std::string, double> member_shares;     ///< of one core, by VM
-    double strongest_heard; ///< share of the strongest VM that the coordinator knows of
-    milliseconds won_at{0}; ///< boot time
+    int idle_heartbeats = 0; ///< of the coordinator's VM, in a row, that say it does not coordinate
+    double strongest_heard;  ///< share of the strongest VM that the coordinator knows of
+    milliseconds won_at{0};  ///< boot time
     timer lag_timer;
     std::vector<parked_call> parked;
     timer parked_timer;
--- a/src/libverbenalever/wire/frame_connection.cpp
+++ b/src/libverbenalever/wire/frame_connection.cpp
@@ -51,9 +51,11 @@
     const int result =
         ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
     if (result != 0 && errno != EINPROGRESS) {
+        const int reason = errno;
         ::close(descriptor);
-        return absl::UnavailableError(
-            fmt::format("cannot connect to {}: {}", to.text(), std::strerror(errno)));
+        const auto text = fmt::format("cannot connect to {}: {}", to.text(), std::strerror(reason));
+        return reason == ECONNREFUSED ? absl::FailedPreconditionError(text)
+                                      : absl::UnavailableError(text);
     }
     return std::make_unique<frame_connection>(loop, descriptor);
 }
