Take over at once from a former process of the same VM; shorter grace for one cut off

Cause: in a zone cut that holds the coordinator, it went on renewing the tasks of its zone for 3 s, so that they were missing for 8.1 s; after all processes were killed the new ones waited for the lease of a process that was gone. Change: the grace is 1.5 s, just above the coordinator's own lease; a process that reads its own VM in the leader's key replaces it.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -150,6 +150,10 @@
     this->notify.changed(now);
     if (now) {
         this->stand_timer.stop();
+        // The key names this very VM, and this process does not coordinate: a process before it
+        // did.
+        if (now->vm == this->self.vm && now->address == this->self.address)
+            this->replace_coordinator();
         return;
     }
     // A coordinator that is alive takes its key back by itself once it can.
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -75,6 +75,18 @@
     EXPECT_EQ(old.terms.size() + next.terms.size(), 2);
 }
 
+// All processes were killed and are back: the key of the former one used to stay its lease.
+TEST_F(leadership_test, a_process_takes_over_from_its_vms_former_process_at_once)
+{
+    this->run_for(milliseconds(400));
+    auto& old = this->first.office.leads() ? this->first : this->second;
+    const std::string vm = this->first.office.leads() ? "vm-1" : "vm-2";
+    candidate restarted(this->loop, this->store, this->log, vm);
+    this->run_for(milliseconds(200));
+    EXPECT_TRUE(restarted.office.leads());
+    EXPECT_GT(restarted.terms.back(), old.terms.back());
+}
+
 TEST_F(leadership_test, a_weak_process_lets_others_win)
 {
     this->first.courtesy = milliseconds(300);
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -16,8 +16,9 @@
 namespace {
 
 /// How long a coordinator that cannot reach the store renews the leases of tasks before it steps
-/// down; after that and one task lease nothing that it has started runs any more.
-constexpr milliseconds predecessor_grace{3000};
+/// down: a little longer than its own lease, after which another may have taken over. After that
+/// and one task lease nothing that it has started runs any more.
+constexpr milliseconds predecessor_grace{1500};
 /// A member that left this long ago, while the store was there, has found its place.
 constexpr milliseconds member_rest{10'000};
 /// Wait before an order that got no answer is given again.
