Stop runs that stand still and run them elsewhere

Cause: tasks on some targets stand still while those targets answer and renew their leases; nothing noticed, so that they waited until the target recovered. Change: a run whose percent has not grown for 1.2 s in two looks (2.5 s for a gang's member) is stopped and placed elsewhere; its target gets nothing new for 4 s.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -140,6 +140,8 @@
     void check_adoption();
     void take_view(fleet_target& target, const target_view& view, milliseconds sent);
     void take_running(fleet_target& target, const target_view::running_task& row);
+    void note_percent(fleet_target& target, const target_view::running_task& row,
+                      placed_task& placed);
     void adopt(fleet_target& target, const target_view::running_task& row);
     void find_missing(fleet_target& target, const std::set<task_name>& seen, milliseconds sent);
     void update_looks(fleet_target& target);
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -21,6 +21,13 @@
 constexpr milliseconds predecessor_grace{1500};
 /// A member that left this long ago, while the store was there, has found its place.
 constexpr milliseconds member_rest{10'000};
+/// A run whose percent has not grown for this long, in this many looks, stands still: the longest
+/// runs on the users' sheets take 12 s, so that a sound target shows one percent in 120 ms.
+constexpr milliseconds stall_time{1200};
+constexpr int stalled_looks = 2;
+constexpr double all_done = 100; ///< percent
+/// The same for a member of a gang, whose stop costs the work of all members.
+constexpr milliseconds gang_stall_time{2500};
 /// Wait before an order that got no answer is given again.
 constexpr milliseconds resend_wait{150};
 
@@ -257,10 +264,7 @@
     if (!placed.started)
         placed.started_at = boot_time();
     placed.started = true;
-    if (row.percent > placed.percent || placed.percent_at.count() == 0) {
-        placed.percent = row.percent;
-        placed.percent_at = boot_time();
-    }
+    this->note_percent(target, row, placed);
     if (placed.owner != nullptr && !row.checkpoint.empty() && !is_final(placed.owner->state)) {
         auto& step = placed.owner->steps[row.task.step];
         step.tasks[row.task.index].checkpoint = row.checkpoint;
@@ -268,6 +272,40 @@
     }
 }
 
+void coordinator::note_percent(fleet_target& target, const target_view::running_task& row,
+                               placed_task& placed)
+{
+    const auto now = boot_time();
+    if (row.percent > placed.percent || placed.percent_at.count() == 0) {
+        placed.percent = row.percent;
+        placed.percent_at = now;
+        placed.looks_without_growth = 0;
+        return;
+    }
+    ++placed.looks_without_growth;
+    if (placed.stopping || placed.owner == nullptr || is_final(placed.owner->state) ||
+        placed.looks_without_growth < stalled_looks || now - placed.percent_at < stall_time)
+        return;
+    // A gang begins and ends together: members that have not begun, or are through, wait for
+    // others.
+    const bool gang = placed.owner->record.spec.steps[row.task.step].gang;
+    if (gang && (placed.percent == 0 || placed.percent >= all_done))
+        return;
+    target.note_stall(now);
+    if (gang && placed.percent_at + gang_stall_time > now)
+        return;
+    this->around.count.add("runs_stalled");
+    this->around.log.write("coordinator", "run_stalled",
+                           {{"workflow", row.task.workflow},
+                            {"step", row.task.step},
+                            {"index", row.task.index},
+                            {"run", row.run},
+                            {"target", target.report.name},
+                            {"percent", placed.percent},
+                            {"since_ms", (now - placed.percent_at).count()}});
+    this->stop_run(target, row.task, row.run);
+}
+
 void coordinator::adopt(fleet_target& target, const target_view::running_task& row)
 {
     auto* owner = this->find(row.task.workflow);
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -617,6 +617,34 @@
         EXPECT_FALSE(named["late"].contains(name)) << name;
 }
 
+// Load pattern: tasks on some targets stand still, while those still answer.
+TEST_F(coordinator_test, a_run_that_stands_still_is_stopped_and_runs_elsewhere)
+{
+    this->targets.add("t1", 1000).stands_still = true;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000);
+    this->targets.tell_list();
+    this->run_for(milliseconds(3500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2);
+    this->submit(first, "next", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->state(first, "next"), workflow_state::completed) << "not on the same target";
+}
+
+TEST_F(coordinator_test, a_run_that_makes_progress_is_left_alone)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(4500));
+    EXPECT_EQ(this->targets.starts, 1);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 // One look for each end, however long the store takes to record it.
 TEST_F(coordinator_test, looks_follow_ends_and_not_each_other)
 {
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -15,6 +15,9 @@
 /// How long a distrusted target gets no work; doubled with each failure of the next trial.
 constexpr milliseconds distrust_time{3000};
 constexpr int longest_distrust_factor = 8;
+/// How long a target on which a run stood still gets no work: the users' targets stand still for
+/// some seconds, and a trial costs one more run that must be stopped.
+constexpr milliseconds stall_rest{4000};
 
 } // namespace
 
@@ -116,10 +119,16 @@
     this->distrusted_until = now + distrust_time * factor;
 }
 
+void fleet_target::note_stall(milliseconds now)
+{
+    this->stalled_until = now + stall_rest;
+}
+
 bool fleet_target::usable(milliseconds now) const
 {
     return this->listed && !this->ended_life && !this->report.leaving && this->session->held() &&
-           this->session->reachable() && now >= this->avoid_until && !this->distrusted(now);
+           this->session->reachable() && now >= this->avoid_until && now >= this->stalled_until &&
+           !this->distrusted(now);
 }
 
 bool fleet_target::distrusted(milliseconds now) const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -34,6 +34,7 @@
     milliseconds started_at{0}; ///< boot time
     double percent = 0;         ///< of its work, when last seen
     milliseconds percent_at{0}; ///< when that last grew
+    int looks_without_growth = 0;
 };
 
 /// An end that the target lists until it is acknowledged.
@@ -85,6 +86,9 @@
     /// A task has failed here.
     void note_failure(milliseconds now);
 
+    /// A run here stands still: nothing new is started here for a while.
+    void note_stall(milliseconds now);
+
     /// @return whether work is kept away, since all that it started lately has failed
     [[nodiscard]] bool distrusted(milliseconds now) const;
 
@@ -109,6 +113,7 @@
     std::int64_t recorded_up_to = 0;
     int failures_in_a_row = 0;
     milliseconds distrusted_until{0};
+    milliseconds stalled_until{0};
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -94,7 +94,7 @@
             used += this->need_of[task.workflow];
         if (used.processors_milli > on.report.capacity.processors_milli)
             this->breaches.push_back("more than it has: " + life.name);
-        if (on.work.count() > 0)
+        if (on.work.count() > 0 && !on.stands_still)
             this->later(on.work, [this, name = life.name, task = order.task, run = order.run] {
                 const bool fails = this->targets.at(name)->fails_all;
                 this->end(name, task, run,
@@ -148,7 +148,7 @@
     }
     std::erase_if(from.ended, [&](const auto& end) { return end.number <= acknowledged; });
     for (const auto& [task, run] : from.running)
-        view.running.push_back({task, run, {}, 0});
+        view.running.push_back({task, run, {}, from.stands_still ? 1.0 : this->next_percent()});
     view.ended = from.ended;
     return view;
 }
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -31,7 +31,9 @@
         std::function<bool(const start_order&)> loses_answer;
         milliseconds order_delay{1}; ///< until it answers an order to start
         bool fails_all = false;      ///< each task ends as failed
-        milliseconds work{20};       ///< time that a task takes; 0: until end_all() is called
+        bool stands_still = false;   ///< what runs there makes no progress and does not end
+
+        milliseconds work{20}; ///< time that a task takes; 0: until end_all() is called
         std::map<task_name, std::int64_t> running;
         std::map<task_name, resources> needs;
         std::vector<target_view::ended_task> ended;
@@ -82,10 +84,17 @@
     [[nodiscard]] target_view view_of(target& from, std::int64_t acknowledged);
     void later(milliseconds wait, std::function<void()> action);
 
+    /// @return a percent above all told before, as sound targets show it
+    [[nodiscard]] double next_percent()
+    {
+        return this->percent += 1.0;
+    }
+
     event_loop& loop;
     listener changed;
     std::map<std::string, std::vector<waiting_look>> waiting;
     std::set<task_name> acknowledged_done;
+    double percent = 1;
     std::vector<std::unique_ptr<timer>> timers;
 };
 
