Steps that wait for their team's limit do not use up a pass

Cause: a pass looked at the first 400 ready steps. Ruled out: advice (33 questions open), the store (300 ms). Change: only steps for which targets are weighed count. Test: a team with 700 steps at its limit and another team's slow workflow; fails without the change.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -163,7 +163,9 @@
     // Placing (coordinator_pass.cpp, _advice.cpp, _starts.cpp, _reclaim.cpp).
     void request_pass(milliseconds wait = milliseconds(2));
     void pass();
-    void consider(workflow& owner, std::uint32_t step);
+    /// Place what can be placed of a ready step, ask the advisor, make room for it.
+    /// @return false when it waits for its team's limit or for the advisor's answer
+    bool consider(workflow& owner, std::uint32_t step);
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
     void measure_fleet();
     void survey_room();
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -15,7 +15,8 @@
 
 /// A ticket is not used when it has less than this left, since the start takes time to arrive.
 constexpr milliseconds ticket_slack{150};
-/// Steps looked at in one pass; those behind them would find no room either.
+/// Steps for which one pass weighs targets; those behind them would find no room either. Steps that
+/// wait for their team's limit or for the advisor do not count: others behind them may start.
 constexpr int steps_per_pass = 400;
 /// A pass is followed by this many times its own duration without one, so that placing leaves most
 /// of the processor to orders, looks and callers.
@@ -118,7 +119,7 @@
     this->reclaims_left = reclaims_per_pass;
     int left = steps_per_pass;
     std::vector<std::pair<workflow*, std::uint32_t>> later;
-    for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0; --left) {
+    for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && left > 0;) {
         const auto [priority, rank, due, id, number] = *at;
         ++at; // considering a step may take it off the list
         auto* owner = this->find(id);
@@ -126,7 +127,7 @@
             continue;
         if (this->rank_of(*owner, number) != rank)
             later.emplace_back(owner, number);
-        this->consider(*owner, number);
+        left -= this->consider(*owner, number) ? 1 : 0;
     }
     for (const auto& [owner, number] : later) {
         if (!owner->steps[number].listed)
@@ -152,7 +153,7 @@
     return {owner.priority, owner.steps[number].rank, owner.due.count(), owner.record.id, number};
 }
 
-void coordinator::consider(workflow& owner, std::uint32_t number)
+bool coordinator::consider(workflow& owner, std::uint32_t number)
 {
     auto& step = owner.steps[number];
     const auto& spec = owner.record.spec.steps[number];
@@ -162,10 +163,10 @@
         this->teams.withhold(owner.record.team, spec.need, step.waiting - allowed);
     if (allowed == 0 || (spec.gang && allowed < step.waiting)) {
         this->reclaim_limit(owner, number);
-        return;
+        return false;
     }
     if (step.asking && spec.gang)
-        return;
+        return false;
     const auto kept = this->free_reservation(step);
     const step_placer placer(this->candidates(owner, number, queue, kept), spec.need);
     std::uint32_t wanted = allowed;
@@ -175,10 +176,10 @@
         this->start_tasks(owner, number, chosen);
     }
     if (wanted == 0 || queue == nullptr || step.asking || boot_time() < step.ask_after)
-        return;
+        return true;
     if (!queue->needs_advice) {
         this->reclaim_room(owner, number, queue, wanted);
-        return;
+        return true;
     }
     // One that has waited long is asked about as long as its room would do at best.
     const bool long_wait = boot_time() - step.ready_since > unlikely_wait;
@@ -188,7 +189,7 @@
         if (const auto places = placer.place_renewing(wanted); !places.empty()) {
             if (this->ask_advice(owner, number, *queue, distinct(places)))
                 this->reserve(step, spec.need, places);
-            return;
+            return true;
         }
     }
     const auto named = placer.to_ask(wanted, spec.gang, share);
@@ -196,6 +197,7 @@
         this->ask_advice(owner, number, *queue, named);
     else
         this->reclaim_room(owner, number, queue, wanted);
+    return true;
 }
 
 bool coordinator::may_use(const fleet_target& target, const workflow& owner,
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -566,6 +566,28 @@
     EXPECT_EQ(this->targets.starts, fleet + 1);
 }
 
+// Load pattern: one team at many times its usual. Its steps, all waiting for its limit, were all
+// that a pass came to look at, and nobody else's slower work started.
+TEST_F(coordinator_test, a_team_at_its_limit_does_not_keep_others_from_starting)
+{
+    constexpr int backlog = 700;
+    this->configuration->teams.push_back(
+        {.name = "hot", .keys = {}, .weight = 1, .limit = {.processors_milli = 1000}});
+    this->targets.add("t1", 8000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < backlog; ++number)
+        first.duty->submit({"hot" + std::to_string(number),
+                            "urgent",
+                            "hot",
+                            {.payload = "p", .steps = {this->tasks(1, 1)}}},
+                           [](call_outcome) {});
+    this->run_for(milliseconds(600));
+    this->submit(first, "other", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("other"), 1);
+    EXPECT_EQ(this->targets.starts, 2);
+}
+
 // Load pattern: submissions arrive faster than the store keeps them. They used to wait beyond
 // their callers' patience, so that neither side knew what became of them.
 TEST_F(coordinator_test, submissions_beyond_what_the_store_keeps_in_time_are_refused_at_once)
