Split the coordinator's tests by duty; one process in memory for all of them

Cause, found by reading the whole change: one test file of 732 lines; the process that coordinates in memory written twice; a checkpoint noted in four places; the order of gangs as a free function beside the class it is about. The shared process keeps a duty that ends until its callers have returned, as the daemon does.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -33,8 +33,6 @@
 class target_directory;
 class target_orders;
 struct step_candidate;
-/// @return where a gang stands among gangs; lower ones take room first
-[[nodiscard]] int gang_order(const workflow& owner, std::uint32_t step);
 struct store_page;
 
 /// What a caller hands in, after its key and queue were checked.
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -63,7 +63,7 @@
     for (const auto* target : named)
         question.targets.push_back(target->report.name);
     const bool gang = owner.record.spec.steps[number].gang;
-    const int order = gang_order(owner, number);
+    const int order = owner.gang_order(number);
     const milliseconds cost(static_cast<std::int64_t>(
         queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
     // Set before, since the answer may come within the call.
@@ -88,12 +88,6 @@
     return taken;
 }
 
-int gang_order(const workflow& owner, std::uint32_t step)
-{
-    constexpr int ranks = 16; // more than there are within a priority
-    return owner.priority * ranks + owner.steps[step].rank;
-}
-
 void coordinator::claim(const advice_question& question, int order)
 {
     for (const auto& name : question.targets) {
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -78,10 +78,7 @@
     if (wanted) {
         owner->began = true;
         auto& task = owner->steps[end.task.step].tasks[end.task.index];
-        if (!end.checkpoint.empty()) {
-            task.checkpoint = end.checkpoint;
-            task.checkpoint_run = end.run;
-        }
+        task.note_checkpoint(end.checkpoint, end.run);
         if (end.how == target_view::ending::done) {
             target.note_success();
             changed = this->task_done(*owner, end.task);
--- a/src/libverbenalever/coordinator/coordinator_faults_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_faults_test.cpp
@@ -4,9 +4,9 @@
 #include "coordination/leadership.h"
 #include "coordinator/target_session.h"
 #include "loop/event_loop.h"
+#include "testing/coordinating_process.h"
 #include "testing/fake_store.h"
 #include "testing/fake_targets.h"
-#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
 #include <fmt/format.h>
@@ -58,56 +58,17 @@
         timer first;
     };
 
+    /// A process with its own view of the platform's list, and an advisor at two VMs.
     struct process {
         process(coordinator_faults_test& test, const std::string& vm)
-            : test(test), directory(test),
-              office(test.loop, test.store, test.log, "v/", {vm, "127.0.0.1:1", {}},
-                     {.won = [this](std::int64_t term,
-                                    commit_chain& chain) { this->won(term, chain); },
-                      .lost =
-                          [this] {
-                              this->former = std::move(this->duty);
-                              this->former_timer.start_once(milliseconds(0));
-                          },
-                      .changed = [](const std::optional<coordinator_record>&) {},
-                      .coordinator_heard = [] { return false; },
-                      .courtesy = [] { return milliseconds(0); }}),
-              former_timer(test.loop, [this] { this->former.reset(); })
+            : directory(test),
+              one(test.loop, test.store, test.targets, this->directory, test.configuration,
+                  test.log, vm, [&test](coordinator& duty) { test.add_advisors(duty); })
         {
-            this->office.start();
         }
 
-        void won(std::int64_t term, commit_chain& chain)
-        {
-            this->duty = std::make_unique<coordinator>(
-                coordinator::environment{.loop = this->test.loop,
-                                         .store = this->test.store,
-                                         .orders = this->test.targets,
-                                         .directory = this->directory,
-                                         .log = this->test.log,
-                                         .count = this->count,
-                                         .prefix = "v/",
-                                         .task_lease = milliseconds(1500),
-                                         .finished_rest = milliseconds(60'000),
-                                         .members_complete = [] { return false; },
-                                         .forget_members = [](milliseconds) {}},
-                this->office, chain, term, this->test.configuration);
-            for (const auto* vm : {"a", "b"})
-                this->duty->advisors().add_vm(vm,
-                                              [this](const advice_question& question, milliseconds,
-                                                     advice_desk::answer_callback done) {
-                                                  this->test.advise(question, std::move(done));
-                                              });
-            this->duty->begin();
-        }
-
-        coordinator_faults_test& test;
         list_view directory;
-        counters count;
-        std::unique_ptr<coordinator> duty;
-        std::unique_ptr<coordinator> former;
-        leadership office;
-        timer former_timer;
+        coordinating_process one;
     };
 
     coordinator_faults_test() : random(static_cast<unsigned>(GetParam()))
@@ -151,6 +112,15 @@
         this->loop.run();
     }
 
+    void add_advisors(coordinator& duty)
+    {
+        for (const auto* vm : {"a", "b"})
+            duty.advisors().add_vm(vm, [this](const advice_question& question, milliseconds,
+                                              advice_desk::answer_callback done) {
+                this->advise(question, std::move(done));
+            });
+    }
+
     void advise(const advice_question& question, advice_desk::answer_callback done)
     {
         advice_answer answer{.answered = !this->chance(0.1), .valid_ms = 600};
@@ -169,11 +139,11 @@
         later->start_once(milliseconds(5 + this->pick(30)));
     }
 
-    process* leader()
+    coordinating_process* leader()
     {
-        for (auto& one : this->processes) {
-            if (one && one->duty)
-                return one.get();
+        for (auto& process : this->processes) {
+            if (process && process->one.duty)
+                return &process->one;
         }
         return nullptr;
     }
@@ -251,7 +221,7 @@
             return;
         }
         for (auto& one : this->processes) {
-            if (one.get() != at)
+            if (&one->one != at)
                 continue;
             one.reset();
             this->store.expire(this->store.leases_of["v/leader"]);
--- a/src/libverbenalever/coordinator/coordinator_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load.cpp
@@ -122,10 +122,8 @@
     auto& step = owner->steps[entry.step];
     auto& task = step.tasks[entry.index];
     task.run = std::max(task.run, entry.run);
-    if (!entry.checkpoint.empty() && entry.run >= task.checkpoint_run) {
-        task.checkpoint = entry.checkpoint;
-        task.checkpoint_run = entry.run;
-    }
+    if (entry.run >= task.checkpoint_run)
+        task.note_checkpoint(entry.checkpoint, entry.run);
     const bool gang = owner->record.spec.steps[entry.step].gang;
     if (entry.how == static_cast<int>(progress_entry::ending::failed)) {
         // The members of a gang count their failures together.
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -0,0 +1,214 @@
+// Load: each case names its pattern.
+
+#include "coordinator/target_session.h"
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_load_test : public coordinator_fixture {};
+
+// Load pattern: more submissions at once than one transaction takes. A placement could join a batch
+// that stood before its workflow's record, and its start was sent before the workflow was kept.
+TEST_F(coordinator_load_test, no_task_starts_before_its_workflow_is_kept)
+{
+    for (int number = 0; number < 10; ++number)
+        this->targets.add("t" + std::to_string(number), 16'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    int early = 0;
+    this->targets.on_start = [this, &early](const start_order& order) {
+        early += this->store.items.contains("v/w/" + order.task.workflow) ? 0 : 1;
+    };
+    for (int number = 0; number < 100; ++number) {
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+        if (number % 20 == 0)
+            this->run_for(milliseconds(3));
+    }
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.starts, 100);
+    EXPECT_EQ(early, 0);
+}
+
+// Load pattern: many tasks end while the store is slow. Each workflow had a key of its own for its
+// progress, so that a store of four transactions a second kept 120 ends a second.
+TEST_F(coordinator_load_test, ends_of_many_workflows_cost_the_store_few_entries)
+{
+    constexpr int count = 200;
+    for (int number = 0; number < 20; ++number)
+        this->targets.add("t" + std::to_string(number), 40'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < count; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(2, 1)});
+    this->run_for(milliseconds(800));
+    ASSERT_EQ(this->targets.starts, 2 * count);
+    const auto before = this->store.committed;
+    for (auto& [name, target] : this->targets.targets) {
+        // One task of each workflow ends.
+        const auto running = target->running;
+        for (const auto& [task, run] : running) {
+            if (task.index == 0) {
+                target->running.erase(task);
+                target->ended.push_back(
+                    {++target->last_end, task, run, target_view::ending::done, {}});
+            }
+        }
+    }
+    this->run_for(milliseconds(1500));
+    EXPECT_LE(this->store.committed - before, 12);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    for (auto& [name, target] : this->targets.targets)
+        this->targets.end_all(name, target_view::ending::done);
+    this->run_for(milliseconds(1500));
+    for (int number = 0; number < count; ++number)
+        EXPECT_EQ(this->state(second, "w" + std::to_string(number)), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2 * count);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->store.items.lower_bound("v/e/"), this->store.items.lower_bound("v/e0"));
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// Load pattern: urgent jobs arrive while a team's slow work fills its limit.
+TEST_F(coordinator_load_test, urgent_work_at_its_teams_limit_takes_the_place_of_its_slow_work)
+{
+    this->configuration->teams[0].limit = {.processors_milli = 4000};
+    this->targets.add("t1", 16'000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "slow", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("slow"), 4);
+    this->submit(first, "urgent", {this->tasks(1, 2)});
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.running("urgent"), 1);
+    EXPECT_EQ(this->targets.running("slow"), 2);
+}
+
+// Load pattern: urgent jobs arrive while slow work of others fills the fleet.
+TEST_F(coordinator_load_test, urgent_work_takes_room_from_slow_work_that_has_just_begun)
+{
+    this->targets.add("t1", 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "slow", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    this->submit(first, "urgent", {this->tasks(2, 1)});
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->targets.running("urgent"), 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// Load pattern: far more work waits than there is room for. Each pass used to weigh every target
+// for every waiting step.
+TEST_F(coordinator_load_test, a_full_fleet_is_not_weighed_for_each_waiting_step)
+{
+    constexpr int fleet = 100;
+    constexpr int waiting = 300;
+    for (int number = 0; number < fleet; ++number)
+        this->targets.add("t" + std::to_string(number), 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "filling", {this->tasks(fleet, 1)});
+    this->run_for(milliseconds(400));
+    ASSERT_EQ(this->targets.running("filling"), fleet);
+    for (int number = 0; number < waiting; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(800));
+    const auto before = first.count.value("targets_weighed");
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(first.count.value("targets_weighed") - before, 0);
+    this->targets.end_all("t7", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.starts, fleet + 1);
+}
+
+// Load pattern: one team at many times its usual. Its steps, all waiting for its limit, were all
+// that a pass came to look at, and nobody else's slower work started.
+TEST_F(coordinator_load_test, a_team_at_its_limit_does_not_keep_others_from_starting)
+{
+    constexpr int backlog = 700;
+    this->configuration->teams.push_back(
+        {.name = "hot", .keys = {}, .weight = 1, .limit = {.processors_milli = 1000}});
+    this->targets.add("t1", 8000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < backlog; ++number)
+        first.duty->submit({"hot" + std::to_string(number),
+                            "urgent",
+                            "hot",
+                            {.payload = "p", .steps = {this->tasks(1, 1)}}},
+                           [](call_outcome) {});
+    this->run_for(milliseconds(600));
+    this->submit(first, "other", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("other"), 1);
+    EXPECT_EQ(this->targets.starts, 2);
+}
+
+// Load pattern: submissions arrive faster than the store keeps them. They used to wait beyond
+// their callers' patience, so that neither side knew what became of them.
+TEST_F(coordinator_load_test, submissions_beyond_what_the_store_keeps_in_time_are_refused_at_once)
+{
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < 5000; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+    int refused = 0;
+    for (const auto& [id, outcome] : this->outcomes)
+        refused += outcome == call_outcome::refused ? 1 : 0;
+    EXPECT_GT(refused, 2000);
+    EXPECT_LT(refused, 4000);
+    this->run_for(milliseconds(3000));
+    EXPECT_EQ(this->outcomes.size(), 5000);
+}
+
+// Load pattern: a backlog of large gangs, most of them late. Those knew by now where they may run
+// and took all room while the advisor was asked for the few that could still be in time.
+TEST_F(coordinator_load_test, a_late_gang_leaves_targets_to_one_in_time_that_asks_about_them)
+{
+    this->configuration->queues.push_back({.name = "advised",
+                                           .pool = "pool",
+                                           .priority = 1,
+                                           .attempts = 3,
+                                           .stretch = 0,
+                                           .latency_objective = milliseconds(5000),
+                                           .needs_advice = true,
+                                           .advice_base_ms = 1,
+                                           .advice_target_ms = 1});
+    constexpr int fleet = 60;
+    for (int number = 0; number < fleet; ++number)
+        this->targets.add("t" + std::to_string(number), 2000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    std::map<std::string, std::set<std::string>> named;
+    for (const auto* vm : {"vm-1", "vm-2", "vm-3", "vm-4"})
+        first.duty->advisors().add_vm(
+            vm, [&named](const advice_question& question, milliseconds, const auto&) {
+                named[question.workflow].insert(question.targets.begin(), question.targets.end());
+            });
+    this->submit(first, "in time", {this->tasks(10, 1, true)}, "advised");
+    this->run_for(milliseconds(100));
+    auto late = this->tasks(10, 1, true);
+    late.estimated_ms = 60'000;
+    this->submit(first, "late", {late}, "advised");
+    this->run_for(milliseconds(300));
+    ASSERT_FALSE(named["in time"].empty());
+    ASSERT_FALSE(named["late"].empty());
+    for (const auto& name : named["in time"])
+        EXPECT_FALSE(named["late"].contains(name)) << name;
+}
+
+// One look for each end, however long the store takes to record it.
+TEST_F(coordinator_load_test, looks_follow_ends_and_not_each_other)
+{
+    this->targets.add("t1", 8000).work = milliseconds(100);
+    auto& first = this->elect("vm-1");
+    this->targets.looks = 0;
+    for (int number = 0; number < 20; ++number) {
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
+        this->run_for(milliseconds(60));
+    }
+    this->run_for(milliseconds(300));
+    EXPECT_LE(this->targets.looks, 45) << "20 ends were listed";
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -228,7 +228,7 @@
     const auto& spec = owner.record.spec.steps[number];
     const auto& memory = owner.steps[number].advice;
     std::vector<step_candidate> found;
-    const int order = gang_order(owner, number);
+    const int order = owner.gang_order(number);
     const auto with_room = std::ranges::lower_bound(this->open_room, spec.need.processors_milli, {},
                                                     &std::pair<std::int64_t, fleet_target*>::first);
     this->around.count.add("targets_weighed", std::distance(with_room, this->open_room.end()));
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -0,0 +1,322 @@
+// Losses: of coordinators, targets, answers and the store.
+
+#include "coordinator/target_session.h"
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_recovery_test : public coordinator_fixture {};
+
+// A gang's second end, or one of a workflow whose end was on its way to the store, used to be
+// acknowledged at once; a coordinator that died then left neither record nor end.
+TEST_F(coordinator_recovery_test, no_end_is_acknowledged_before_what_follows_from_it_is_kept)
+{
+    this->targets.add("t1", 4000).work = milliseconds(0);
+    this->targets.add("t2", 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "gang", {this->tasks(2, 4, true)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("gang"), 2);
+    this->store.down = true;
+    this->targets.end_all("t1", target_view::ending::done);
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    this->store.down = false;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->state(second, "gang"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+TEST_F(coordinator_recovery_test, a_successor_adopts_what_runs_and_starts_nothing_twice)
+{
+    for (const auto* name : {"t1", "t2", "t3"})
+        this->targets.add(name, 8000).work = milliseconds(900);
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < 6; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(3, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->targets.starts, 18);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(1200));
+    for (int number = 0; number < 6; ++number)
+        EXPECT_EQ(this->state(second, "w" + std::to_string(number)), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 18);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+TEST_F(coordinator_recovery_test, only_tasks_that_may_be_on_a_silent_target_wait_for_it)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "placed", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    this->submit(first, "queued", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    this->targets.targets["t1"]->silent = true;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("queued"), 1);
+    EXPECT_EQ(this->targets.starts, 3);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+    EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
+}
+
+// Placements of an earlier life of a target used to be taken for those of its present one.
+TEST_F(coordinator_recovery_test, a_silent_target_that_was_reborn_before_is_waited_for)
+{
+    auto& reborn = this->targets.add("t1", 1000);
+    reborn.work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    reborn.running.clear();
+    reborn.report.born_ms = 2;
+    this->targets.tell_list();
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("w"), 2);
+    this->targets.add("t3", 1000).work = milliseconds(0);
+    reborn.silent = true;
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 2);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// Looks that got no answer used to go on naming a later end of the lease, which so never came.
+TEST_F(coordinator_recovery_test,
+       tasks_of_a_target_that_is_gone_run_again_once_their_lease_has_lapsed)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    auto& gone = *this->targets.targets["t1"];
+    gone.silent = true;
+    gone.running.clear();
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    this->targets.tell_list();
+    this->run_for(milliseconds(700));
+    EXPECT_EQ(this->targets.running("w"), 0) << "before the lease can have lapsed";
+    this->run_for(milliseconds(4000));
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
+// The end of a run thought lost comes while its next run has a place and was not ordered yet.
+// Giving that place up counted the finished task as waiting.
+TEST_F(coordinator_recovery_test, a_late_end_of_a_task_that_has_its_next_place_finishes_it)
+{
+    auto& lost = this->targets.add("t1", 1000);
+    lost.work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(lost.running.size(), 1);
+    const auto [task, run] = *lost.running.begin();
+    lost.silent = true;
+    lost.running.clear();
+    lost.ended = {{1, task, run, target_view::ending::done, {}}};
+    lost.last_end = 1;
+    this->targets.add("t3", 1000).work = milliseconds(0);
+    this->targets.tell_list();
+    this->run_for(milliseconds(1000));
+    constexpr int held_back = 5;
+    this->store.transactions_late = held_back;
+    while (this->store.transactions_late == held_back)
+        this->run_for(milliseconds(1));
+    lost.silent = false;
+    this->run_for(milliseconds(4000));
+    EXPECT_EQ(first.count.value("waiting_miscounted"), 0);
+    EXPECT_EQ(this->targets.starts, 2);
+    this->targets.end_all("t2", target_view::ending::done);
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
+// One member of a gang has told its end; the start of another was never confirmed. The order to
+// start it used to be given again from the workflow's steps, which are dropped when it ends.
+TEST_F(coordinator_recovery_test, an_unconfirmed_start_is_not_repeated_after_its_workflow_has_ended)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& unsure = this->targets.add("t2", 2000);
+    unsure.work = milliseconds(0);
+    unsure.loses_answer = [](const start_order& order) { return order.task.workflow == "gang"; };
+    unsure.order_delay = milliseconds(150);
+    auto& first = this->elect("vm-1");
+    auto members = this->tasks(2, 1, true);
+    members.max_per_target = 1;
+    this->submit(first, "gang", {members});
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("gang"), 2);
+    this->targets.end_all("t1", target_view::ending::done);
+    this->run_for(milliseconds(130));
+    ASSERT_EQ(this->state(first, "gang"), workflow_state::completed);
+    // Its answer makes the target reachable again, and says nothing of the other order.
+    this->submit(first, "other", {this->tasks(2, 1)});
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.running("gang"), 0);
+    EXPECT_EQ(this->targets.starts, 4);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// A failed run whose end was recorded but not acknowledged used to count again after a hand-over.
+TEST_F(coordinator_recovery_test, a_failed_run_counts_once_for_all_coordinators)
+{
+    auto& target = this->targets.add("t1", 4000);
+    target.work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    this->targets.end_all("t1", target_view::ending::failed);
+    // The record is kept, and the process is gone before its next look acknowledges the end.
+    const auto kept = [this] {
+        return this->store.items.lower_bound("v/e/") != this->store.items.lower_bound("v/e0");
+    };
+    while (!kept())
+        this->run_for(milliseconds(1));
+    const auto ended = target.ended;
+    this->kill(first);
+    target.ended = ended;
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(200));
+    for (int again = 0; again < 1; ++again) {
+        this->targets.end_all("t1", target_view::ending::failed);
+        this->run_for(milliseconds(400));
+    }
+    EXPECT_EQ(this->state(second, "w"), workflow_state::running);
+}
+
+// A slow store kept nothing of two failures; their ends come from two targets, the later run first.
+TEST_F(coordinator_recovery_test, failed_runs_count_in_whatever_order_their_ends_are_listed)
+{
+    this->configuration->queues[0].attempts = 2;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    this->kill(first);
+    const task_name task{"w", 0, 0, 0};
+    auto& earlier = this->targets.add("t1", 0);
+    auto& later = this->targets.add("t2", 0);
+    earlier.ended = {{1, task, 1, target_view::ending::failed, {}}};
+    later.ended = {{1, task, 2, target_view::ending::failed, {}}};
+    earlier.silent = true;
+    timer heard(this->loop, [&earlier] { earlier.silent = false; });
+    heard.start_once(milliseconds(400));
+    auto& second = this->elect("vm-2");
+    EXPECT_EQ(this->state(second, "w"), workflow_state::running);
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(second, "w"), workflow_state::failed);
+}
+
+// A submission taken back while the store was away used to leave its placed tasks behind.
+TEST_F(coordinator_recovery_test, submissions_are_refused_truly_while_the_store_is_away)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    first.members_here = true; // so that it stays while the store is away
+    this->store.down = true;
+    this->submit(first, "sent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    for (int number = 0; number < 5; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(2, 1)});
+    this->run_for(milliseconds(1000));
+    for (int number = 0; number < 5; ++number)
+        EXPECT_EQ(this->outcomes["w" + std::to_string(number)], call_outcome::refused);
+    EXPECT_FALSE(this->outcomes.contains("sent"));
+    this->store.down = false;
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->outcomes["sent"], call_outcome::accepted);
+    EXPECT_EQ(this->targets.starts, 1);
+}
+
+// Room kept for a gang on a target that then started again was given back to its new life, which
+// had kept none: it counted as having more room than it has.
+TEST_F(coordinator_recovery_test,
+       room_kept_on_an_earlier_life_of_a_target_is_not_given_back_to_the_next)
+{
+    this->configuration->queues.push_back({.name = "advised",
+                                           .pool = "pool",
+                                           .priority = 1,
+                                           .attempts = 3,
+                                           .latency_objective = milliseconds(5000),
+                                           .needs_advice = true,
+                                           .advice_base_ms = 1,
+                                           .advice_target_ms = 1});
+    for (const auto* name : {"t1", "t2", "t3", "t4"})
+        this->targets.add(name, 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    std::vector<std::pair<advice_question, advice_desk::answer_callback>> open;
+    first.duty->advisors().add_vm(
+        "vm-1", [&open](const advice_question& question, milliseconds,
+                        advice_desk::answer_callback done) { open.emplace_back(question, done); });
+    const auto answer = [&open](std::int64_t valid_ms) {
+        const auto [question, done] = open.back();
+        open.clear();
+        advice_answer told{.answered = true, .valid_ms = valid_ms};
+        for (const auto& name : question.targets)
+            told.granted.push_back({name, "ticket"});
+        done(told);
+    };
+    this->submit(first, "gang", {this->tasks(2, 3, true)}, "advised");
+    this->run_for(milliseconds(100));
+    ASSERT_FALSE(open.empty());
+    answer(1); // lapsed at once: room is kept while it is asked again
+    this->run_for(milliseconds(100));
+    ASSERT_FALSE(open.empty());
+    for (const auto* name : {"t1", "t2", "t3", "t4"})
+        this->targets.start_again(name);
+    this->run_for(milliseconds(100));
+    answer(10'000);
+    this->run_for(milliseconds(600));
+    this->submit(first, "other", {this->tasks(20, 1)});
+    this->run_for(milliseconds(500));
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+    EXPECT_EQ(this->targets.running("gang"), 2);
+    EXPECT_EQ(this->targets.running("other"), 10);
+}
+
+// Load pattern: tasks on some targets stand still, while those still answer.
+TEST_F(coordinator_recovery_test, a_run_that_stands_still_is_stopped_and_runs_elsewhere)
+{
+    this->targets.add("t1", 1000).stands_still = true;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000);
+    this->targets.tell_list();
+    this->run_for(milliseconds(3500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2);
+    this->submit(first, "next", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->state(first, "next"), workflow_state::completed) << "not on the same target";
+}
+
+TEST_F(coordinator_recovery_test, a_run_that_makes_progress_is_left_alone)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(4500));
+    EXPECT_EQ(this->targets.starts, 1);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -265,11 +265,9 @@
         placed.started_at = boot_time();
     placed.started = true;
     this->note_percent(target, row, placed);
-    if (placed.owner != nullptr && !row.checkpoint.empty() && !is_final(placed.owner->state)) {
-        auto& step = placed.owner->steps[row.task.step];
-        step.tasks[row.task.index].checkpoint = row.checkpoint;
-        step.tasks[row.task.index].checkpoint_run = row.run;
-    }
+    if (placed.owner != nullptr && !is_final(placed.owner->state))
+        placed.owner->steps[row.task.step].tasks[row.task.index].note_checkpoint(row.checkpoint,
+                                                                                 row.run);
 }
 
 void coordinator::note_percent(fleet_target& target, const target_view::running_task& row,
@@ -351,10 +349,7 @@
     task.at = workflow_task::phase::placed;
     task.target = &target;
     task.run = std::max(task.run, row.run);
-    if (!row.checkpoint.empty()) {
-        task.checkpoint = row.checkpoint;
-        task.checkpoint_run = row.run;
-    }
+    task.note_checkpoint(row.checkpoint, row.run);
     if (unseen)
         this->teams.clear(owner->record.team, placed.need);
     else if (--step.waiting == 0)
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -31,6 +31,15 @@
     std::int64_t checkpoint_run = 0; ///< that has told the checkpoint
     fleet_target* target = nullptr;  ///< while placed
     std::uint32_t unseen_places = 0; ///< while unseen: lives of targets to hear from
+
+    /// Note what @p told_by has saved; nothing when it is empty.
+    void note_checkpoint(const std::string& saved, std::int64_t told_by)
+    {
+        if (saved.empty())
+            return;
+        this->checkpoint = saved;
+        this->checkpoint_run = told_by;
+    }
 };
 
 /// What the advisor has said of one target for one step.
@@ -86,6 +95,13 @@
         return this->priority == 0;
     }
 
+    /// @return where a gang stands among gangs; lower ones take room first
+    [[nodiscard]] int gang_order(std::uint32_t step) const
+    {
+        constexpr int ranks = 16; // more than there are within a priority
+        return this->priority * ranks + this->steps[step].rank;
+    }
+
     std::uint32_t placed = 0;                          ///< tasks on targets
     std::vector<std::uint64_t> stored_waiters;         ///< open replies to close once it is kept
     std::vector<placement_entry> starts_waiting;       ///< sent once its record is kept
--- /dev/null
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -0,0 +1,59 @@
+#include "testing/coordinating_process.h"
+
+#include "coordination/commit_chain.h"
+#include "coordinator/target_session.h"
+#include "loop/event_loop.h"
+#include "testing/fake_store.h"
+#include "testing/fake_targets.h"
+#include "timeline/event_log.h"
+
+namespace verbenalever {
+
+coordinating_process::coordinating_process(event_loop& loop, fake_store& store,
+                                           fake_targets& targets, target_directory& directory,
+                                           std::shared_ptr<const fleet_configuration> configuration,
+                                           const event_log& log, const std::string& vm,
+                                           std::function<void(coordinator&)> prepare)
+    : loop(loop), store(store), targets(targets), directory(directory),
+      configuration(std::move(configuration)), log(log), prepare(std::move(prepare)),
+      former_timer(loop, [this] { this->former.reset(); }),
+      office(
+          loop, store, log, "v/", {vm, "127.0.0.1:1", {}},
+          {.won = [this](std::int64_t term, commit_chain& chain) { this->coordinate(term, chain); },
+           .lost = [this] { this->resign(); },
+           .changed = [](const std::optional<coordinator_record>&) {},
+           .coordinator_heard = [] { return false; },
+           .courtesy = [] { return milliseconds(0); }})
+{
+    this->office.start();
+}
+
+coordinating_process::~coordinating_process() = default;
+
+void coordinating_process::coordinate(std::int64_t term, commit_chain& chain)
+{
+    this->duty = std::make_unique<coordinator>(
+        coordinator::environment{.loop = this->loop,
+                                 .store = this->store,
+                                 .orders = this->targets,
+                                 .directory = this->directory,
+                                 .log = this->log,
+                                 .count = this->count,
+                                 .prefix = "v/",
+                                 .task_lease = milliseconds(1500),
+                                 .finished_rest = milliseconds(60'000),
+                                 .members_complete = [this] { return this->members_here; },
+                                 .forget_members = [](milliseconds) {}},
+        this->office, chain, term, this->configuration);
+    if (this->prepare)
+        this->prepare(*this->duty);
+    this->duty->begin();
+}
+
+void coordinating_process::resign()
+{
+    this->former = std::move(this->duty);
+    this->former_timer.start_once(milliseconds(0));
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "coordination/leadership.h"
+#include "coordinator/coordinator.h"
+#include "loop/timer.h"
+#include "ports/fleet_configuration.h"
+#include "timeline/counters.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace verbenalever {
+
+class event_log;
+class event_loop;
+class fake_store;
+class fake_targets;
+
+/// A process that coordinates once it is elected, in memory. For tests.
+class coordinating_process {
+public:
+    /// @param directory the platform's list as this process sees it
+    /// @param prepare   called with each new duty before it begins
+    coordinating_process(event_loop& loop, fake_store& store, fake_targets& targets,
+                         target_directory& directory,
+                         std::shared_ptr<const fleet_configuration> configuration,
+                         const event_log& log, const std::string& vm,
+                         std::function<void(coordinator&)> prepare = {});
+    ~coordinating_process();
+    coordinating_process(const coordinating_process&) = delete;
+    coordinating_process& operator=(const coordinating_process&) = delete;
+
+    counters count;
+    std::unique_ptr<coordinator> duty;
+    bool members_here = false; ///< all other entries are connected to it
+
+private:
+    void coordinate(std::int64_t term, commit_chain& chain);
+    void resign();
+
+    event_loop& loop;
+    fake_store& store;
+    fake_targets& targets;
+    target_directory& directory;
+    std::shared_ptr<const fleet_configuration> configuration;
+    const event_log& log;
+    std::function<void(coordinator&)> prepare;
+    std::unique_ptr<coordinator> former; ///< kept until its callers have returned
+    timer former_timer;
+
+public:
+    leadership office;
+};
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "loop/event_loop.h"
+#include "testing/coordinating_process.h"
+#include "testing/fake_store.h"
+#include "testing/fake_targets.h"
+#include "timeline/event_log.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// Processes, targets and a store in memory, with an urgent and a slow queue and one team.
+class coordinator_fixture : public testing::Test {
+protected:
+    using process = coordinating_process;
+
+    coordinator_fixture()
+    {
+        auto made = std::make_shared<fleet_configuration>();
+        made->version = 1;
+        made->queues.push_back({.name = "urgent",
+                                .pool = "pool",
+                                .priority = 0,
+                                .attempts = 3,
+                                .latency_objective = milliseconds(5000)});
+        made->queues.push_back({.name = "slow", .pool = "pool", .priority = 2, .attempts = 3});
+        made->teams.push_back({.name = "team", .keys = {}, .weight = 1, .limit = {}});
+        this->configuration = made;
+    }
+
+    void run_for(milliseconds span)
+    {
+        timer end(this->loop, [this] { this->loop.stop(); });
+        end.start_once(span);
+        this->loop.run();
+    }
+
+    /// Start a process and wait until it coordinates.
+    process& elect(const std::string& vm)
+    {
+        this->processes.push_back(std::make_unique<process>(this->loop, this->store, this->targets,
+                                                            this->targets, this->configuration,
+                                                            this->log, vm));
+        this->run_for(milliseconds(300));
+        EXPECT_NE(this->processes.back()->duty, nullptr);
+        return *this->processes.back();
+    }
+
+    /// The process is gone at once, and its lease with it.
+    void kill(process& gone)
+    {
+        std::erase_if(this->processes, [&gone](const auto& one) { return one.get() == &gone; });
+        this->store.expire(this->store.leases_of["v/leader"]);
+    }
+
+    static step_spec tasks(std::uint32_t count, std::int64_t cores, bool gang = false)
+    {
+        return {.count = count,
+                .need = {.processors_milli = cores * 1000, .memory_mb = 100},
+                .estimated_ms = 50,
+                .gang = gang};
+    }
+
+    void submit(process& to, const std::string& id, std::vector<step_spec> steps,
+                const std::string& queue = "urgent")
+    {
+        this->targets.need_of[id] = steps.front().need;
+        to.duty->submit({id, queue, "team", {.payload = "p", .steps = std::move(steps)}},
+                        [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
+    }
+
+    workflow_state state(process& of, const std::string& id)
+    {
+        workflow_state found = workflow_state::queued;
+        of.duty->status(id, [&found](call_outcome, workflow_state now) { found = now; });
+        return found;
+    }
+
+    event_loop loop;
+    fake_store store{this->loop};
+    fake_targets targets{this->loop};
+    event_log log{"test"};
+    std::shared_ptr<fleet_configuration> configuration;
+    std::map<std::string, call_outcome> outcomes;
+    std::vector<std::unique_ptr<process>> processes;
+};
+
+} // namespace verbenalever
