A late end of a gang gives up the places of its next run

A gang whose target falls silent is lost and placed again; when the end of the earlier run is told after all, all members count as done. Only the member named in the end gave its next place up. The others lost their target and stayed in its table: when the store had kept their places, they were ordered from the steps of a workflow that had ended, and these are cleared. Ruled out: a use of a dropped target (every callback is guarded by its session), and the log of placements of an earlier life. Change: every member whose next run is not the one that ended gives its place up; starts of ended workflows are never sent, and an order whose run is gone is not repeated. Before: a_late_end_of_a_gang_gives_up_the_places_of_its_next_run ended the process. After: it passes, with the 66 tests of the coordinator.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -76,6 +76,8 @@
         std::function<bool()> members_complete;
         /// Members that left before this boot time are not missed any more.
         std::function<void(milliseconds)> forget_members;
+        /// Told how many targets there are.
+        std::function<void(std::size_t)> fleet_sized = [](std::size_t) {};
     };
 
     coordinator(environment surroundings, leadership& office, commit_chain& chain,
@@ -147,7 +149,7 @@
 
     // Ends of runs (coordinator_ends.cpp).
     bool take_end(fleet_target& target, const target_view::ended_task& end);
-    bool task_done(workflow& owner, const task_name& task);
+    bool task_done(workflow& owner, const task_name& task, std::int64_t run);
     bool task_failed(workflow& owner, const task_name& task, std::int64_t run);
     bool remove_run(fleet_target& target, const task_name& task);
     void back_to_waiting(workflow& owner, const task_name& task);
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -81,7 +81,7 @@
         task.note_checkpoint(end.checkpoint, end.run);
         if (end.how == target_view::ending::done) {
             target.note_success();
-            changed = this->task_done(*owner, end.task);
+            changed = this->task_done(*owner, end.task, end.run);
         }
         else {
             if (end.how == target_view::ending::failed) {
@@ -131,7 +131,7 @@
     return found->second.get();
 }
 
-bool coordinator::task_done(workflow& owner, const task_name& name)
+bool coordinator::task_done(workflow& owner, const task_name& name, std::int64_t run)
 {
     auto& step = owner.steps[name.step];
     const auto& spec = owner.record.spec.steps[name.step];
@@ -146,11 +146,13 @@
         task.at = workflow_task::phase::done;
         ++step.done;
         auto* elsewhere = std::exchange(task.target, nullptr);
-        if (index != name.index || elsewhere == nullptr)
+        if (elsewhere == nullptr)
             return true;
-        // It has ended while another run of it has a place elsewhere.
+        // It has ended while another run of it has a place elsewhere. The members of a gang that
+        // ran with the one that told the end list their own.
         const task_name other{name.workflow, name.occurrence, name.step, index};
-        if (const auto found = elsewhere->tasks.find(other); found != elsewhere->tasks.end())
+        if (const auto found = elsewhere->tasks.find(other);
+            found != elsewhere->tasks.end() && (index == name.index || found->second.run != run))
             this->stop_run(*elsewhere, other, found->second.run);
         return true;
     };
--- a/src/libverbenalever/coordinator/coordinator_reclaim.cpp
+++ b/src/libverbenalever/coordinator/coordinator_reclaim.cpp
@@ -130,7 +130,10 @@
 void coordinator::reclaim_run(fleet_target& target, const task_name& task, const workflow& by,
                               std::string_view reason)
 {
-    const auto& placed = target.tasks.at(task);
+    const auto found = target.tasks.find(task);
+    if (found == target.tasks.end())
+        return; // it has ended while others were reclaimed
+    const auto& placed = found->second;
     this->around.count.add("runs_reclaimed");
     this->around.log.write("coordinator", "run_reclaimed",
                            {{"workflow", task.workflow},
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -78,6 +78,10 @@
         if (found == target->tasks.end() || found->second.run != entry.run || found->second.ordered)
             continue;
         auto& owner = *found->second.owner;
+        if (is_final(owner.state)) {
+            this->stop_run(*target, entry.task(), entry.run);
+            continue;
+        }
         if (!owner.stored) {
             // Its place was kept before it was: a batch may stand before the record in the chain.
             owner.starts_waiting.push_back(entry);
@@ -96,7 +100,11 @@
 
 void coordinator::send_start(fleet_target& target, const task_name& name)
 {
-    auto& placed = target.tasks.at(name);
+    const auto found = target.tasks.find(name);
+    if (found == target.tasks.end() || found->second.owner == nullptr ||
+        is_final(found->second.owner->state))
+        return;
+    auto& placed = found->second;
     const auto& owner = *placed.owner;
     const auto& step = owner.steps[name.step];
     const bool gang = owner.record.spec.steps[name.step].gang;
