Orders to targets go through relays in the targets' zones; stacks of crashes without system calls that are filtered

Weighed: coordinators for parts of the fleet (room, limits and shares divided; gangs of 240 tasks need more than a zone's part has) against hands for one mind. The second keeps one view of room and limits. Change: relayed_orders carries orders through a strong VM of the target's zone, chosen by rendezvous hashing; order_relay carries them out. Fleets of up to 100 targets are spoken to directly. A relay that is lost or silent is passed over, and its orders go through the next: every order may be given twice. A relay that was paused carries out nothing that waited for it. Also: a crash's stack is written with the C library's unwinder; the handler used before ended itself where system calls are filtered.

--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -19,9 +19,10 @@
     double strongest_share = 0; ///< largest share of any VM that it knows of
     bool store_answers = false; ///< whether its last call to the store was answered
     bool coordinating = false;
+    bool leaving = false; ///< it stops soon and carries no orders any more
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms, processor_share,
-                   strongest_share, store_answers, coordinating)
+                   strongest_share, store_answers, coordinating, leaving)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -36,6 +36,7 @@
 void coordinator::take_directory(const std::vector<target_report>& reports)
 {
     this->reports = reports;
+    this->around.fleet_sized(reports.size());
     if (!this->loaded)
         return;
     for (auto& [name, target] : this->targets)
@@ -64,8 +65,8 @@
     auto& target = *added;
     target.session = std::make_unique<target_session>(
         this->around.loop, this->around.orders,
-        target_life{report.name, report.born_ms, report.address}, this->term,
-        this->around.task_lease,
+        target_life{report.name, report.born_ms, report.address, report.availability_zone},
+        this->term, this->around.task_lease,
         target_session::callbacks{
             .may_extend = [this] { return this->may_extend_leases(); },
             .viewed = [this, &target](const target_view& view,
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -44,6 +44,7 @@
           {.joined =
                [this](const member_greeting& member) {
                    this->add_advisor(member.vm);
+                   this->take_heartbeat(member);
                    this->log.write(
                        "coordination", "member_joined",
                        {{"vm", member.vm}, {"processor_share", member.processor_share}});
@@ -52,16 +53,14 @@
                [this](const std::string& vm) {
                    this->member_shares.erase(vm);
                    this->member_lags.erase(vm);
+                   this->orders.remove_relay(vm);
                    if (this->duty)
                        this->duty->advisors().remove_vm(vm);
                    this->log.write("coordination", "member_left", {{"vm", vm}});
                },
            .heartbeat =
                [this](const member_greeting& member) {
-                   this->member_lags[member.vm] = member.lag_ms;
-                   // One that cannot reach the store could not take over.
-                   this->member_shares[member.vm] =
-                       member.store_answers ? member.processor_share : 0;
+                   this->take_heartbeat(member);
                    this->spread(member.configuration_revision, this->hub.find(member.vm));
                },
            .take =
@@ -92,6 +91,19 @@
                         this->office.refresh();
                 },
             .refused = [this] { this->office.replace_coordinator(); }}),
+      relay(loop, outside.orders, count),
+      orders({.loop = loop,
+              .direct = outside.orders,
+              .count = count,
+              .log = log,
+              .call =
+                  [this](const std::string& vm, peer_topic topic, std::string payload,
+                         milliseconds timeout, relayed_orders::reply_callback done) {
+                      auto* channel = this->hub.find(vm);
+                      if (channel != nullptr)
+                          channel->call(topic, std::move(payload), timeout, std::move(done));
+                      return channel != nullptr;
+                  }}),
       office(loop, outside.store, log, this->own.key_prefix,
              {.vm = this->own.vm, .address = this->own.peer.text(), .tenure = {}},
              {.won = [this](std::int64_t term, commit_chain& chain) { this->won(term, chain); },
@@ -155,10 +167,21 @@
 
 std::string cluster_entry::greeting() const
 {
-    return pack_message(member_greeting{this->own.vm, this->own.availability_zone,
-                                        this->configuration->revision, this->lag.lag().count(),
-                                        this->own.processor_share, this->strongest_share(),
-                                        this->office.store_answers(), this->duty != nullptr});
+    return pack_message(
+        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision,
+                        this->lag.lag().count(), this->own.processor_share, this->strongest_share(),
+                        this->office.store_answers(), this->duty != nullptr, this->retired});
+}
+
+void cluster_entry::take_heartbeat(const member_greeting& member)
+{
+    this->member_lags[member.vm] = member.lag_ms;
+    // One that cannot reach the store could not take over.
+    this->member_shares[member.vm] = member.store_answers ? member.processor_share : 0;
+    if (member.leaving)
+        this->orders.remove_relay(member.vm);
+    else
+        this->orders.put_relay(member.vm, member.availability_zone, member.processor_share);
 }
 
 void cluster_entry::hear_coordinator(const member_greeting& greeting)
@@ -202,7 +225,7 @@
         coordinator::environment{
             .loop = this->loop,
             .store = this->outside.store,
-            .orders = this->outside.orders,
+            .orders = this->orders,
             .directory = this->outside.directory,
             .log = this->log,
             .count = this->count,
@@ -210,7 +233,8 @@
             .task_lease = this->own.task_lease,
             .finished_rest = this->own.finished_rest,
             .members_complete = [this] { return this->hub.complete(); },
-            .forget_members = [this](milliseconds when) { this->hub.forget_lost(when); }},
+            .forget_members = [this](milliseconds when) { this->hub.forget_lost(when); },
+            .fleet_sized = [this](std::size_t targets) { this->orders.set_fleet_size(targets); }},
         this->office, chain, term, this->configuration);
     this->add_advisor(this->own.vm);
     this->hub.each([this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -7,6 +7,8 @@
 #include "gateway/workflow_gateway.h"
 #include "loop/endpoint.h"
 #include "loop/lag_meter.h"
+#include "order_relay/order_relay.h"
+#include "order_relay/relayed_orders.h"
 
 #include <absl/status/status.h>
 
@@ -113,6 +115,7 @@
     void won(std::int64_t term, commit_chain& chain);
     void lost();
     void add_advisor(const std::string& vm);
+    void take_heartbeat(const member_greeting& member);
     void spread(std::int64_t revision, peer_channel* to);
     [[nodiscard]] std::string greeting() const;
 
@@ -124,6 +127,8 @@
     std::shared_ptr<const fleet_configuration> configuration;
     member_hub hub;
     coordinator_link link;
+    order_relay relay;     ///< for whoever coordinates
+    relayed_orders orders; ///< while this process coordinates
     leadership office;
     std::unique_ptr<coordinator> duty;
     std::unique_ptr<coordinator> former_duty; ///< kept until its callers have returned
--- a/src/libverbenalever/daemon/cluster_entry_serve.cpp
+++ b/src/libverbenalever/daemon/cluster_entry_serve.cpp
@@ -26,6 +26,8 @@
         this->outside.operators.absorb(payload);
         return;
     }
+    if (this->relay.take(topic, payload, reply))
+        return;
     if (!reply)
         return;
     if (topic == peer_topic::advise) {
--- /dev/null
+++ b/src/libverbenalever/loop/crash_handler_test.cpp
@@ -0,0 +1,21 @@
+#include "loop/crash_handler.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace verbenalever {
+namespace {
+
+// A crash used to be reported by a handler that itself ended before it had written the stack.
+TEST(crash_handler, a_crash_ends_the_process_by_its_signal_and_leaves_a_stack)
+{
+    const auto crash = [] {
+        install_crash_handler("/proc/self/exe");
+        static_cast<void>(std::raise(SIGSEGV));
+    };
+    EXPECT_EXIT(crash(), testing::KilledBySignal(SIGSEGV), "signal 11\ncrash: at 0x[0-9a-f]+");
+}
+
+} // namespace
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/order_relay/order_messages.cpp
@@ -0,0 +1,70 @@
+#include "order_relay/order_messages.h"
+
+namespace verbenalever {
+
+relayed_head relayed_head_of(const target_life& target, const order_authority& authority,
+                             milliseconds timeout)
+{
+    return {.target = target.name,
+            .born_ms = target.born_ms,
+            .address = target.address.text(),
+            .fencing_token = authority.fencing_token,
+            .lease_until_ms = authority.lease_until_ms,
+            .timeout_ms = timeout.count()};
+}
+
+relayed_task relayed_task_of(const task_name& task)
+{
+    return {task.workflow, task.occurrence, task.step, task.index};
+}
+
+task_name task_of(const relayed_task& task)
+{
+    return {task.workflow, task.occurrence, task.step, task.index};
+}
+
+relayed_result relayed_result_of(const order_result& result)
+{
+    return {static_cast<int>(result.how), result.clock_ms};
+}
+
+order_result result_of(const relayed_result& result)
+{
+    constexpr int last = static_cast<int>(order_result::outcome::unknown);
+    if (result.how < 0 || result.how > last)
+        return {};
+    return {.how = static_cast<order_result::outcome>(result.how), .clock_ms = result.clock_ms};
+}
+
+relayed_view relayed_view_of(const target_view& view)
+{
+    relayed_view packed{.result = relayed_result_of(view.result)};
+    packed.running.reserve(view.running.size());
+    for (const auto& row : view.running)
+        packed.running.push_back({relayed_task_of(row.task), row.run, row.checkpoint, row.percent});
+    packed.ended.reserve(view.ended.size());
+    for (const auto& end : view.ended)
+        packed.ended.push_back({end.number, relayed_task_of(end.task), end.run,
+                                static_cast<int>(end.how), end.checkpoint});
+    return packed;
+}
+
+target_view view_of(const relayed_view& view)
+{
+    constexpr int last = static_cast<int>(target_view::ending::unrecognised);
+    target_view read{.result = result_of(view.result)};
+    read.running.reserve(view.running.size());
+    for (const auto& row : view.running)
+        read.running.push_back({task_of(row.task), row.run, row.checkpoint, row.percent});
+    read.ended.reserve(view.ended.size());
+    for (const auto& end : view.ended) {
+        const bool known = end.how >= 0 && end.how <= last;
+        read.ended.push_back(
+            {end.number, task_of(end.task), end.run,
+             known ? static_cast<target_view::ending>(end.how) : target_view::ending::unrecognised,
+             end.checkpoint});
+    }
+    return read;
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/order_relay/order_relay.cpp
@@ -0,0 +1,108 @@
+#include "order_relay/order_relay.h"
+
+#include "loop/event_loop.h"
+#include "membership/message_codec.h"
+#include "order_relay/order_messages.h"
+#include "ports/target_orders.h"
+#include "timeline/counters.h"
+
+#include <absl/status/statusor.h>
+
+namespace verbenalever {
+
+namespace {
+
+/// @return the life that an order is meant for, or why its address cannot be read
+absl::StatusOr<target_life> life_of(const relayed_head& head)
+{
+    auto address = endpoint::parse(head.address);
+    if (!address.ok())
+        return address.status();
+    return target_life{.name = head.target, .born_ms = head.born_ms, .address = *address};
+}
+
+order_authority authority_of(const relayed_head& head)
+{
+    return {.fencing_token = head.fencing_token, .lease_until_ms = head.lease_until_ms};
+}
+
+std::string pack_refusal()
+{
+    return pack_message(relayed_result_of({.how = order_result::outcome::refused}));
+}
+
+} // namespace
+
+order_relay::order_relay(event_loop& loop, target_orders& orders, counters& count)
+    : orders(orders), count(count), pauses(loop)
+{
+}
+
+bool order_relay::take(peer_topic topic, std::string_view payload,
+                       const peer_channel::replier& reply)
+{
+    const bool order = topic == peer_topic::start_run || topic == peer_topic::stop_run ||
+                       topic == peer_topic::look_at_target;
+    if (!order || !reply)
+        return order;
+    if (this->pauses.paused_lately()) {
+        this->count.add("orders_dropped_after_pause");
+        return true;
+    }
+    if (topic == peer_topic::start_run)
+        this->start(payload, reply);
+    else if (topic == peer_topic::stop_run)
+        this->stop(payload, reply);
+    else
+        this->look(payload, reply);
+    return true;
+}
+
+void order_relay::start(std::string_view payload, const peer_channel::replier& reply)
+{
+    auto order = unpack_message<relayed_start>(payload);
+    const auto life = order.ok() ? life_of(order->head) : order.status();
+    if (!life.ok()) {
+        reply(pack_refusal());
+        return;
+    }
+    this->orders.start(*life, authority_of(order->head),
+                       {.task = task_of(order->task),
+                        .run = order->run,
+                        .payload = std::move(order->payload),
+                        .checkpoint = std::move(order->checkpoint),
+                        .ticket = std::move(order->ticket)},
+                       milliseconds(order->head.timeout_ms), [reply](const order_result& result) {
+                           reply(pack_message(relayed_result_of(result)));
+                       });
+}
+
+void order_relay::stop(std::string_view payload, const peer_channel::replier& reply)
+{
+    const auto order = unpack_message<relayed_stop>(payload);
+    const auto life = order.ok() ? life_of(order->head) : order.status();
+    if (!life.ok()) {
+        reply(pack_refusal());
+        return;
+    }
+    this->orders.stop(*life, authority_of(order->head), task_of(order->task), order->run,
+                      milliseconds(order->head.timeout_ms), [reply](const order_result& result) {
+                          reply(pack_message(relayed_result_of(result)));
+                      });
+}
+
+void order_relay::look(std::string_view payload, const peer_channel::replier& reply)
+{
+    const auto order = unpack_message<relayed_look>(payload);
+    const auto life = order.ok() ? life_of(order->head) : order.status();
+    if (!life.ok()) {
+        reply(pack_message(relayed_view{.result = {}, .running = {}, .ended = {}}));
+        return;
+    }
+    this->orders.look(
+        *life, authority_of(order->head), order->acknowledged, milliseconds(order->wait_ms),
+        milliseconds(order->head.timeout_ms),
+        [reply](const target_view& view) { reply(pack_message(relayed_view_of(view))); });
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/ports/task_order.h
+++ b/src/libverbenalever/ports/task_order.h
@@ -14,6 +14,7 @@
     std::string name;
     std::int64_t born_ms = 0;
     endpoint address;
+    std::string availability_zone;
 };
 
 /// Names one task of a workflow.
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -43,7 +43,8 @@
                                  .task_lease = milliseconds(1500),
                                  .finished_rest = milliseconds(60'000),
                                  .members_complete = [this] { return this->members_here; },
-                                 .forget_members = [](milliseconds) {}},
+                                 .forget_members = [](milliseconds) {},
+                                 .fleet_sized = [](std::size_t) {}},
         this->office, chain, term, this->configuration);
     if (this->prepare)
         this->prepare(*this->duty);
--- a/src/verbenaleverd/main.cpp
+++ b/src/verbenaleverd/main.cpp
@@ -1,11 +1,10 @@
 // The entry daemon: reads its settings and runs the library's entry_daemon.
 
+#include "loop/crash_handler.h"
 #include "platform/platform_daemon.h"
 #include "settings/yaml_file.h"
 #include "verbenalever/entry_daemon.h"
 
-#include <absl/debugging/failure_signal_handler.h>
-#include <absl/debugging/symbolize.h>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
@@ -65,12 +64,7 @@
 int main(int argc, char** argv)
 {
     // A fault of the program itself leaves its stack in the log.
-    absl::InitializeSymbolizer(argv[0]);
-    absl::InstallFailureSignalHandler({.symbolize_stacktrace = true,
-                                       .use_alternate_stack = true,
-                                       .alarm_on_failure_secs = 0,
-                                       .call_previous_handler = false,
-                                       .writerfn = nullptr});
+    verbenalever::install_crash_handler(argv[0]);
     gflags::SetVersionString(VERBENALEVER_VERSION);
     gflags::SetUsageMessage("verbenaleverd --settings FILE [--check]\n\n"
                             "Runs one entry of the cluster scheduler.");
