Configurations are sent once, to whoever stays behind; no start without a lease; orders that waited are dropped

Change: heartbeats carry a digest of the configuration; it is sent to a peer that has had another content for 700 ms, once, not while bytes to it wait. A start is ordered only when it can name an end of the lease. A relay drops an order that has been on its way for longer than its sender waits. Advice that was missed is asked for again after a doubling wait.

--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -14,15 +14,16 @@
     std::string vm;
     std::string availability_zone;
     std::int64_t configuration_revision = 0;
-    std::int64_t lag_ms = 0;    ///< how late its loop is
-    double processor_share = 0; ///< of one core, that its VM has
-    double strongest_share = 0; ///< largest share of any VM that it knows of
-    bool store_answers = false; ///< whether its last call to the store was answered
+    std::int64_t configuration_digest = 0; ///< of its content
+    std::int64_t lag_ms = 0;               ///< how late its loop is
+    double processor_share = 0;            ///< of one core, that its VM has
+    double strongest_share = 0;            ///< largest share of any VM that it knows of
+    bool store_answers = false;            ///< whether its last call to the store was answered
     bool coordinating = false;
     bool leaving = false; ///< it stops soon and carries no orders any more
 
-    MSGPACK_DEFINE(vm, availability_zone, configuration_revision, lag_ms, processor_share,
-                   strongest_share, store_answers, coordinating, leaving)
+    MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
+                   processor_share, strongest_share, store_answers, coordinating, leaving)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -12,6 +12,9 @@
 
 /// Wait before the advisor is asked again after it was busy.
 constexpr milliseconds advice_retry{15};
+/// After answers that did not come the wait doubles up to this: they show that the advisor, or the
+/// way to it, is loaded, and each question asked again loads it more.
+constexpr int longest_backoff = 32; // times advice_retry: half a second
 /// Answers about a step that weigh as much as the experience with its queue.
 constexpr double usual_weight = 8;
 /// Weight of one answer in the part of the targets that the advisor allows.
@@ -119,11 +122,15 @@
     step.asking = false;
     this->request_pass(milliseconds(0));
     if (!answer.answered) {
-        step.ask_after = boot_time() + advice_retry;
+        step.ask_after =
+            boot_time() +
+            advice_retry * std::min(longest_backoff, 1 << std::min(8, step.answers_missed));
+        ++step.answers_missed;
         this->around.log.write("coordinator", "advice_missed",
                                {{"workflow", id}, {"step", number}});
         return;
     }
+    step.answers_missed = 0;
     for (const auto& name : question.targets)
         step.advice.try_emplace(name);
     const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -328,6 +328,36 @@
     EXPECT_EQ(this->targets.running("other"), 10);
 }
 
+// A start without an end of the lease used to be sent to a target that had just fallen silent. Held
+// up on its way, it was carried out under a lease renewed later, when the task ran elsewhere.
+TEST_F(coordinator_recovery_test, no_start_is_ordered_without_a_lease)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    this->targets.add("t2", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    int without = 0;
+    this->targets.on_start_authority = [&without](const order_authority& authority) {
+        without += authority.lease_until_ms == 0 ? 1 : 0;
+    };
+    this->submit(first, "running", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    // Its place is kept slowly; meanwhile the target stops to answer.
+    constexpr int held_back = 2;
+    this->store.transactions_late = held_back;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->store.transactions_late == held_back)
+        this->run_for(milliseconds(1));
+    for (const auto* name : {"t1", "t2"})
+        this->targets.targets[name]->silent = true;
+    this->run_for(milliseconds(2500));
+    for (const auto* name : {"t1", "t2"})
+        this->targets.targets[name]->silent = false;
+    this->run_for(milliseconds(2500));
+    EXPECT_EQ(without, 0);
+    EXPECT_EQ(this->targets.running("w"), 1);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
 // Load pattern: tasks on some targets stand still, while those still answer.
 TEST_F(coordinator_recovery_test, a_run_that_stands_still_is_stopped_and_runs_elsewhere)
 {
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -92,6 +92,11 @@
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
+        if (!target->session->may_start()) {
+            // It has fallen silent while its place was being kept.
+            this->stop_run(*target, entry.task(), entry.run);
+            continue;
+        }
         found->second.ordered = true;
         this->send_start(*target, entry.task());
         target->session->want_looks(true);
@@ -102,7 +107,7 @@
 {
     const auto found = target.tasks.find(name);
     if (found == target.tasks.end() || found->second.owner == nullptr ||
-        is_final(found->second.owner->state))
+        is_final(found->second.owner->state) || !target.session->may_start())
         return;
     auto& placed = found->second;
     const auto& owner = *placed.owner;
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -69,7 +69,7 @@
 {
     order_authority result{.fencing_token = this->fencing_token};
     // A target that does not answer is told of no later end, so that the one it knows does come.
-    if (this->clock_ms == 0 || this->misses > 0 || !this->notify.may_extend())
+    if (!this->may_start())
         return result;
     const auto now = boot_time();
     result.lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count();
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -55,6 +55,13 @@
     void start(const start_order& order, target_orders::order_callback done);
     void stop(const task_name& task, std::int64_t run, target_orders::order_callback done);
 
+    /// @return whether an order can name an end of the lease. One without would be refused, or
+    /// carried out at any later time under a lease that was renewed since.
+    [[nodiscard]] bool may_start() const
+    {
+        return this->clock_ms != 0 && this->misses == 0 && this->notify.may_extend();
+    }
+
     /// @return whether the target has accepted this authority and told what runs there
     [[nodiscard]] bool held() const
     {
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -69,6 +69,7 @@
     std::vector<kept_room> reserved;
     bool asking = false;           ///< a question to the advisor is open
     milliseconds ask_after{0};     ///< boot time before which nothing is asked
+    int answers_missed = 0;        ///< in a row
     milliseconds ready_since{0};   ///< boot time; 0: its turn has not come
     bool listed = false;           ///< in the list of steps that are ready
     int rank = 0;                  ///< with which it is listed there, within its priority
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -54,6 +54,7 @@
                    this->member_shares.erase(vm);
                    this->member_lags.erase(vm);
                    this->orders.remove_relay(vm);
+                   this->snapshots.forget(vm);
                    if (this->duty)
                        this->duty->advisors().remove_vm(vm);
                    this->log.write("coordination", "member_left", {{"vm", vm}});
@@ -61,7 +62,7 @@
            .heartbeat =
                [this](const member_greeting& member) {
                    this->take_heartbeat(member);
-                   this->spread(member.configuration_revision, this->hub.find(member.vm));
+                   this->spread(member, this->hub.find(member.vm));
                },
            .take =
                [this](peer_topic topic, std::string_view payload, peer_channel::replier reply) {
@@ -91,7 +92,7 @@
                         this->office.refresh();
                 },
             .refused = [this] { this->office.replace_coordinator(); }}),
-      relay(loop, outside.orders, count),
+      relay(outside.orders, count),
       orders({.loop = loop,
               .direct = outside.orders,
               .count = count,
@@ -168,9 +169,16 @@
 std::string cluster_entry::greeting() const
 {
     return pack_message(
-        member_greeting{this->own.vm, this->own.availability_zone, this->configuration->revision,
-                        this->lag.lag().count(), this->own.processor_share, this->strongest_share(),
-                        this->office.store_answers(), this->duty != nullptr, this->retired});
+        member_greeting{.vm = this->own.vm,
+                        .availability_zone = this->own.availability_zone,
+                        .configuration_revision = this->configuration->revision,
+                        .configuration_digest = this->configuration->digest,
+                        .lag_ms = this->lag.lag().count(),
+                        .processor_share = this->own.processor_share,
+                        .strongest_share = this->strongest_share(),
+                        .store_answers = this->office.store_answers(),
+                        .coordinating = this->duty != nullptr,
+                        .leaving = this->retired});
 }
 
 void cluster_entry::take_heartbeat(const member_greeting& member)
@@ -187,7 +195,7 @@
 void cluster_entry::hear_coordinator(const member_greeting& greeting)
 {
     this->strongest_heard = greeting.strongest_share;
-    this->spread(greeting.configuration_revision, this->link.channel());
+    this->spread(greeting, this->link.channel());
     // A process that has started anew listens where the coordinator did. One that has just won may
     // say so a heartbeat late.
     constexpr int idle_limit = 2;
@@ -313,10 +321,16 @@
     });
 }
 
-void cluster_entry::spread(std::int64_t revision, peer_channel* to)
+void cluster_entry::spread(const member_greeting& heard, peer_channel* to)
 {
-    if (to != nullptr && revision < this->configuration->revision)
-        to->note(peer_topic::configuration, this->outside.operators.export_snapshot());
+    if (to == nullptr)
+        return;
+    const snapshot_state theirs{heard.configuration_revision, heard.configuration_digest};
+    const snapshot_state ours{this->configuration->revision, this->configuration->digest};
+    if (!this->snapshots.heard(heard.vm, theirs, ours, to->unsent(), boot_time()))
+        return;
+    this->log.write("configuration", "snapshot_sent", {{"vm", heard.vm}});
+    to->note(peer_topic::configuration, this->outside.operators.export_snapshot());
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -3,6 +3,7 @@
 #include "coordination/coordinator_link.h"
 #include "coordination/leadership.h"
 #include "coordination/member_hub.h"
+#include "coordination/snapshot_spread.h"
 #include "coordinator/coordinator.h"
 #include "gateway/workflow_gateway.h"
 #include "loop/endpoint.h"
@@ -116,7 +117,7 @@
     void lost();
     void add_advisor(const std::string& vm);
     void take_heartbeat(const member_greeting& member);
-    void spread(std::int64_t revision, peer_channel* to);
+    void spread(const member_greeting& heard, peer_channel* to);
     [[nodiscard]] std::string greeting() const;
 
     event_loop& loop;
@@ -127,7 +128,8 @@
     std::shared_ptr<const fleet_configuration> configuration;
     member_hub hub;
     coordinator_link link;
-    order_relay relay;     ///< for whoever coordinates
+    order_relay relay; ///< for whoever coordinates
+    snapshot_spread snapshots;
     relayed_orders orders; ///< while this process coordinates
     leadership office;
     std::unique_ptr<coordinator> duty;
--- a/src/libverbenalever/order_relay/order_messages.cpp
+++ b/src/libverbenalever/order_relay/order_messages.cpp
@@ -10,7 +10,8 @@
             .address = target.address.text(),
             .fencing_token = authority.fencing_token,
             .lease_until_ms = authority.lease_until_ms,
-            .timeout_ms = timeout.count()};
+            .timeout_ms = timeout.count(),
+            .sent_ms = boot_time().count()};
 }
 
 relayed_task relayed_task_of(const task_name& task)
--- a/src/libverbenalever/order_relay/order_messages.h
+++ b/src/libverbenalever/order_relay/order_messages.h
@@ -20,8 +20,9 @@
     std::int64_t fencing_token = 0;
     std::int64_t lease_until_ms = 0; ///< on the target's clock; 0: leave as it is
     std::int64_t timeout_ms = 0;     ///< for the target's answer
+    std::int64_t sent_ms = 0;        ///< boot time at the coordinator
 
-    MSGPACK_DEFINE(target, born_ms, address, fencing_token, lease_until_ms, timeout_ms)
+    MSGPACK_DEFINE(target, born_ms, address, fencing_token, lease_until_ms, timeout_ms, sent_ms)
 };
 
 /// Names a task in a relayed message.
--- a/src/libverbenalever/order_relay/order_relay.cpp
+++ b/src/libverbenalever/order_relay/order_relay.cpp
@@ -1,6 +1,5 @@
 #include "order_relay/order_relay.h"
 
-#include "loop/event_loop.h"
 #include "membership/message_codec.h"
 #include "order_relay/order_messages.h"
 #include "ports/target_orders.h"
@@ -33,9 +32,15 @@
 
 } // namespace
 
-order_relay::order_relay(event_loop& loop, target_orders& orders, counters& count)
-    : orders(orders), count(count), pauses(loop)
+order_relay::order_relay(target_orders& orders, counters& count) : orders(orders), count(count) {}
+
+bool order_relay::too_old(const relayed_head& head)
 {
+    const auto age = this->ages.age_of(head.fencing_token, milliseconds(head.sent_ms), boot_time());
+    if (age < milliseconds(head.timeout_ms))
+        return false;
+    this->count.add("orders_too_old");
+    return true;
 }
 
 bool order_relay::take(peer_topic topic, std::string_view payload,
@@ -45,10 +50,6 @@
                        topic == peer_topic::look_at_target;
     if (!order || !reply)
         return order;
-    if (this->pauses.paused_lately()) {
-        this->count.add("orders_dropped_after_pause");
-        return true;
-    }
     if (topic == peer_topic::start_run)
         this->start(payload, reply);
     else if (topic == peer_topic::stop_run)
@@ -66,6 +67,8 @@
         reply(pack_refusal());
         return;
     }
+    if (this->too_old(order->head))
+        return;
     this->orders.start(*life, authority_of(order->head),
                        {.task = task_of(order->task),
                         .run = order->run,
@@ -85,6 +88,8 @@
         reply(pack_refusal());
         return;
     }
+    if (this->too_old(order->head))
+        return;
     this->orders.stop(*life, authority_of(order->head), task_of(order->task), order->run,
                       milliseconds(order->head.timeout_ms), [reply](const order_result& result) {
                           reply(pack_message(relayed_result_of(result)));
@@ -99,6 +104,8 @@
         reply(pack_message(relayed_view{.result = {}, .running = {}, .ended = {}}));
         return;
     }
+    if (this->too_old(order->head))
+        return;
     this->orders.look(
         *life, authority_of(order->head), order->acknowledged, milliseconds(order->wait_ms),
         milliseconds(order->head.timeout_ms),
--- a/src/libverbenalever/order_relay/order_relay_test.cpp
+++ b/src/libverbenalever/order_relay/order_relay_test.cpp
@@ -36,8 +36,10 @@
         this->asked.push_back(vm);
         if (const auto found = this->failing.find(vm); found != this->failing.end())
             done(found->second);
-        else
+        else {
+            std::this_thread::sleep_for(this->way);
             this->relay.take(topic, payload, [done](std::string reply) { done(std::move(reply)); });
+        }
         return true;
     }
 
@@ -67,7 +69,8 @@
     event_log log{"test"};
     counters count;
     fake_targets targets{this->loop};
-    order_relay relay{this->loop, this->targets, this->count};
+    order_relay relay{this->targets, this->count};
+    milliseconds way{0}; ///< that a message takes to the relay
     std::vector<std::string> asked;
     std::map<std::string, absl::Status> failing;
     relayed_orders orders{
@@ -155,15 +158,25 @@
 
 // Fault: a relay is frozen and wakes with orders that have waited: their targets may have started
 // again meanwhile, and a new life of a target would carry them out.
-TEST_F(order_relay_test, a_relay_that_was_paused_carries_out_nothing_that_waited)
+TEST_F(order_relay_test, a_relay_carries_out_nothing_that_has_waited_too_long)
 {
-    this->run_for(milliseconds(300));
-    std::this_thread::sleep_for(pause_detector::longest_turn + milliseconds(100));
-    EXPECT_FALSE(this->start()) << "nothing is said of it either";
-    EXPECT_EQ(this->targets.starts, 0);
-    this->run_for(pause_detector::pause_memory + milliseconds(100));
     EXPECT_TRUE(this->start());
+    this->way = milliseconds(600); // the coordinator has waited 500 for the target
+    EXPECT_FALSE(this->start()) << "nothing is said of it either";
     EXPECT_EQ(this->targets.starts, 1);
+    this->way = milliseconds(100);
+    EXPECT_TRUE(this->start());
+    EXPECT_EQ(this->targets.starts, 2);
+}
+
+TEST(order_age, is_told_without_a_common_clock_and_begins_anew_with_each_coordinator)
+{
+    order_age ages;
+    const milliseconds ahead(1'000'000);
+    EXPECT_EQ(ages.age_of(1, milliseconds(100), ahead + milliseconds(103)).count(), 0);
+    EXPECT_EQ(ages.age_of(1, milliseconds(200), ahead + milliseconds(201)).count(), 0);
+    EXPECT_EQ(ages.age_of(1, milliseconds(300), ahead + milliseconds(1001)).count(), 700);
+    EXPECT_EQ(ages.age_of(2, milliseconds(900'000), ahead + milliseconds(1002)).count(), 0);
 }
 
 TEST_F(order_relay_test, a_malformed_order_is_refused_and_harms_nothing)
--- a/src/libverbenalever/order_relay/relayed_orders.cpp
+++ b/src/libverbenalever/order_relay/relayed_orders.cpp
@@ -67,7 +67,8 @@
     const auto found = this->known.find(vm);
     if (found == this->known.end())
         return;
-    this->around.log.write("order_relay", "relay_suspected", {{"vm", vm}});
+    if (!this->suspects.contains(vm))
+        this->around.log.write("order_relay", "relay_suspected", {{"vm", vm}});
     this->suspects[vm] = boot_time() + suspicion;
     this->relays.remove(vm);
     if (!this->trust_timer.active())
--- a/src/libverbenalever/ports/fleet_configuration.h
+++ b/src/libverbenalever/ports/fleet_configuration.h
@@ -16,6 +16,7 @@
 struct fleet_configuration {
     std::int64_t version = 0;  ///< of the operators' document; 0: there is none yet
     std::int64_t revision = 0; ///< of the store when all of this was read
+    std::int64_t digest = 0;   ///< of the content; equal where nothing differs
     std::vector<queue_definition> queues;
     std::vector<team_definition> teams;
     std::set<std::string, std::less<>> zones_out;
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -109,6 +109,8 @@
     ++this->starts;
     if (this->on_start)
         this->on_start(order);
+    if (this->on_start_authority)
+        this->on_start_authority(authority);
     if (on.silent) {
         this->later(timeout, [done] { done({}); });
         return;
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -70,7 +70,8 @@
     std::map<std::string, std::unique_ptr<target>> targets;
     std::map<std::string, resources> need_of; ///< of a task of each workflow, for capacity
     std::vector<std::string> breaches;
-    std::function<void(const start_order&)> on_start; ///< sees each order to start
+    std::function<void(const start_order&)> on_start;               ///< sees each order to start
+    std::function<void(const order_authority&)> on_start_authority; ///< and its authority
     int looks = 0;
     int starts = 0;
 
