VMs that short questions do not need take long questions to the advisor

Change: all VMs but four times those that short questions keep busy, and two, take long ones; 55 percent at least. Short questions keep to the others until they would wait. Tests: vms_that_short_questions_do_not_need_take_long_ones, without_short_questions_long_ones_leave_two_vms.

--- a/src/libverbenalever/coordinator/advice_desk.cpp
+++ b/src/libverbenalever/coordinator/advice_desk.cpp
@@ -12,8 +12,17 @@
 /// Waiting time at a VM beyond which no further question is given to it: questions wait at the
 /// coordinator, where the urgent ones go first.
 constexpr milliseconds longest_queue{40};
-/// Part of the VMs that take long questions.
+/// A short question waits this long for a VM of its own before it takes one from the long ones: a
+/// small part of an urgent objective of some hundred milliseconds.
+constexpr milliseconds short_detour{15};
+/// Part of the VMs that take long questions at least.
 constexpr double long_share = 0.55;
+/// VMs kept for short questions: so many times those that they keep busy on average, since they
+/// come in bursts of about twice their usual rate and must not wait, and some more.
+constexpr double short_reserve_factor = 4;
+constexpr double short_reserve_extra = 2;
+/// Time over which the work of short questions is averaged.
+constexpr milliseconds short_memory{2000};
 /// Time for an answer beyond what was worked out.
 constexpr milliseconds answer_slack{1500};
 
@@ -36,22 +45,42 @@
     this->seats.erase(vm);
 }
 
+std::size_t advice_desk::long_seats(milliseconds now) const
+{
+    const auto all = static_cast<double>(this->seats.size());
+    const auto fade = std::exp(-static_cast<double>((now - this->short_at).count()) /
+                               static_cast<double>(short_memory.count()));
+    const double busy = this->short_work * fade / static_cast<double>(short_memory.count());
+    const double reserved = std::ceil(busy * short_reserve_factor + short_reserve_extra);
+    return static_cast<std::size_t>(std::max(std::ceil(long_share * all), all - reserved));
+}
+
+void advice_desk::note_short(milliseconds now, milliseconds cost)
+{
+    const auto fade = std::exp(-static_cast<double>((now - this->short_at).count()) /
+                               static_cast<double>(short_memory.count()));
+    this->short_work = this->short_work * fade + static_cast<double>(cost.count());
+    this->short_at = now;
+}
+
 advice_desk::seat* advice_desk::choose(bool is_long, milliseconds now, milliseconds cost)
 {
+    const auto long_seats = this->long_seats(now);
     seat* best = nullptr;
     milliseconds best_end{0};
-    const auto long_seats =
-        static_cast<std::size_t>(std::ceil(long_share * static_cast<double>(this->seats.size())));
     std::size_t number = 0;
     for (auto& [vm, candidate] : this->seats) {
-        if (candidate.open >= open_limit || (is_long && number++ >= long_seats))
+        const bool reserved = number++ >= long_seats;
+        if (candidate.open >= open_limit || (is_long && reserved))
             continue;
         const auto begin = std::max(now, candidate.busy_until);
         if (begin - now > (is_long ? milliseconds(0) : longest_queue))
             continue;
-        if (best == nullptr || begin + cost < best_end) {
+        // A short question takes a VM of the long ones only when it would wait elsewhere.
+        const auto detour = is_long || reserved ? milliseconds(0) : short_detour;
+        if (best == nullptr || begin + cost + detour < best_end) {
             best = &candidate;
-            best_end = begin + cost;
+            best_end = begin + cost + detour;
         }
     }
     return best;
@@ -63,6 +92,8 @@
     seat* chosen = this->choose(cost > long_question, now, cost);
     if (chosen == nullptr)
         return false;
+    if (cost <= long_question)
+        this->note_short(now, cost);
     chosen->busy_until = std::max(now, chosen->busy_until) + cost;
     ++chosen->open;
     const auto timeout = chosen->busy_until - now + answer_slack;
--- a/src/libverbenalever/coordinator/advice_desk.h
+++ b/src/libverbenalever/coordinator/advice_desk.h
@@ -15,8 +15,8 @@
 /// Chooses the VM that puts a question to the advisor.
 ///
 /// The advisor serves one call at a time for each VM, so a short question behind a long one waits
-/// for all of it. Long questions go to part of the VMs only, and each question to the VM that will
-/// be free first.
+/// for all of it. Long questions go to part of the VMs only, of which there are more the fewer the
+/// short ones keep busy, and each question to the VM that will be free first.
 class advice_desk {
 public:
     using answer_callback = std::function<void(advice_answer)>;
@@ -47,10 +47,14 @@
         std::uint64_t serial = 0; ///< tells a VM that left and came back from itself
     };
 
+    [[nodiscard]] std::size_t long_seats(milliseconds now) const;
+    void note_short(milliseconds now, milliseconds cost);
     [[nodiscard]] seat* choose(bool is_long, milliseconds now, milliseconds cost);
 
     std::map<std::string, seat> seats;
     std::uint64_t serials = 0;
+    double short_work = 0;    ///< milliseconds of short questions lately, fading
+    milliseconds short_at{0}; ///< boot time of the last one
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libverbenalever/coordinator/advice_desk_test.cpp
+++ b/src/libverbenalever/coordinator/advice_desk_test.cpp
@@ -41,6 +41,35 @@
     EXPECT_EQ(this->asked["quote"], "d");
 }
 
+// Load pattern: a large site, where short questions keep a few of many VMs busy.
+TEST_F(advice_desk_test, vms_that_short_questions_do_not_need_take_long_ones)
+{
+    constexpr int vms = 100;
+    for (int vm = 0; vm < vms; ++vm)
+        this->add("vm-" + std::to_string(vm));
+    // Three VMs' time of short questions within the time over which they are averaged.
+    for (int quote = 0; quote < 300; ++quote) {
+        ASSERT_TRUE(this->ask("quote", milliseconds(20)));
+        this->open.back()({});
+    }
+    int taken = 0;
+    for (int gang = 0; gang < vms; ++gang)
+        taken += this->ask("gang", milliseconds(1000)) ? 1 : 0;
+    EXPECT_GE(taken, 55);
+    EXPECT_LE(taken, vms - 12) << "four times the three that they keep busy are left to them";
+}
+
+TEST_F(advice_desk_test, without_short_questions_long_ones_leave_two_vms)
+{
+    for (int vm = 0; vm < 20; ++vm)
+        this->add("vm-" + std::to_string(vm));
+    int taken = 0;
+    for (int gang = 0; gang < 20; ++gang)
+        taken += this->ask("gang", milliseconds(1000)) ? 1 : 0;
+    EXPECT_EQ(taken, 18);
+    EXPECT_TRUE(this->ask("quote", milliseconds(9)));
+}
+
 TEST_F(advice_desk_test, questions_beyond_what_is_next_wait_with_the_asker)
 {
     this->add("a");
