--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -139,12 +139,16 @@
     void target_seen(const std::string& name);
     void places_known(const std::vector<placement_entry>& entries);
     void check_adoption();
+
+    // What looks show (coordinator_views.cpp).
     void take_view(fleet_target& target, const target_view& view, milliseconds sent);
     void take_running(fleet_target& target, const target_view::running_task& row);
     void note_percent(fleet_target& target, const target_view::running_task& row,
                       placed_task& placed);
     void adopt(fleet_target& target, const target_view::running_task& row);
     void find_missing(fleet_target& target, const std::set<task_name>& seen, milliseconds sent);
+
+    // Orders (coordinator_targets.cpp).
     void update_looks(fleet_target& target);
     void stop_run(fleet_target& target, const task_name& task, std::int64_t run);
 
--- a/src/libverbenalever/coordinator/coordinator_scale_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scale_test.cpp
@@ -5,14 +5,16 @@
 #include "testing/fake_targets.h"
 
 #include "loop/event_loop.h"
+#include "loop/lag_meter.h"
 #include "timeline/event_log.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <ctime>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -136,6 +138,7 @@
         while (boot_time() < end) {
             const auto from = boot_time();
             this->run_for(slice);
+            this->lags.push_back(this->lag.lag());
             const auto seconds = static_cast<double>((boot_time() - from).count()) / 1000;
             for (const auto& one : classes) {
                 owed[one.queue] += one.per_second * factor * seconds;
@@ -154,6 +157,8 @@
     std::map<call_outcome, int> outcomes;
     std::vector<std::unique_ptr<timer>> answers;
     std::unique_ptr<coordinating_process> process;
+    lag_meter lag{this->loop};
+    std::vector<milliseconds> lags; ///< sampled while load() runs
     int submitted = 0;
 };
 
@@ -164,15 +169,45 @@
     this->load(1, milliseconds(1500));
     const auto processor = processor_time();
     const auto starts = this->targets.starts;
+    this->lags.clear();
     this->load(2, milliseconds(4000));
     const auto used = processor_time() - processor;
     const auto started = this->targets.starts - starts;
     this->RecordProperty("starts", started);
     this->RecordProperty("processor_ms", static_cast<int>(used.count()));
     std::printf("starts %d processor %ld ms\n", started, static_cast<long>(used.count()));
+    // At a lateness of 150 ms a coordinator hands over.
+    constexpr milliseconds hand_over_lag{150};
+    const auto late = std::ranges::count_if(
+        this->lags, [&](milliseconds lateness) { return lateness >= hand_over_lag; });
+    EXPECT_LT(late, static_cast<std::ptrdiff_t>(this->lags.size() / 20));
     EXPECT_GT(started, 2000);
     EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
 }
 
+// Load pattern: four seconds of twice the load, then half of it. What has piled up must not keep
+// urgent work waiting: three seconds later it is served as before.
+TEST_F(coordinator_scale_test, three_seconds_after_an_overload_urgent_work_starts_at_once)
+{
+    this->load(2, milliseconds(4000));
+    this->load(0.5, milliseconds(3000));
+    const int from = this->submitted + 1;
+    this->load(0.5, milliseconds(1500));
+    const int until = this->submitted;
+    // Work takes 1,500 ms; another second may pass until it starts and its end is kept.
+    this->run_for(milliseconds(2500));
+    int urgent = 0;
+    int ended = 0;
+    for (int number = from; number <= until; ++number) {
+        this->process->duty->status("quote-" + std::to_string(number),
+                                    [&](call_outcome outcome, workflow_state state) {
+                                        urgent += outcome == call_outcome::accepted ? 1 : 0;
+                                        ended += state == workflow_state::completed ? 1 : 0;
+                                    });
+    }
+    EXPECT_GT(urgent, 50);
+    EXPECT_GE(ended, urgent * 95 / 100) << "of " << urgent;
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/order_relay/order_relay.cpp
+++ b/src/libverbenalever/order_relay/order_relay.cpp
@@ -11,13 +11,26 @@
 
 namespace {
 
-/// @return the life that an order is meant for, or why its address cannot be read
-absl::StatusOr<target_life> life_of(const relayed_head& head)
+/// An order as it came, and the life of the target that it is for.
+template <typename Order>
+struct addressed_order {
+    Order order;
+    target_life life;
+};
+
+/// @return the order, or why it cannot be read
+template <typename Order>
+absl::StatusOr<addressed_order<Order>> read_order(std::string_view payload)
 {
-    auto address = endpoint::parse(head.address);
+    auto order = unpack_message<Order>(payload);
+    if (!order.ok())
+        return order.status();
+    const auto address = endpoint::parse(order->head.address);
     if (!address.ok())
         return address.status();
-    return target_life{.name = head.target, .born_ms = head.born_ms, .address = *address};
+    target_life life{
+        .name = order->head.target, .born_ms = order->head.born_ms, .address = *address};
+    return addressed_order<Order>{*std::move(order), std::move(life)};
 }
 
 order_authority authority_of(const relayed_head& head)
@@ -61,54 +74,54 @@
 
 void order_relay::start(std::string_view payload, const peer_channel::replier& reply)
 {
-    auto order = unpack_message<relayed_start>(payload);
-    const auto life = order.ok() ? life_of(order->head) : order.status();
-    if (!life.ok()) {
+    auto read = read_order<relayed_start>(payload);
+    if (!read.ok()) {
         reply(pack_refusal());
         return;
     }
-    if (this->too_old(order->head))
+    auto& [order, life] = *read;
+    if (this->too_old(order.head))
         return;
-    this->orders.start(*life, authority_of(order->head),
-                       {.task = task_of(order->task),
-                        .run = order->run,
-                        .payload = std::move(order->payload),
-                        .checkpoint = std::move(order->checkpoint),
-                        .ticket = std::move(order->ticket)},
-                       milliseconds(order->head.timeout_ms), [reply](const order_result& result) {
+    this->orders.start(life, authority_of(order.head),
+                       {.task = task_of(order.task),
+                        .run = order.run,
+                        .payload = std::move(order.payload),
+                        .checkpoint = std::move(order.checkpoint),
+                        .ticket = std::move(order.ticket)},
+                       milliseconds(order.head.timeout_ms), [reply](const order_result& result) {
                            reply(pack_message(relayed_result_of(result)));
                        });
 }
 
 void order_relay::stop(std::string_view payload, const peer_channel::replier& reply)
 {
-    const auto order = unpack_message<relayed_stop>(payload);
-    const auto life = order.ok() ? life_of(order->head) : order.status();
-    if (!life.ok()) {
+    const auto read = read_order<relayed_stop>(payload);
+    if (!read.ok()) {
         reply(pack_refusal());
         return;
     }
-    if (this->too_old(order->head))
+    const auto& [order, life] = *read;
+    if (this->too_old(order.head))
         return;
-    this->orders.stop(*life, authority_of(order->head), task_of(order->task), order->run,
-                      milliseconds(order->head.timeout_ms), [reply](const order_result& result) {
+    this->orders.stop(life, authority_of(order.head), task_of(order.task), order.run,
+                      milliseconds(order.head.timeout_ms), [reply](const order_result& result) {
                           reply(pack_message(relayed_result_of(result)));
                       });
 }
 
 void order_relay::look(std::string_view payload, const peer_channel::replier& reply)
 {
-    const auto order = unpack_message<relayed_look>(payload);
-    const auto life = order.ok() ? life_of(order->head) : order.status();
-    if (!life.ok()) {
-        reply(pack_message(relayed_view{.result = {}, .running = {}, .ended = {}}));
+    const auto read = read_order<relayed_look>(payload);
+    if (!read.ok()) {
+        reply(pack_message(relayed_view_of({})));
         return;
     }
-    if (this->too_old(order->head))
+    const auto& [order, life] = *read;
+    if (this->too_old(order.head))
         return;
     this->orders.look(
-        *life, authority_of(order->head), order->acknowledged, milliseconds(order->wait_ms),
-        milliseconds(order->head.timeout_ms),
+        life, authority_of(order.head), order.acknowledged, milliseconds(order.wait_ms),
+        milliseconds(order.head.timeout_ms),
         [reply](const target_view& view) { reply(pack_message(relayed_view_of(view))); });
 }
 
