--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -168,17 +168,16 @@
 
 std::string cluster_entry::greeting() const
 {
-    return pack_message(
-        member_greeting{.vm = this->own.vm,
-                        .availability_zone = this->own.availability_zone,
-                        .configuration_revision = this->configuration->revision,
-                        .configuration_digest = this->configuration->digest,
-                        .lag_ms = this->lag.lag().count(),
-                        .processor_share = this->own.processor_share,
-                        .strongest_share = this->strongest_share(),
-                        .store_answers = this->office.store_answers(),
-                        .coordinating = this->duty != nullptr,
-                        .leaving = this->retired});
+    return pack_message(member_greeting{.vm = this->own.vm,
+                                        .availability_zone = this->own.availability_zone,
+                                        .configuration_revision = this->configuration->revision,
+                                        .configuration_digest = this->configuration->digest,
+                                        .lag_ms = this->lag.lag().count(),
+                                        .processor_share = this->own.processor_share,
+                                        .strongest_share = this->strongest_share(),
+                                        .store_answers = this->office.store_answers(),
+                                        .coordinating = this->duty != nullptr,
+                                        .leaving = this->retired});
 }
 
 void cluster_entry::take_heartbeat(const member_greeting& member)
