--- a/testsuite/operators-restrictions/run.py
+++ b/testsuite/operators-restrictions/run.py
@@ -35,6 +35,9 @@
     def test_a_withdrawn_key_with_the_platform_up(self):
         with Cluster(zones=3, entries=1, targets=1) as cluster:
             self.assertTrue(all(accepts(cluster, name) for name in cluster.entries))
+            # The answer names the entries that this one knows: each of three has to know two.
+            cluster.wait(lambda: len(cluster.events("peer_alive")) >= 6, 10,
+                         "the entries have not met")
             answer = admin(cluster, "entry-a1", "DELETE", "keys/red-1")
             self.assertEqual((answer.status, answer.json()["state"]), (200, "kept"), answer)
             self.assertEqual(sorted(answer.json()["in_force"]), list(cluster.entries))
