Small fleets pack nothing for relays; one fading sum, one backoff cap, kept room counts again; tests split by duty

Orders and looks of fleets of up to 100 targets were packed for a relay and then given directly. Room kept for a gang did not count where only allowed targets are weighed: it does, as before.

--- a/src/libverbenalever/coordinator/advice_desk.cpp
+++ b/src/libverbenalever/coordinator/advice_desk.cpp
@@ -45,24 +45,20 @@
     this->seats.erase(vm);
 }
 
+double advice_desk::short_work_at(milliseconds now) const
+{
+    const auto age = static_cast<double>((now - this->short_at).count());
+    return this->short_work * std::exp(-age / static_cast<double>(short_memory.count()));
+}
+
 std::size_t advice_desk::long_seats(milliseconds now) const
 {
     const auto all = static_cast<double>(this->seats.size());
-    const auto fade = std::exp(-static_cast<double>((now - this->short_at).count()) /
-                               static_cast<double>(short_memory.count()));
-    const double busy = this->short_work * fade / static_cast<double>(short_memory.count());
+    const double busy = this->short_work_at(now) / static_cast<double>(short_memory.count());
     const double reserved = std::ceil(busy * short_reserve_factor + short_reserve_extra);
     return static_cast<std::size_t>(std::max(std::ceil(long_share * all), all - reserved));
 }
 
-void advice_desk::note_short(milliseconds now, milliseconds cost)
-{
-    const auto fade = std::exp(-static_cast<double>((now - this->short_at).count()) /
-                               static_cast<double>(short_memory.count()));
-    this->short_work = this->short_work * fade + static_cast<double>(cost.count());
-    this->short_at = now;
-}
-
 advice_desk::seat* advice_desk::choose(bool is_long, milliseconds now, milliseconds cost)
 {
     const auto long_seats = this->long_seats(now);
@@ -92,8 +88,10 @@
     seat* chosen = this->choose(cost > long_question, now, cost);
     if (chosen == nullptr)
         return false;
-    if (cost <= long_question)
-        this->note_short(now, cost);
+    if (cost <= long_question) {
+        this->short_work = this->short_work_at(now) + static_cast<double>(cost.count());
+        this->short_at = now;
+    }
     chosen->busy_until = std::max(now, chosen->busy_until) + cost;
     ++chosen->open;
     const auto timeout = chosen->busy_until - now + answer_slack;
--- a/src/libverbenalever/coordinator/advice_desk.h
+++ b/src/libverbenalever/coordinator/advice_desk.h
@@ -48,7 +48,8 @@
     };
 
     [[nodiscard]] std::size_t long_seats(milliseconds now) const;
-    void note_short(milliseconds now, milliseconds cost);
+    /// @return milliseconds of short questions lately, faded by their age
+    [[nodiscard]] double short_work_at(milliseconds now) const;
     [[nodiscard]] seat* choose(bool is_long, milliseconds now, milliseconds cost);
 
     std::map<std::string, seat> seats;
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -192,13 +192,15 @@
                                                       std::uint32_t step,
                                                       const queue_definition* queue,
                                                       bool kept) const;
-    /// @return targets that the advisor has allowed for the step, with room
-    [[nodiscard]] std::vector<step_candidate>
-    allowed_candidates(const workflow& owner, std::uint32_t step, const queue_definition* queue);
     /// @param kept targets on which room was kept for this very step
+    /// @return targets with room for the step
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
                                                          const queue_definition* queue,
-                                                         const std::set<std::string>& kept);
+                                                         const std::set<std::string>& kept) const;
+    /// @return those of them that the advisor has allowed
+    [[nodiscard]] std::vector<step_candidate>
+    allowed_candidates(const workflow& owner, std::uint32_t step, const queue_definition* queue,
+                       const std::set<std::string>& kept) const;
     [[nodiscard]] double expected_grant(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] bool overloaded();
     void send_starts(const std::vector<placement_entry>& kept);
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -12,9 +12,9 @@
 
 /// Wait before the advisor is asked again after it was busy.
 constexpr milliseconds advice_retry{15};
-/// After answers that did not come the wait doubles up to this: they show that the advisor, or the
-/// way to it, is loaded, and each question asked again loads it more.
-constexpr int longest_backoff = 32; // times advice_retry: half a second
+/// After answers that did not come the wait doubles so many times, to half a second: they show that
+/// the advisor, or the way to it, is loaded, and each question asked again loads it more.
+constexpr int most_doublings = 5;
 /// A survey of the targets' room this old will do for an answer: on a large fleet there are some
 /// hundred answers a second, and a survey costs more than all else that follows from one.
 constexpr milliseconds survey_age{10};
@@ -126,8 +126,7 @@
     this->request_pass(milliseconds(0));
     if (!answer.answered) {
         step.ask_after =
-            boot_time() +
-            advice_retry * std::min(longest_backoff, 1 << std::min(8, step.answers_missed));
+            boot_time() + advice_retry * (1 << std::min(most_doublings, step.answers_missed));
         ++step.answers_missed;
         this->around.log.write("coordinator", "advice_missed",
                                {{"workflow", id}, {"step", number}});
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -176,7 +176,7 @@
     const bool silent = queue != nullptr && queue->needs_advice &&
                         (step.asking || this->weighing_at < step.ask_after);
     const auto kept = this->free_reservation(step);
-    const step_placer placer(silent ? this->allowed_candidates(owner, number, queue)
+    const step_placer placer(silent ? this->allowed_candidates(owner, number, queue, kept)
                                     : this->candidates(owner, number, queue, kept),
                              spec.need);
     std::uint32_t wanted = allowed;
@@ -266,7 +266,7 @@
 
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
                                                     const queue_definition* queue,
-                                                    const std::set<std::string>& kept)
+                                                    const std::set<std::string>& kept) const
 {
     const auto& spec = owner.record.spec.steps[number];
     std::vector<step_candidate> found;
@@ -284,7 +284,8 @@
 
 std::vector<step_candidate> coordinator::allowed_candidates(const workflow& owner,
                                                             std::uint32_t number,
-                                                            const queue_definition* queue)
+                                                            const queue_definition* queue,
+                                                            const std::set<std::string>& kept) const
 {
     std::vector<step_candidate> found;
     for (const auto& [name, said] : owner.steps[number].advice) {
@@ -294,7 +295,7 @@
         if (known == this->targets.end() ||
             this->configuration->zones_out.contains(known->second->report.availability_zone))
             continue;
-        if (const auto one = this->weigh(*known->second, owner, number, queue, false))
+        if (const auto one = this->weigh(*known->second, owner, number, queue, kept.contains(name)))
             found.push_back(*one);
     }
     return found;
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_stalls_test.cpp
@@ -0,0 +1,42 @@
+// Runs that stand still on targets that answer.
+
+#include "coordinator/target_session.h"
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_stalls_test : public coordinator_fixture {};
+
+// Load pattern: tasks on some targets stand still, while those still answer.
+TEST_F(coordinator_stalls_test, a_run_that_stands_still_is_stopped_and_runs_elsewhere)
+{
+    this->targets.add("t1", 1000).stands_still = true;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000);
+    this->targets.tell_list();
+    this->run_for(milliseconds(3500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+    EXPECT_EQ(this->targets.starts, 2);
+    this->submit(first, "next", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->state(first, "next"), workflow_state::completed) << "not on the same target";
+}
+
+TEST_F(coordinator_stalls_test, a_run_that_makes_progress_is_left_alone)
+{
+    this->targets.add("t1", 1000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(4500));
+    EXPECT_EQ(this->targets.starts, 1);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -4,9 +4,7 @@
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/target_session.h"
-#include "membership/message_codec.h"
 #include "ports/target_directory.h"
-#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
--- a/src/libverbenalever/coordinator/coordinator_views.cpp
+++ b/src/libverbenalever/coordinator/coordinator_views.cpp
@@ -15,9 +15,10 @@
 /// runs on the users' sheets take 12 s, so that a sound target shows one percent in 120 ms.
 constexpr milliseconds stall_time{1200};
 constexpr int stalled_looks = 2;
-constexpr double all_done = 100; ///< percent
 /// The same for a member of a gang, whose stop costs the work of all members.
 constexpr milliseconds gang_stall_time{2500};
+constexpr double all_done = 100; ///< percent
+
 } // namespace
 
 void coordinator::take_view(fleet_target& target, const target_view& view, milliseconds sent)
--- a/src/libverbenalever/order_relay/relayed_orders.cpp
+++ b/src/libverbenalever/order_relay/relayed_orders.cpp
@@ -91,10 +91,7 @@
 
 void relayed_orders::carry(const std::shared_ptr<carried_order>& order)
 {
-    const auto* chosen =
-        this->fleet_size <= direct_limit
-            ? nullptr
-            : this->relays.choose(order->target.name, order->target.availability_zone);
+    const auto* chosen = this->relays.choose(order->target.name, order->target.availability_zone);
     if (chosen == nullptr) {
         order->direct();
         return;
@@ -136,6 +133,10 @@
 void relayed_orders::start(const target_life& target, const order_authority& authority,
                            const start_order& order, milliseconds timeout, order_callback done)
 {
+    if (this->small_fleet()) {
+        this->around.direct.start(target, authority, order, timeout, std::move(done));
+        return;
+    }
     auto payload = pack_message(relayed_start{relayed_head_of(target, authority, timeout),
                                               relayed_task_of(order.task), order.run, order.payload,
                                               order.checkpoint, order.ticket});
@@ -153,6 +154,10 @@
                           const task_name& task, std::int64_t run, milliseconds timeout,
                           order_callback done)
 {
+    if (this->small_fleet()) {
+        this->around.direct.stop(target, authority, task, run, timeout, std::move(done));
+        return;
+    }
     auto payload = pack_message(
         relayed_stop{relayed_head_of(target, authority, timeout), relayed_task_of(task), run});
     this->carry(std::make_shared<carried_order>(
@@ -171,6 +176,10 @@
                           std::int64_t acknowledged, milliseconds wait, milliseconds timeout,
                           view_callback done)
 {
+    if (this->small_fleet()) {
+        this->around.direct.look(target, authority, acknowledged, wait, timeout, std::move(done));
+        return;
+    }
     auto payload = pack_message(
         relayed_look{relayed_head_of(target, authority, timeout), acknowledged, wait.count()});
     this->carry(std::make_shared<carried_order>(carried_order{
--- a/src/libverbenalever/order_relay/relayed_orders.h
+++ b/src/libverbenalever/order_relay/relayed_orders.h
@@ -89,6 +89,11 @@
         std::function<void()> direct; ///< give the order without a relay
     };
 
+    /// @return whether the fleet is so small that the relays are not used
+    [[nodiscard]] bool small_fleet() const
+    {
+        return this->fleet_size <= direct_limit;
+    }
     void carry(const std::shared_ptr<carried_order>& order);
     void take_reply(const std::string& vm, const std::shared_ptr<carried_order>& order,
                     absl::StatusOr<std::string> reply);
