The end of a late workflow tells where its time went, and the load why steps wait

Change: step_clock, one state at a time from a step's turn to its end (property: times add up); workflow_ended has the sums, the time before this coordinator and the time until the end was kept; load has memory and the number of steps that wait for each reason. No decision changes.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -171,6 +171,9 @@
     /// Place what can be placed of a ready step, ask the advisor, make room for it.
     /// @return false when it waits for its team's limit or for the advisor's answer
     bool consider(workflow& owner, std::uint32_t step);
+    bool place_or_ask(workflow& owner, std::uint32_t step);
+    /// @return what its allowed targets have too little of for the step
+    [[nodiscard]] step_clock::state short_of(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
     void measure_fleet();
     /// Note which targets have room.
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -93,6 +93,7 @@
             // The end of a copy says nothing of the run that is placed elsewhere.
             const bool placed_here = task.target == &target;
             if (ours && placed_here && !is_final(owner->state)) {
+                owner->steps[end.task.step].clock.note_repeat();
                 this->back_to_waiting(*owner, end.task);
                 if (owner->record.spec.steps[end.task.step].gang)
                     this->break_gang(*owner, end.task.step);
@@ -166,6 +167,7 @@
         this->unlist(owner, name.step);
     if (step.done < step.tasks.size())
         return true;
+    step.clock.enter(step_clock::state::idle, boot_time());
     bool all = true;
     for (const auto& other : owner.steps)
         all = all && other.done == other.tasks.size();
@@ -245,6 +247,7 @@
         task.target = nullptr;
         return;
     }
+    owner->steps[name.step].clock.note_repeat();
     this->back_to_waiting(*owner, name);
     if (owner->record.spec.steps[name.step].gang)
         this->break_gang(*owner, name.step);
@@ -273,8 +276,10 @@
         this->unlist(owner, step);
     for (auto& step : owner.steps)
         this->free_reservation(step);
+    for (auto& step : owner.steps)
+        step.clock.enter(step_clock::state::idle, boot_time());
+    owner.ended_at = boot_time();
     this->stop_all(owner);
-    this->log_end(owner);
     owner.record.spec = {};
     this->around.count.add(state == workflow_state::completed ? "workflows_completed"
                                                               : "workflows_not_completed");
@@ -283,6 +288,7 @@
         if (kept == nullptr)
             return;
         kept->end_stored = true;
+        this->log_end(*kept);
         this->progress.forget(id);
         const auto ends = std::move(kept->ends_to_record);
         kept->ends_to_record.clear();
@@ -297,9 +303,8 @@
 
 void coordinator::log_end(const workflow& owner)
 {
-    const auto now = boot_time();
     // One that ended well and in time is counted only.
-    if (owner.state == workflow_state::completed && now <= owner.due)
+    if (owner.state == workflow_state::completed && owner.ended_at <= owner.due)
         return;
     const bool here = owner.began_at.count() != 0;
     std::size_t failures = 0;
@@ -307,17 +312,36 @@
         for (const auto& task : step.tasks)
             failures += task.failed_runs.size();
     }
+    const auto spent = [&owner](step_clock::state which) {
+        milliseconds sum{0};
+        for (const auto& step : owner.steps)
+            sum += step.clock.in(which);
+        return sum.count();
+    };
+    using state = step_clock::state;
+    const auto before = std::max(milliseconds(0), this->began_at - owner.accepted_at);
     this->around.log.write("coordinator", "workflow_ended",
                            {{"workflow", owner.record.id},
                             {"state", word_of(owner.state)},
                             {"queue", owner.record.queue},
                             {"team", owner.record.team},
                             {"waited_ms", here ? (owner.began_at - owner.accepted_at).count() : -1},
-                            {"took_ms", (now - owner.accepted_at).count()},
+                            {"took_ms", (boot_time() - owner.accepted_at).count()},
                             {"objective_ms", owner.objective.count()},
                             {"failures", failures},
                             {"steps", owner.steps.size()},
-                            {"tasks", owner.steps.empty() ? 0 : owner.steps[0].tasks.size()}});
+                            {"tasks", owner.steps.empty() ? 0 : owner.steps[0].tasks.size()},
+                            {"earlier_coordinator_ms", before.count()},
+                            {"queued_ms", spent(state::queued)},
+                            {"store_away_ms", spent(state::store_away)},
+                            {"team_limit_ms", spent(state::team_limit)},
+                            {"advisor_busy_ms", spent(state::advisor_busy)},
+                            {"advice_ms", spent(state::advice)},
+                            {"processors_ms", spent(state::processors)},
+                            {"memory_ms", spent(state::memory)},
+                            {"run_ms", spent(state::run)},
+                            {"run_again_ms", spent(state::run_again)},
+                            {"end_kept_ms", (boot_time() - owner.ended_at).count()}});
 }
 
 void coordinator::stop_all(workflow& owner)
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -8,6 +8,7 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace verbenalever {
@@ -155,23 +156,24 @@
 void coordinator::log_load()
 {
     std::int64_t used = 0;
+    std::int64_t memory = 0;
     std::size_t usable = 0;
     std::size_t runs = 0;
     for (const auto& [name, target] : this->targets) {
         used += target->used.processors_milli;
+        memory += target->used.memory_mb;
         runs += target->tasks.size();
         usable += target->usable(boot_time()) ? 1 : 0;
     }
     std::map<int, int> ready;
-    int asking = 0;
-    int at_limit = 0;
+    std::array<int, step_clock::state_count> waits{};
     for (const auto& [priority, rank, due, id, number] : this->ready_steps) {
-        const auto& owner = *this->workflows.at(id);
-        const auto& step = owner.steps[number];
+        const auto state = this->workflows.at(id)->steps[number].clock.now_in();
         ++ready[priority];
-        asking += step.asking ? 1 : 0;
-        at_limit += this->within_limit(owner, owner.record.spec.steps[number].need, 1) == 0 ? 1 : 0;
+        ++waits[static_cast<std::size_t>(state)];
     }
+    using state = step_clock::state;
+    const auto waiting = [&waits](state which) { return waits[static_cast<std::size_t>(which)]; };
     this->around.log.write("coordinator", "load",
                            {{"targets", this->targets.size()},
                             {"usable", usable},
@@ -181,8 +183,13 @@
                             {"ready_priority_0", ready[0]},
                             {"ready_priority_1", ready[1]},
                             {"ready_priority_2", ready[2]},
-                            {"asking", asking},
-                            {"at_limit", at_limit},
+                            {"memory_used_gb", memory / 1024},
+                            {"memory_usable_gb", this->fleet.memory_mb / 1024},
+                            {"wait_team_limit", waiting(state::team_limit)},
+                            {"wait_advisor_busy", waiting(state::advisor_busy)},
+                            {"wait_advice", waiting(state::advice)},
+                            {"wait_processors", waiting(state::processors)},
+                            {"wait_memory", waiting(state::memory)},
                             {"record_wait_ms", this->chain.expected_wait().count()}});
 }
 
--- a/src/libverbenalever/coordinator/coordinator_views.cpp
+++ b/src/libverbenalever/coordinator/coordinator_views.cpp
@@ -150,6 +150,8 @@
         this->teams.clear(owner->record.team, placed.need);
     else if (--step.waiting == 0)
         this->unlist(*owner, row.task.step);
+    if (step.waiting == 0)
+        step.clock.enter(step_clock::state::run, boot_time());
 }
 
 void coordinator::find_missing(fleet_target& target, const std::set<task_name>& seen,
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordinator/placement_log.h"
+#include "coordinator/step_clock.h"
 #include "loop/clock.h"
 #include "workflows/workflow_record.h"
 
@@ -75,6 +76,7 @@
     int rank = 0;                  ///< with which it is listed there, within its priority
     milliseconds tail{0};          ///< estimated time from its start to the workflow's end
     milliseconds reclaim_after{0}; ///< boot time before which it takes no room from others
+    step_clock clock;              ///< where its time goes
 };
 
 /// One workflow, as the coordinator knows it.
@@ -86,6 +88,7 @@
     milliseconds due{0};         ///< boot time by which it should have ended
     milliseconds accepted_at{0}; ///< boot time
     milliseconds began_at{0};    ///< boot time of its first start; 0: not in this term
+    milliseconds ended_at{0};    ///< boot time; 0: it has not ended in this term
     milliseconds objective{0};   ///< time that it should take from its acceptance
     std::int64_t run_base = 0;   ///< runs of this term are numbered from here
     bool stored = false;         ///< its record is kept
