Gangs whose questions are long learn at once where they may run

Which targets may run a step does not change; only tickets lapse. Change: the first question of a gang names every target that could ever hold a task of it, where one question can and where it is a long one; it claims no room. Later questions only renew tickets, when the room of the whole gang is there.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -216,6 +216,12 @@
                                     const std::string& target) const;
     bool ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
                     const std::vector<fleet_target*>& targets);
+    /// @return whether one question about the whole fleet teaches a gang where it may run
+    [[nodiscard]] bool learns_whole(const workflow& owner, std::uint32_t step,
+                                    const queue_definition& queue) const;
+    /// Ask about all targets that could ever hold a task of a gang, since which of them the advisor
+    /// allows does not change.
+    bool learn_targets(workflow& owner, std::uint32_t step, const queue_definition& queue);
     void claim(const advice_question& question, int order);
     void give_up_claim(const advice_question& question, int order);
     void take_advice(const std::string& id, std::uint32_t step, const advice_question& question,
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -18,13 +18,31 @@
 /// A survey of the targets' room this old will do for an answer: on a large fleet there are some
 /// hundred answers a second, and a survey costs more than all else that follows from one.
 constexpr milliseconds survey_age{10};
+/// Targets named in one question at most: the advisor takes no more.
+constexpr std::size_t question_limit = 100;
 /// Answers about a step that weigh as much as the experience with its queue.
 constexpr double usual_weight = 8;
 /// Weight of one answer in the part of the targets that the advisor allows.
 constexpr double grant_share_weight = 0.1;
 
+/// @return the advisor's time for a question about so many targets
+milliseconds cost_of(const queue_definition& queue, std::size_t targets)
+{
+    return milliseconds(static_cast<std::int64_t>(
+        queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(targets) + 1));
+}
+
 } // namespace
 
+bool coordinator::learns_whole(const workflow& owner, std::uint32_t number,
+                               const queue_definition& queue) const
+{
+    // Short questions are cheap enough to be put again about whoever has room.
+    return owner.record.spec.steps[number].gang && owner.steps[number].advice.empty() &&
+           this->targets.size() <= question_limit &&
+           cost_of(queue, this->targets.size()) > advice_desk::long_question;
+}
+
 void coordinator::reserve(workflow_step& step, const resources& need,
                           const std::vector<fleet_target*>& places)
 {
@@ -70,23 +88,24 @@
         question.targets.push_back(target->report.name);
     const bool gang = owner.record.spec.steps[number].gang;
     const int order = owner.gang_order(number);
-    const milliseconds cost(static_cast<std::int64_t>(
-        queue.advice_base_ms + queue.advice_target_ms * static_cast<double>(named.size()) + 1));
+    const auto cost = cost_of(queue, named.size());
+    // What a gang asks only to know where it may run leaves the room there to others.
+    const bool claims = gang && !this->learns_whole(owner, number, queue);
     // Set before, since the answer may come within the call.
     step.asking = true;
-    if (gang)
+    if (claims)
         this->claim(question, order);
     const bool taken = this->desk.ask(question, cost,
                                       [this, alive = this->alive, id = owner.record.id, number,
-                                       gang, order, question](const advice_answer& answer) {
+                                       claims, order, question](const advice_answer& answer) {
                                           if (!*alive)
                                               return;
-                                          if (gang)
+                                          if (claims)
                                               this->give_up_claim(question, order);
                                           this->take_advice(id, number, question, answer);
                                       });
     if (!taken) {
-        if (gang)
+        if (claims)
             this->give_up_claim(question, order);
         step.asking = false;
         step.ask_after = boot_time() + advice_retry;
@@ -94,6 +113,19 @@
     return taken;
 }
 
+bool coordinator::learn_targets(workflow& owner, std::uint32_t number,
+                                const queue_definition& queue)
+{
+    const auto& need = owner.record.spec.steps[number].need;
+    std::vector<fleet_target*> suitable;
+    for (const auto& [name, target] : this->targets) {
+        if (this->may_use(*target, owner, number) &&
+            fleet_target::fits(target->report.capacity, need) > 0)
+            suitable.push_back(target.get());
+    }
+    return !suitable.empty() && this->ask_advice(owner, number, queue, suitable);
+}
+
 void coordinator::claim(const advice_question& question, int order)
 {
     for (const auto& name : question.targets) {
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -0,0 +1,109 @@
+// Gangs whose targets an advisor chooses: each case names its load pattern.
+
+#include "coordinator/target_session.h"
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+namespace {
+
+/// An advisor in memory: it serves each VM's questions in turn, as the users' one does.
+class coordinator_gangs_test : public coordinator_fixture {
+protected:
+    struct question_seen {
+        std::string workflow;
+        std::set<std::string> targets;
+        milliseconds at{0};
+    };
+
+    coordinator_gangs_test()
+    {
+        this->configuration->queues.push_back({.name = "advised",
+                                               .pool = "pool",
+                                               .priority = 1,
+                                               .attempts = 3,
+                                               .stretch = 2,
+                                               .latency_objective = milliseconds(20'000),
+                                               .needs_advice = true,
+                                               .advice_base_ms = 300,
+                                               .advice_target_ms = 1});
+    }
+
+    void add_targets(int count, std::int64_t cores)
+    {
+        for (int number = 0; number < count; ++number)
+            this->targets.add("t" + std::to_string(1000 + number), cores * 1000).work =
+                milliseconds(0);
+    }
+
+    /// Let @p vms put questions; @p allows tells whether a workflow may run on a target.
+    void add_advisor(process& to, int vms,
+                     const std::function<bool(const std::string& target)>& allows)
+    {
+        for (int number = 0; number < vms; ++number)
+            to.duty->advisors().add_vm(
+                "vm-" + std::to_string(number),
+                [this, allows](const advice_question& question, milliseconds,
+                               advice_desk::answer_callback done) {
+                    this->seen.push_back({question.workflow,
+                                          {question.targets.begin(), question.targets.end()},
+                                          boot_time()});
+                    advice_answer answer{.answered = true, .valid_ms = ticket_life.count()};
+                    for (const auto& name : question.targets) {
+                        if (allows(name))
+                            answer.granted.push_back({name, "ticket"});
+                    }
+                    const milliseconds cost(300 + std::ssize(question.targets));
+                    this->timers.push_back(std::make_unique<timer>(
+                        this->loop, [answer, done = std::move(done)] { done(answer); }));
+                    this->timers.back()->start_once(cost);
+                });
+    }
+
+    static bool every_fourth(const std::string& target)
+    {
+        return std::stoi(target.substr(1)) % 4 == 0;
+    }
+
+    static constexpr milliseconds ticket_life{400};
+    std::vector<question_seen> seen;
+    std::vector<std::unique_ptr<timer>> timers;
+};
+
+// Load pattern: gangs on a full fleet whose advisor takes most of a second for a question. It used
+// to be asked about whoever had room at the moment, again and again, while later gangs waited.
+TEST_F(coordinator_gangs_test, a_gang_learns_at_once_where_it_may_run)
+{
+    this->add_targets(40, 1);
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 6, every_fourth);
+    this->submit(first, "filling", {this->tasks(40, 1)}, "slow");
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("filling"), 40);
+    this->submit(first, "gang", {this->tasks(4, 1, true)}, "advised");
+    this->run_for(milliseconds(1200));
+    ASSERT_EQ(this->seen.size(), 1);
+    EXPECT_EQ(this->seen[0].targets.size(), 40);
+    // The tickets have lapsed. Room on other targets is no reason to ask.
+    for (const auto* name : {"t1001", "t1002", "t1003", "t1005", "t1006"})
+        this->targets.end_all(name, target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->seen.size(), 1);
+    for (const auto* name : {"t1000", "t1004", "t1008", "t1012"})
+        this->targets.end_all(name, target_view::ending::done);
+    this->run_for(milliseconds(700));
+    ASSERT_EQ(this->seen.size(), 2);
+    EXPECT_EQ(this->seen[1].targets, (std::set<std::string>{"t1000", "t1004", "t1008", "t1012"}));
+    EXPECT_EQ(this->targets.running("gang"), 4);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -177,6 +177,8 @@
         waits_for = state::advisor_busy;
     else if (this->within_limit(owner, owner.record.spec.steps[number].need, step.waiting) == 0)
         waits_for = state::team_limit;
+    else if (step.clock.waits_for_room())
+        waits_for = step.clock.now_in(); // looked up once: it takes a walk over all known targets
     else
         waits_for = this->short_of(owner, number);
     step.clock.enter(waits_for, boot_time());
@@ -236,6 +238,10 @@
     // One that has waited long is asked about as long as its room would do at best.
     const bool long_wait = boot_time() - step.ready_since > unlikely_wait;
     const auto share = long_wait ? 1.0 : this->expected_grant(owner, number);
+    if (this->learns_whole(owner, number, *queue)) {
+        this->learn_targets(owner, number, *queue);
+        return true;
+    }
     if (spec.gang) {
         // Where the advisor has agreed before, the room is kept while the tickets are renewed.
         if (const auto places = placer.place_renewing(wanted); !places.empty()) {
--- a/src/libverbenalever/coordinator/step_clock.h
+++ b/src/libverbenalever/coordinator/step_clock.h
@@ -49,6 +49,11 @@
         return this->current;
     }
 
+    [[nodiscard]] bool waits_for_room() const
+    {
+        return this->current == state::processors || this->current == state::memory;
+    }
+
     /// @return time spent in a state that has been left
     [[nodiscard]] milliseconds in(state which) const
     {
