Run lengths are predicted from experience with a queue

Change: run_length_model, least squares of the logarithms with fading, a queue each; due times and bands use it. Estimates are taken at their word until ten runs have ended. Tests: run_length_model_test, estimates off by factors and a change of what runs.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -4,6 +4,7 @@
 #include "coordinator/fleet_target.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/progress_log.h"
+#include "coordinator/run_length_model.h"
 #include "coordinator/team_ledger.h"
 #include "coordinator/workflow.h"
 #include "loop/timer.h"
@@ -158,6 +159,7 @@
     bool task_failed(workflow& owner, const task_name& task, std::int64_t run);
     bool remove_run(fleet_target& target, const task_name& task);
     void back_to_waiting(workflow& owner, const task_name& task);
+    void learn_run_length(const placed_task& placed, const task_name& task);
     void record_end(const std::string& target, std::int64_t born, std::int64_t number);
     void run_lost(fleet_target& target, const task_name& task, std::string_view reason);
     void break_gang(workflow& owner, std::uint32_t step);
@@ -280,7 +282,8 @@
     double all_weights = 0;       ///< of the teams in the configuration
     /// Part of the targets that the advisor allows, until there is experience.
     static constexpr double first_grant_share = 0.5;
-    std::map<std::string, double, std::less<>> grant_share; ///< by queue
+    std::map<std::string, double, std::less<>> grant_share;           ///< by queue
+    std::map<std::string, run_length_model, std::less<>> run_lengths; ///< by queue
     std::vector<std::function<void()>> after_load;
     std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
     std::uint64_t last_reply = 0;
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -61,6 +61,8 @@
     target.session->expect_acknowledgement();
     const auto found = target.tasks.find(end.task);
     const bool current = found != target.tasks.end() && found->second.run == end.run;
+    if (current && end.how == target_view::ending::done)
+        this->learn_run_length(found->second, end.task);
     const bool ours = current && this->remove_run(target, end.task);
     auto* owner = this->find(end.task.workflow);
     const bool wanted = owner != nullptr && !is_final(owner->state) &&
@@ -116,6 +118,19 @@
     return true;
 }
 
+void coordinator::learn_run_length(const placed_task& placed, const task_name& task)
+{
+    if (placed.owner == nullptr || !placed.started || is_final(placed.owner->state))
+        return;
+    const auto& record = placed.owner->record;
+    const auto& step = record.spec.steps[task.step];
+    // One member stands for a gang.
+    if (step.gang && task.index != 0)
+        return;
+    this->run_lengths[record.queue].learn(milliseconds(step.estimated_ms),
+                                          boot_time() - placed.started_at);
+}
+
 void coordinator::record_end(const std::string& name, std::int64_t born, std::int64_t number)
 {
     if (auto* target = this->find_life(name, born)) {
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -15,13 +15,12 @@
 
 namespace {
 
-/// @return for each step the time from its start to the end of all that waits for it, by the
-/// caller's estimates
-std::vector<std::int64_t> tails_of(const workflow_spec& spec)
+/// @return for each step the time from its start to the end of all that waits for it
+std::vector<std::int64_t> tails_of(const workflow_spec& spec, const run_length_model& lengths)
 {
     std::vector<std::int64_t> tails(spec.steps.size(), 0);
     for (std::size_t number = spec.steps.size(); number-- > 0;) {
-        tails[number] += spec.steps[number].estimated_ms;
+        tails[number] += lengths.predict(milliseconds(spec.steps[number].estimated_ms)).count();
         for (const auto earlier : spec.steps[number].after)
             tails[earlier] = std::max(tails[earlier], tails[number]);
     }
@@ -72,7 +71,7 @@
     auto added = std::make_unique<workflow>();
     added->record = std::move(record);
     added->state = added->record.end_state();
-    const auto tails = tails_of(added->record.spec);
+    const auto tails = tails_of(added->record.spec, this->run_lengths[added->record.queue]);
     std::int64_t longest = 0;
     for (std::size_t number = 0; number < tails.size(); ++number) {
         auto& run = added->steps.emplace_back();
--- /dev/null
+++ b/src/libverbenalever/coordinator/run_length_model_test.cpp
@@ -0,0 +1,54 @@
+#include "coordinator/run_length_model.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+namespace verbenalever {
+namespace {
+
+TEST(run_length_model, estimates_are_taken_at_their_word_until_there_is_experience)
+{
+    const run_length_model model;
+    EXPECT_EQ(model.predict(milliseconds(700)), milliseconds(700));
+}
+
+TEST(run_length_model, good_estimates_stay_as_they_are)
+{
+    run_length_model model;
+    std::mt19937 random(7);
+    std::uniform_int_distribution<int> length(200, 10'000);
+    for (int run = 0; run < 200; ++run) {
+        const milliseconds took(length(random));
+        model.learn(took, took);
+    }
+    EXPECT_NEAR(static_cast<double>(model.predict(milliseconds(300)).count()), 300, 5);
+    EXPECT_NEAR(static_cast<double>(model.predict(milliseconds(9000)).count()), 9000, 100);
+}
+
+// Load pattern: declared run times that are off by factors either way.
+TEST(run_length_model, of_estimates_that_tell_nothing_only_the_mean_is_left)
+{
+    run_length_model model;
+    std::mt19937 random(7);
+    std::normal_distribution<double> off(0, 1);
+    for (int run = 0; run < 500; ++run)
+        model.learn(milliseconds(static_cast<std::int64_t>(2000 * std::exp(off(random)))),
+                    milliseconds(2000));
+    EXPECT_NEAR(static_cast<double>(model.predict(milliseconds(200)).count()), 2000, 100);
+    EXPECT_NEAR(static_cast<double>(model.predict(milliseconds(20'000)).count()), 2000, 100);
+}
+
+TEST(run_length_model, it_follows_a_change_of_what_runs)
+{
+    run_length_model model;
+    for (int run = 0; run < 1000; ++run)
+        model.learn(milliseconds(1000), milliseconds(1000));
+    for (int run = 0; run < 1500; ++run)
+        model.learn(milliseconds(1000), milliseconds(4000));
+    EXPECT_GT(model.predict(milliseconds(1000)), milliseconds(3800));
+}
+
+} // namespace
+} // namespace verbenalever
