A gang's questions are put side by side, about four times the targets that it needs

Cause: on 350 targets a gang went through three to ten questions of 0.9 s, one after the other, each about some 40 targets: tickets live 1.5 s, so the first had lapsed when the third came, and while a question was answered the room on the targets named changed hands (28 targets granted, room for 9 tasks, in one trace; up to 81 gangs waiting while half of 5,264 processors were free). Ruled out: the teams' limits and the number of VMs (both seldom in the waits of load); reservations (0 to 624 processors held). Change: a gang names up to four times what it needs, in questions of 50 targets put to the VMs that are free, and up to 400 targets; a claim keeps worse gangs from asking only, no longer from places that they may use. The flag for room kept for this very step, which only claims needed, goes.

--- a/src/libverbenalever/coordinator/advice_desk.cpp
+++ b/src/libverbenalever/coordinator/advice_desk.cpp
@@ -59,6 +59,19 @@
     return static_cast<std::size_t>(std::max(std::ceil(long_share * all), all - reserved));
 }
 
+std::size_t advice_desk::free_long_vms() const
+{
+    const auto now = boot_time();
+    auto left = this->long_seats(now);
+    std::size_t free = 0;
+    for (const auto& [vm, candidate] : this->seats) {
+        if (left-- == 0)
+            break;
+        free += candidate.open < open_limit && candidate.busy_until <= now ? 1 : 0;
+    }
+    return free;
+}
+
 advice_desk::seat* advice_desk::choose(bool is_long, milliseconds now, milliseconds cost)
 {
     const auto long_seats = this->long_seats(now);
--- a/src/libverbenalever/coordinator/advice_desk.h
+++ b/src/libverbenalever/coordinator/advice_desk.h
@@ -36,6 +36,9 @@
     /// @return whether a VM could take the question; if not, ask again later
     bool ask(const advice_question& question, milliseconds cost, answer_callback done);
 
+    /// @return VMs that could take a long question at once
+    [[nodiscard]] std::size_t free_long_vms() const;
+
     /// A question that takes longer than this is long: a large part of an urgent objective.
     static constexpr milliseconds long_question{250};
 
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -191,21 +192,17 @@
                                std::uint32_t step) const;
     [[nodiscard]] bool suits(const fleet_target& target, const workflow& owner,
                              std::uint32_t step) const;
-    /// @param kept whether room was kept on the target for this very step
     /// @return the target as a candidate for the step; nothing when it cannot be used now
     [[nodiscard]] std::optional<step_candidate> weigh(fleet_target& target, const workflow& owner,
                                                       std::uint32_t step,
-                                                      const queue_definition* queue,
-                                                      bool kept) const;
-    /// @param kept targets on which room was kept for this very step
+                                                      const queue_definition* queue) const;
     /// @return targets with room for the step
     [[nodiscard]] std::vector<step_candidate> candidates(const workflow& owner, std::uint32_t step,
-                                                         const queue_definition* queue,
-                                                         const std::set<std::string>& kept) const;
+                                                         const queue_definition* queue) const;
     /// @return those of them that the advisor has allowed
     [[nodiscard]] std::vector<step_candidate>
-    allowed_candidates(const workflow& owner, std::uint32_t step, const queue_definition* queue,
-                       const std::set<std::string>& kept) const;
+    allowed_candidates(const workflow& owner, std::uint32_t step,
+                       const queue_definition* queue) const;
     [[nodiscard]] double expected_grant(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] bool overloaded();
     void send_starts(const std::vector<placement_entry>& kept);
@@ -213,11 +210,13 @@
                                              std::uint32_t wanted) const;
     void reserve(workflow_step& step, const resources& need,
                  const std::vector<fleet_target*>& places);
-    std::set<std::string> free_reservation(workflow_step& step);
+    void free_reservation(workflow_step& step);
     [[nodiscard]] bool ticket_holds(const workflow& owner, std::uint32_t step,
                                     const std::string& target) const;
     bool ask_advice(workflow& owner, std::uint32_t step, const queue_definition& queue,
                     const std::vector<fleet_target*>& targets);
+    bool ask_part(workflow& owner, std::uint32_t step, const queue_definition& queue,
+                  std::span<fleet_target* const> targets, bool claims);
     /// @return whether one question about the whole fleet teaches a gang where it may run
     [[nodiscard]] bool learns_whole(const workflow& owner, std::uint32_t step,
                                     const queue_definition& queue) const;
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -20,11 +20,20 @@
 constexpr milliseconds survey_age{10};
 /// Targets named in one question at most: the advisor takes no more.
 constexpr std::size_t question_limit = 100;
+/// Targets in one question of several put side by side: with fewer most of the advisor's time would
+/// go into its base time, which is that of some 70 targets on the users' sheets.
+constexpr std::size_t paying_part = 50;
 /// Answers about a step that weigh as much as the experience with its queue.
 constexpr double usual_weight = 8;
 /// Weight of one answer in the part of the targets that the advisor allows.
 constexpr double grant_share_weight = 0.1;
 
+/// @return questions needed for so many targets
+std::size_t parts_of(std::size_t targets, std::size_t each)
+{
+    return (targets + each - 1) / each;
+}
+
 /// @return the advisor's time for a question about so many targets
 milliseconds cost_of(const queue_definition& queue, std::size_t targets)
 {
@@ -52,19 +61,14 @@
     }
 }
 
-std::set<std::string> coordinator::free_reservation(workflow_step& step)
+void coordinator::free_reservation(workflow_step& step)
 {
-    std::set<std::string> names;
     for (const auto& [name, born, need] : step.reserved) {
         // A later life of the target has kept nothing for it.
-        auto* target = this->find_life(name, born);
-        if (target == nullptr)
-            continue;
-        names.insert(name);
-        target->reserved -= need;
+        if (auto* target = this->find_life(name, born); target != nullptr)
+            target->reserved -= need;
     }
     step.reserved.clear();
-    return names;
 }
 
 double coordinator::expected_grant(const workflow& owner, std::uint32_t number) const
@@ -81,21 +85,43 @@
 
 bool coordinator::ask_advice(workflow& owner, std::uint32_t number, const queue_definition& queue,
                              const std::vector<fleet_target*>& named)
+{
+    auto& step = owner.steps[number];
+    std::size_t parts = 1;
+    if (owner.record.spec.steps[number].gang) {
+        // The tickets of a gang must all be good at once, so its questions are put side by side.
+        const auto least = parts_of(named.size(), question_limit);
+        const auto paying = parts_of(named.size(), paying_part);
+        parts = std::max(least, std::min(paying, this->desk.free_long_vms()));
+    }
+    // What a gang asks only to know where it may run leaves the room there to others.
+    const bool claims =
+        owner.record.spec.steps[number].gang && !this->learns_whole(owner, number, queue);
+    bool taken = false;
+    for (std::size_t part = 0; part < parts; ++part) {
+        const auto begin = named.size() * part / parts;
+        const auto end = named.size() * (part + 1) / parts;
+        const auto targets = std::span(named).subspan(begin, end - begin);
+        taken = this->ask_part(owner, number, queue, targets, claims) || taken;
+    }
+    if (!taken)
+        step.ask_after = boot_time() + advice_retry;
+    return taken;
+}
+
+bool coordinator::ask_part(workflow& owner, std::uint32_t number, const queue_definition& queue,
+                           std::span<fleet_target* const> named, bool claims)
 {
     auto& step = owner.steps[number];
     advice_question question{.workflow = owner.record.id, .occurrence = 0, .step = number};
     for (const auto* target : named)
         question.targets.push_back(target->report.name);
-    const bool gang = owner.record.spec.steps[number].gang;
     const int order = owner.gang_order(number);
-    const auto cost = cost_of(queue, named.size());
-    // What a gang asks only to know where it may run leaves the room there to others.
-    const bool claims = gang && !this->learns_whole(owner, number, queue);
     // Set before, since the answer may come within the call.
-    step.asking = true;
+    ++step.asking;
     if (claims)
         this->claim(question, order);
-    const bool taken = this->desk.ask(question, cost,
+    const bool taken = this->desk.ask(question, cost_of(queue, named.size()),
                                       [this, alive = this->alive, id = owner.record.id, number,
                                        claims, order, question](const advice_answer& answer) {
                                           if (!*alive)
@@ -104,13 +130,12 @@
                                               this->give_up_claim(question, order);
                                           this->take_advice(id, number, question, answer);
                                       });
-    if (!taken) {
-        if (claims)
-            this->give_up_claim(question, order);
-        step.asking = false;
-        step.ask_after = boot_time() + advice_retry;
-    }
-    return taken;
+    if (taken)
+        return true;
+    if (claims)
+        this->give_up_claim(question, order);
+    --step.asking;
+    return false;
 }
 
 bool coordinator::learn_targets(workflow& owner, std::uint32_t number,
@@ -154,7 +179,7 @@
     if (owner == nullptr || is_final(owner->state))
         return;
     auto& step = owner->steps[number];
-    step.asking = false;
+    --step.asking;
     this->request_pass(milliseconds(0));
     if (!answer.answered) {
         step.ask_after =
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -42,8 +42,8 @@
     return end <= owner.due + owner.objective * (worthless_factor - 1) ? 1 : 2;
 }
 
-/// @return whether a gang must leave this target to a better one that asks the advisor about it: it
-/// would take the room meanwhile, since it has asked before
+/// @return whether a better gang is asking the advisor about this target, so that a question of
+/// another about it would most likely be for nothing
 bool claimed_before(const fleet_target& target, int order)
 {
     return !target.gang_claims.empty() && *target.gang_claims.begin() < order;
@@ -171,7 +171,7 @@
     auto waits_for = state::queued;
     if (!this->office.certain() || this->chain.stalled())
         waits_for = state::store_away;
-    else if (step.asking)
+    else if (step.asking > 0)
         waits_for = state::advice;
     else if (this->weighing_at < step.ask_after)
         waits_for = state::advisor_busy;
@@ -213,15 +213,15 @@
         this->reclaim_limit(owner, number);
         return false;
     }
-    if (step.asking && spec.gang)
+    if (step.asking > 0 && spec.gang)
         return false;
     this->weighing_at = boot_time();
     // Nothing can be asked now: only targets that the advisor has allowed matter.
     const bool silent = queue != nullptr && queue->needs_advice &&
-                        (step.asking || this->weighing_at < step.ask_after);
-    const auto kept = this->free_reservation(step);
-    const step_placer placer(silent ? this->allowed_candidates(owner, number, queue, kept)
-                                    : this->candidates(owner, number, queue, kept),
+                        (step.asking > 0 || this->weighing_at < step.ask_after);
+    this->free_reservation(step);
+    const step_placer placer(silent ? this->allowed_candidates(owner, number, queue)
+                                    : this->candidates(owner, number, queue),
                              spec.need);
     std::uint32_t wanted = allowed;
     if (this->office.certain() && !this->chain.stalled()) {
@@ -280,7 +280,7 @@
 
 std::optional<step_candidate> coordinator::weigh(fleet_target& target, const workflow& owner,
                                                  std::uint32_t number,
-                                                 const queue_definition* queue, bool kept) const
+                                                 const queue_definition* queue) const
 {
     const auto now = this->weighing_at;
     const auto& spec = owner.record.spec.steps[number];
@@ -290,8 +290,6 @@
                              .free_milli = room.processors_milli};
     if (candidate.fits == 0 || !target.usable(now) || !this->suits(target, owner, number))
         return std::nullopt;
-    if (spec.gang && !kept && claimed_before(target, owner.gang_order(number)))
-        return std::nullopt;
     if (spec.max_per_target > 0) {
         const auto here = target.count_of(owner.record.id, number);
         candidate.fits =
@@ -303,8 +301,11 @@
         return candidate;
     const auto& memory = owner.steps[number].advice;
     const auto said = memory.find(target.report.name);
-    if (said == memory.end())
+    if (said == memory.end()) {
+        if (spec.gang && claimed_before(target, owner.gang_order(number)))
+            return std::nullopt;
         candidate.may_run = step_candidate::permission::not_asked;
+    }
     else if (!said->second.allowed)
         return std::nullopt;
     else if (said->second.valid_until < now + ticket_slack)
@@ -313,8 +314,7 @@
 }
 
 std::vector<step_candidate> coordinator::candidates(const workflow& owner, std::uint32_t number,
-                                                    const queue_definition* queue,
-                                                    const std::set<std::string>& kept) const
+                                                    const queue_definition* queue) const
 {
     const auto& spec = owner.record.spec.steps[number];
     std::vector<step_candidate> found;
@@ -323,8 +323,7 @@
     this->around.count.add("targets_weighed", std::distance(with_room, this->open_room.end()));
     for (auto at = with_room; at != this->open_room.end(); ++at) {
         auto& target = *at->second;
-        if (const auto one =
-                this->weigh(target, owner, number, queue, kept.contains(target.report.name)))
+        if (const auto one = this->weigh(target, owner, number, queue))
             found.push_back(*one);
     }
     return found;
@@ -332,8 +331,7 @@
 
 std::vector<step_candidate> coordinator::allowed_candidates(const workflow& owner,
                                                             std::uint32_t number,
-                                                            const queue_definition* queue,
-                                                            const std::set<std::string>& kept) const
+                                                            const queue_definition* queue) const
 {
     std::vector<step_candidate> found;
     for (const auto& [name, said] : owner.steps[number].advice) {
@@ -343,7 +341,7 @@
         if (known == this->targets.end() ||
             this->configuration->zones_out.contains(known->second->report.availability_zone))
             continue;
-        if (const auto one = this->weigh(*known->second, owner, number, queue, kept.contains(name)))
+        if (const auto one = this->weigh(*known->second, owner, number, queue))
             found.push_back(*one);
     }
     return found;
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -12,13 +12,13 @@
 /// Targets named beyond the expected need, since how many are allowed varies.
 constexpr double ask_margin = 1.4;
 /// The same for tasks that need all their places at once: one place short, and the whole question
-/// was for nothing.
-constexpr double whole_ask_margin = 1.8;
+/// was for nothing. While it is answered, about a second, most room on a busy fleet changes hands.
+constexpr double whole_ask_margin = 4;
 constexpr std::size_t ask_extra = 2;
 /// Targets named in one question, for which the advisor's time still pays.
 constexpr std::size_t ask_limit = 40;
-/// The same for tasks that need all their places at once: as many as the advisor takes.
-constexpr std::size_t whole_ask_limit = 100;
+/// The same for tasks that need all their places at once: four questions put side by side.
+constexpr std::size_t whole_ask_limit = 400;
 /// With room for this many times the tasks it is worth asking whatever the experience says.
 constexpr std::uint64_t ample_factor = 2;
 
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -68,7 +68,7 @@
     std::map<std::string, advice_memory, std::less<>> advice; ///< by target
     /// Room kept on targets while the advisor is asked again.
     std::vector<kept_room> reserved;
-    bool asking = false;           ///< a question to the advisor is open
+    int asking = 0;                ///< questions to the advisor that are open
     milliseconds ask_after{0};     ///< boot time before which nothing is asked
     int answers_missed = 0;        ///< in a row
     milliseconds ready_since{0};   ///< boot time; 0: its turn has not come
