--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -188,8 +188,6 @@
     void reclaim_limit(workflow& owner, std::uint32_t step);
     bool reclaim_room(workflow& owner, std::uint32_t step, const queue_definition* queue,
                       std::uint32_t wanted);
-    /// @return tasks of the step that its allowed targets would hold if nothing else ran there
-    [[nodiscard]] std::uint64_t known_places(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] bool may_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step) const;
     [[nodiscard]] bool suits(const fleet_target& target, const workflow& owner,
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -27,9 +27,6 @@
 constexpr milliseconds unlikely_wait{3000};
 /// Steps for which one pass makes room: each looks through all that runs.
 constexpr int reclaims_per_pass = 6;
-/// A gang that knows targets which would hold this many times its tasks asks about no others: with
-/// a quarter of their room free it starts.
-constexpr std::uint64_t ample_places = 4;
 
 /// An answer that takes this many times its objective is worth nothing to its caller.
 constexpr int worthless_factor = 3;
@@ -253,11 +250,6 @@
             return true;
         }
     }
-    // A gang that knows targets enough waits for room on them; what it knows does not change.
-    if (spec.gang && this->known_places(owner, number) >= ample_places * wanted) {
-        this->reclaim_room(owner, number, queue, wanted);
-        return true;
-    }
     const auto named = placer.to_ask(wanted, spec.gang, share);
     if (!named.empty())
         this->ask_advice(owner, number, *queue, named);
@@ -266,19 +258,6 @@
     return true;
 }
 
-std::uint64_t coordinator::known_places(const workflow& owner, std::uint32_t number) const
-{
-    std::uint64_t places = 0;
-    for (const auto& [name, said] : owner.steps[number].advice) {
-        const auto known = this->targets.find(name);
-        if (said.allowed && known != this->targets.end() &&
-            this->may_use(*known->second, owner, number))
-            places += fleet_target::fits(known->second->report.capacity,
-                                         owner.record.spec.steps[number].need);
-    }
-    return places;
-}
-
 bool coordinator::may_use(const fleet_target& target, const workflow& owner,
                           std::uint32_t number) const
 {
