A coordinator that cannot reach the store does not step down by itself

Ruled out: going on with leases or starts meanwhile. Change: it stops renewing leases and starting, as before, and waits; a write or a target tells it if it was replaced. It calls no workflow unknown meanwhile, and entries behind it are not ready, so that callers go where they are served. Its heartbeat says whether the store has confirmed it lately.

--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -20,10 +20,11 @@
     double strongest_share = 0;            ///< largest share of any VM that it knows of
     bool store_answers = false;            ///< whether its last call to the store was answered
     bool coordinating = false;
+    bool certain = false; ///< the store has confirmed lately that it coordinates
     bool leaving = false; ///< it stops soon and carries no orders any more
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
-                   processor_share, strongest_share, store_answers, coordinating, leaving)
+                   processor_share, strongest_share, store_answers, coordinating, certain, leaving)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -132,7 +132,9 @@
     }
     const auto* known = this->find(id);
     if (known == nullptr) {
-        reply(call_outcome::not_found, workflow_state::queued);
+        // Without word from the store another may coordinate by now, and have accepted it.
+        reply(this->office.certain() ? call_outcome::not_found : call_outcome::refused,
+              workflow_state::queued);
         return;
     }
     // An end is shown only when it can no longer be lost.
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -261,6 +261,7 @@
     progress_log progress;
 
     bool loaded = false;
+    bool extending = true; ///< whether leases of tasks were renewed when last looked at
     milliseconds began_at{0};
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -105,5 +105,37 @@
     EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
 }
 
+// Load pattern: gangs on a fleet larger than one question, whose tickets live less long than two
+// questions take. Questions put one after the other never had all tickets good at once.
+TEST_F(coordinator_gangs_test, questions_of_a_wide_gang_are_put_side_by_side)
+{
+    this->add_targets(300, 1);
+    this->targets.check_places = false;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 8, every_fourth);
+    this->submit(first, "gang", {this->tasks(30, 1, true)}, "advised");
+    this->run_for(milliseconds(900));
+    ASSERT_GE(this->seen.size(), 2);
+    for (const auto& question : this->seen)
+        EXPECT_LT(question.at - this->seen.front().at, milliseconds(50));
+    EXPECT_EQ(this->targets.running("gang"), 30);
+}
+
+// Load pattern: many gangs at once on a fleet with room for all of them. Each must start within a
+// few questions, not one after the other.
+TEST_F(coordinator_gangs_test, a_wave_of_gangs_starts_while_there_is_room)
+{
+    constexpr int gangs = 6;
+    this->add_targets(300, 2);
+    this->targets.check_places = false;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 12, every_fourth);
+    for (int number = 0; number < gangs; ++number)
+        this->submit(first, "gang" + std::to_string(number), {this->tasks(10, 1, true)}, "advised");
+    this->run_for(milliseconds(4000));
+    for (int number = 0; number < gangs; ++number)
+        EXPECT_EQ(this->targets.running("gang" + std::to_string(number)), 10) << number;
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include <utility>
 
 namespace verbenalever {
@@ -262,5 +264,55 @@
     EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
 }
 
+// Load pattern: the store is away for five seconds during a rolling stop, so that members are
+// missing. The coordinator used to step down though nobody could replace it, and its successor had
+// to load all and to hear every target.
+TEST_F(coordinator_recovery_test, a_coordinator_outlasts_a_store_that_is_away_from_everybody)
+{
+    this->targets.add("t1", 4000).work = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    first.members_here = false;
+    this->submit(first, "before", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("before"), 1);
+    const auto lease_before = this->targets.targets["t1"]->lease_until_ms;
+    auto* const duty = first.duty.get();
+    this->store.down = true;
+    this->run_for(milliseconds(3000));
+    // Its leases have run out by now as far as it knows: another might have taken over.
+    const auto lease_away = this->targets.targets["t1"]->lease_until_ms;
+    EXPECT_LT(lease_away - lease_before, 2000);
+    this->run_for(milliseconds(2000));
+    EXPECT_EQ(this->targets.targets["t1"]->lease_until_ms, lease_away);
+    EXPECT_EQ(first.duty.get(), duty);
+    this->store.down = false;
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(first.duty.get(), duty);
+    this->submit(first, "after", {this->tasks(1, 1)});
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.running("after"), 1);
+    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+}
+
+// One that the store does not answer may have been replaced: that it does not know a workflow says
+// nothing, and the entry reads the store instead.
+TEST_F(coordinator_recovery_test, without_word_from_the_store_no_workflow_is_called_unknown)
+{
+    auto& first = this->elect("vm-1");
+    first.members_here = false;
+    std::optional<call_outcome> answer;
+    const auto ask = [&] {
+        first.duty->status("never",
+                           [&answer](call_outcome outcome, workflow_state) { answer = outcome; });
+    };
+    ask();
+    EXPECT_EQ(answer, call_outcome::not_found);
+    this->store.down = true;
+    this->run_for(milliseconds(2000));
+    ASSERT_NE(first.duty, nullptr);
+    ask();
+    EXPECT_EQ(answer, call_outcome::refused);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// How long a coordinator that cannot reach the store renews the leases of tasks before it steps
-/// down: a little longer than its own lease, after which another may have taken over. After that
-/// and one task lease nothing that it has started runs any more.
+/// How long a coordinator that cannot reach the store renews the leases of tasks: a little longer
+/// than its own lease, after which another may have taken over. After that and one task lease
+/// nothing that it has started runs any more. It does not step down: while the store is away from
+/// everybody nobody can take over, and otherwise its first write or order tells it who has.
 constexpr milliseconds predecessor_grace{1500};
 /// A member that left this long ago, while the store was there, has found its place.
 constexpr milliseconds member_rest{10'000};
@@ -96,9 +97,11 @@
 void coordinator::check_targets()
 {
     const auto now = boot_time();
-    if (!this->may_extend_leases()) {
-        this->office.abdicate("the store has not been reached for long");
-        return;
+    if (const bool extends = this->may_extend_leases(); extends != this->extending) {
+        this->extending = extends;
+        this->around.log.write(
+            "coordinator", extends ? "leases_renewed_again" : "leases_not_renewed",
+            {{"reason", "store"}, {"unconfirmed_ms", this->office.unconfirmed_for().count()}});
     }
     if (this->office.certain())
         this->around.forget_members(now - member_rest);
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -142,7 +142,10 @@
 
 bool cluster_entry::ready() const
 {
-    return !this->retired && this->configured() && (this->duty != nullptr || this->link.up());
+    // A coordinator without word from the store accepts nothing: callers are better off elsewhere.
+    const bool served =
+        this->duty ? this->office.certain() : this->link.up() && this->coordinator_certain;
+    return !this->retired && this->configured() && served;
 }
 
 void cluster_entry::retire()
@@ -177,6 +180,7 @@
                                         .strongest_share = this->strongest_share(),
                                         .store_answers = this->office.store_answers(),
                                         .coordinating = this->duty != nullptr,
+                                        .certain = this->office.certain(),
                                         .leaving = this->retired});
 }
 
@@ -194,6 +198,7 @@
 void cluster_entry::hear_coordinator(const member_greeting& greeting)
 {
     this->strongest_heard = greeting.strongest_share;
+    this->coordinator_certain = greeting.certain;
     this->spread(greeting, this->link.channel());
     // A process that has started anew listens where the coordinator did. One that has just won may
     // say so a heartbeat late.
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -140,6 +140,7 @@
     std::map<std::string, double> member_shares;     ///< of one core, by VM
     int idle_heartbeats = 0; ///< of the coordinator's VM, in a row, that say it does not coordinate
     double strongest_heard;  ///< share of the strongest VM that the coordinator knows of
+    bool coordinator_certain = true; ///< as the coordinator last said of itself
     milliseconds won_at{0};  ///< boot time
     timer lag_timer;
     std::vector<parked_call> parked;
