What waits for the store is sent again as soon as the store is known to answer

Ruled out: a shorter longest time-out, which would send a slow store everything twice. Test: what_waits_is_sent_as_soon_as_the_store_is_known_to_answer.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -168,12 +168,23 @@
     this->sent->last_sent = boot_time();
     auto change = this->sent->change;
     change.timeout = this->timeout;
-    this->store.transact(std::move(change), [this, alive = this->alive](store_result result) {
-        if (*alive && !this->ended)
+    this->store.transact(std::move(change), [this, alive = this->alive,
+                                             attempt = ++this->attempt](store_result result) {
+        // What became of an earlier sending shows in the answer to the latest one.
+        if (*alive && !this->ended && attempt == this->attempt)
             this->settle(result);
     });
 }
 
+void commit_chain::store_answers()
+{
+    if (!this->sent || this->ended || boot_time() - this->sent->last_sent < stall_limit)
+        return;
+    this->timeout = shortest_timeout;
+    this->resend_timer.stop();
+    this->transmit();
+}
+
 void commit_chain::settle(const store_result& result)
 {
     switch (result.how) {
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -72,6 +72,10 @@
     /// @return whether the last transaction sent has had no answer for long
     [[nodiscard]] bool stalled() const;
 
+    /// The store has just answered another call: a transaction that has been without an answer for
+    /// long is sent again now, since its answer, or it, was lost while the store was away.
+    void store_answers();
+
     /// @return transactions sent, for metrics
     [[nodiscard]] std::int64_t transactions() const
     {
@@ -106,6 +110,7 @@
     std::deque<std::string> order;
     std::unique_ptr<transaction> sent; ///< the one that waits for its answer
     std::int64_t sequence = 0;
+    std::uint64_t attempt = 0; ///< of all sendings the latest; answers to earlier ones are dropped
     milliseconds confirmed;
     milliseconds last_started{0};
     milliseconds last_took; ///< from sending the last transaction until its answer
--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -60,6 +60,27 @@
     EXPECT_FALSE(this->lost);
 }
 
+// Load pattern: the store is silent for three seconds. By then a transaction was sent again every
+// two seconds only, and submissions were refused for as long after the store's return.
+TEST_F(commit_chain_test, what_waits_is_sent_as_soon_as_the_store_is_known_to_answer)
+{
+    this->store.down = true;
+    this->put("a", "1");
+    this->run_for(milliseconds(3000));
+    EXPECT_TRUE(this->chain->stalled());
+    this->store.down = false;
+    this->chain->store_answers();
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(this->done, 1);
+    EXPECT_FALSE(this->chain->stalled());
+    // What the earlier sendings come to makes no difference.
+    this->put("b", "2");
+    this->run_for(milliseconds(2500));
+    EXPECT_EQ(this->done, 2);
+    EXPECT_EQ(this->store.committed, 2);
+    EXPECT_FALSE(this->lost);
+}
+
 TEST_F(commit_chain_test, a_late_transaction_does_not_undo_a_newer_one)
 {
     this->store.transactions_late = 1;
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -282,6 +282,8 @@
                                    return;
                                if (!this->leads() || tenure != this->tenure)
                                    return;
+                               if (status.ok() || absl::IsNotFound(status))
+                                   this->chain->store_answers();
                                if (status.ok())
                                    this->renewed = std::max(this->renewed, sent);
                                else if (absl::IsNotFound(status))
