The tool tells where the time of late workflows went; logs of waits in a file of their own

Figures: none; no decision changes. Not in it yet: windows, zones and sizes, and what never completed.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -165,7 +165,6 @@
     void run_lost(fleet_target& target, const task_name& task, std::string_view reason);
     void break_gang(workflow& owner, std::uint32_t step);
     void end_workflow(workflow& owner, workflow_state state);
-    void log_end(const workflow& owner);
     void stop_all(workflow& owner);
 
     // Placing (coordinator_pass.cpp, _advice.cpp, _starts.cpp, _reclaim.cpp).
@@ -175,8 +174,6 @@
     /// @return false when it waits for its team's limit or for the advisor's answer
     bool consider(workflow& owner, std::uint32_t step);
     bool place_or_ask(workflow& owner, std::uint32_t step);
-    /// @return what its allowed targets have too little of for the step
-    [[nodiscard]] step_clock::state short_of(const workflow& owner, std::uint32_t step) const;
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step) const;
     void measure_fleet();
     /// Note which targets have room.
@@ -237,6 +234,14 @@
     void list_ready(workflow& owner);
     void unlist(workflow& owner, std::uint32_t step);
 
+    // Where time goes (coordinator_accounts.cpp).
+    /// Note in the step's clock why it waits.
+    void note_wait(workflow& owner, std::uint32_t step);
+    /// @return what its allowed targets have too little of for the step
+    [[nodiscard]] step_clock::state short_of(const workflow& owner, std::uint32_t step) const;
+    void log_end(const workflow& owner);
+    void log_load();
+
     // Records (coordinator_records.cpp).
     std::uint64_t open_reply(std::function<void(call_outcome)> reply);
     void close_reply(std::uint64_t number, call_outcome outcome);
@@ -244,7 +249,6 @@
     workflow& add_workflow(workflow_record record);
     void store_record(workflow& owner, std::function<void()> done);
     void forget_ended();
-    void log_load();
     [[nodiscard]] workflow* find(const std::string& id);
     [[nodiscard]] fleet_target* find_life(const std::string& target, std::int64_t born);
     [[nodiscard]] std::string record_key(const std::string& id) const;
--- a/src/libverbenalever/coordinator/coordinator_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_ends.cpp
@@ -316,49 +316,6 @@
     });
 }
 
-void coordinator::log_end(const workflow& owner)
-{
-    // One that ended well and in time is counted only.
-    if (owner.state == workflow_state::completed && owner.ended_at <= owner.due)
-        return;
-    const bool here = owner.began_at.count() != 0;
-    std::size_t failures = 0;
-    for (const auto& step : owner.steps) {
-        for (const auto& task : step.tasks)
-            failures += task.failed_runs.size();
-    }
-    const auto spent = [&owner](step_clock::state which) {
-        milliseconds sum{0};
-        for (const auto& step : owner.steps)
-            sum += step.clock.in(which);
-        return sum.count();
-    };
-    using state = step_clock::state;
-    const auto before = std::max(milliseconds(0), this->began_at - owner.accepted_at);
-    this->around.log.write("coordinator", "workflow_ended",
-                           {{"workflow", owner.record.id},
-                            {"state", word_of(owner.state)},
-                            {"queue", owner.record.queue},
-                            {"team", owner.record.team},
-                            {"waited_ms", here ? (owner.began_at - owner.accepted_at).count() : -1},
-                            {"took_ms", (boot_time() - owner.accepted_at).count()},
-                            {"objective_ms", owner.objective.count()},
-                            {"failures", failures},
-                            {"steps", owner.steps.size()},
-                            {"tasks", owner.steps.empty() ? 0 : owner.steps[0].tasks.size()},
-                            {"earlier_coordinator_ms", before.count()},
-                            {"queued_ms", spent(state::queued)},
-                            {"store_away_ms", spent(state::store_away)},
-                            {"team_limit_ms", spent(state::team_limit)},
-                            {"advisor_busy_ms", spent(state::advisor_busy)},
-                            {"advice_ms", spent(state::advice)},
-                            {"processors_ms", spent(state::processors)},
-                            {"memory_ms", spent(state::memory)},
-                            {"run_ms", spent(state::run)},
-                            {"run_again_ms", spent(state::run_again)},
-                            {"end_kept_ms", (boot_time() - owner.ended_at).count()}});
-}
-
 void coordinator::stop_all(workflow& owner)
 {
     for (std::uint32_t number = 0; number < owner.steps.size(); ++number)
--- a/src/libverbenalever/coordinator/coordinator_pass.cpp
+++ b/src/libverbenalever/coordinator/coordinator_pass.cpp
@@ -164,43 +164,11 @@
 bool coordinator::consider(workflow& owner, std::uint32_t number)
 {
     const auto counts = this->place_or_ask(owner, number);
-    auto& step = owner.steps[number];
-    if (!step.listed)
-        return counts;
-    using state = step_clock::state;
-    auto waits_for = state::queued;
-    if (!this->office.certain() || this->chain.stalled())
-        waits_for = state::store_away;
-    else if (step.asking > 0)
-        waits_for = state::advice;
-    else if (this->weighing_at < step.ask_after)
-        waits_for = state::advisor_busy;
-    else if (this->within_limit(owner, owner.record.spec.steps[number].need, step.waiting) == 0)
-        waits_for = state::team_limit;
-    else if (step.clock.waits_for_room())
-        waits_for = step.clock.now_in(); // looked up once: it takes a walk over all known targets
-    else
-        waits_for = this->short_of(owner, number);
-    step.clock.enter(waits_for, boot_time());
+    if (owner.steps[number].listed)
+        this->note_wait(owner, number);
     return counts;
 }
 
-step_clock::state coordinator::short_of(const workflow& owner, std::uint32_t number) const
-{
-    const auto& need = owner.record.spec.steps[number].need;
-    std::int64_t by_processors = 0;
-    std::int64_t by_memory = 0;
-    for (const auto& [name, said] : owner.steps[number].advice) {
-        const auto known = this->targets.find(name);
-        if (!said.allowed || known == this->targets.end())
-            continue;
-        const auto room = known->second->free();
-        by_processors += fleet_target::fits(room, {.processors_milli = need.processors_milli});
-        by_memory += fleet_target::fits(room, {.memory_mb = need.memory_mb});
-    }
-    return by_memory < by_processors ? step_clock::state::memory : step_clock::state::processors;
-}
-
 bool coordinator::place_or_ask(workflow& owner, std::uint32_t number)
 {
     auto& step = owner.steps[number];
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -8,7 +8,6 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace verbenalever {
@@ -152,46 +151,6 @@
     }
 }
 
-void coordinator::log_load()
-{
-    std::int64_t used = 0;
-    std::int64_t memory = 0;
-    std::size_t usable = 0;
-    std::size_t runs = 0;
-    for (const auto& [name, target] : this->targets) {
-        used += target->used.processors_milli;
-        memory += target->used.memory_mb;
-        runs += target->tasks.size();
-        usable += target->usable(boot_time()) ? 1 : 0;
-    }
-    std::map<int, int> ready;
-    std::array<int, step_clock::state_count> waits{};
-    for (const auto& [priority, rank, due, id, number] : this->ready_steps) {
-        const auto state = this->workflows.at(id)->steps[number].clock.now_in();
-        ++ready[priority];
-        ++waits[static_cast<std::size_t>(state)];
-    }
-    using state = step_clock::state;
-    const auto waiting = [&waits](state which) { return waits[static_cast<std::size_t>(which)]; };
-    this->around.log.write("coordinator", "load",
-                           {{"targets", this->targets.size()},
-                            {"usable", usable},
-                            {"runs", runs},
-                            {"processors_used", used / 1000},
-                            {"processors_usable", this->fleet.processors_milli / 1000},
-                            {"ready_priority_0", ready[0]},
-                            {"ready_priority_1", ready[1]},
-                            {"ready_priority_2", ready[2]},
-                            {"memory_used_gb", memory / 1024},
-                            {"memory_usable_gb", this->fleet.memory_mb / 1024},
-                            {"wait_team_limit", waiting(state::team_limit)},
-                            {"wait_advisor_busy", waiting(state::advisor_busy)},
-                            {"wait_advice", waiting(state::advice)},
-                            {"wait_processors", waiting(state::processors)},
-                            {"wait_memory", waiting(state::memory)},
-                            {"record_wait_ms", this->chain.expected_wait().count()}});
-}
-
 void coordinator::forget_ended()
 {
     const auto limit = wall_microseconds() / 1000 - this->around.finished_rest.count();
--- /dev/null
+++ b/src/libverbenalever/timeline/trace_waits_test.cpp
@@ -0,0 +1,44 @@
+#include "timeline/trace_waits.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace verbenalever {
+namespace {
+
+trace_event ended(const char* queue, std::int64_t took, nlohmann::json fields)
+{
+    fields["queue"] = queue;
+    fields["state"] = "completed";
+    fields["took_ms"] = took;
+    fields["objective_ms"] = 1000;
+    return {.event = "workflow_ended", .fields = std::move(fields)};
+}
+
+TEST(trace_waits, causes_and_what_is_in_none_add_up)
+{
+    const std::vector<trace_event> events{
+        ended("quotes", 2000, {{"run_ms", 1000}, {"advice_ms", 500}}),
+        ended("quotes", 2000, {{"run_ms", 1000}, {"advice_ms", 300}}),
+        ended("quotes", 9000, {{"memory_ms", 9000}})};
+    const auto text = trace_waits(events);
+    EXPECT_NE(text.find("quotes              late         2     2000          0          0"
+                        "          0          0          0         20          0          0"
+                        "         50          0          0         30\n"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("quotes              useless      1     9000"), std::string::npos) << text;
+}
+
+TEST(trace_waits, other_events_and_what_did_not_complete_are_left_out)
+{
+    auto failed = ended("quotes", 2000, {});
+    failed.fields["state"] = "failed";
+    trace_event other{.event = "load"};
+    const std::vector<trace_event> events{failed, other};
+    EXPECT_EQ(trace_waits(events).find("quotes"), std::string::npos);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/verbenalever/timeline_verbs.cpp
+++ b/src/verbenalever/timeline_verbs.cpp
@@ -7,6 +7,7 @@
 #include "timeline/trace_reader.h"
 #include "timeline/trace_svg.h"
 #include "timeline/trace_text.h"
+#include "timeline/trace_waits.h"
 
 #include <fmt/format.h>
 
@@ -76,6 +77,11 @@
     return print_timeline(arguments, verbenalever::trace_svg);
 }
 
+int run_timeline_waits(session&, std::span<const std::string> arguments)
+{
+    return print_timeline(arguments, verbenalever::trace_waits);
+}
+
 int run_timeline_check(session&, std::span<const std::string> arguments)
 {
     const auto rules = read_rules();
--- a/src/verbenalever/verb_table.cpp
+++ b/src/verbenalever/verb_table.cpp
@@ -61,6 +61,8 @@
          "job task request target team", run_timeline_show},
     verb{"timeline svg", "FILE...", "draw the logs of all processes as one SVG",
          "job task request target team", run_timeline_svg},
+    verb{"timeline waits", "FILE...", "tell where the time of late workflows went", "job team",
+         run_timeline_waits},
     verb{"timeline check", "FILE...",
          "check what must always hold against the logs of all processes", "limits grace_ms",
          run_timeline_check},
