--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -141,7 +141,7 @@
     int idle_heartbeats = 0; ///< of the coordinator's VM, in a row, that say it does not coordinate
     double strongest_heard;  ///< share of the strongest VM that the coordinator knows of
     bool coordinator_certain = true; ///< as the coordinator last said of itself
-    milliseconds won_at{0};  ///< boot time
+    milliseconds won_at{0};          ///< boot time
     timer lag_timer;
     std::vector<parked_call> parked;
     timer parked_timer;
