Room kept for a gang is given back only to the target's entry that it was kept on

Cause: a target that leaves the platform's list while nothing runs there is dropped, and added anew when it is back in the same life. Room kept before by a gang, whose question or team's limit outlasted that, was taken off the new entry, whose count of kept room went below zero: the target counted as having more than it has, and was given it. Ruled out by reading: ends, adoption, relays' second sendings, leases held up (all keep room counted). Change: kept room names the listing of the target, not its life.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -291,6 +291,7 @@
     std::vector<std::function<void()>> after_load;
     std::map<std::uint64_t, std::function<void(call_outcome)>> open_replies;
     std::uint64_t last_reply = 0;
+    std::uint64_t listings = 0;   ///< of targets, so far
     std::unique_ptr<timer> retry; ///< of a page that could not be read
     timer pass_timer;
     timer check_timer;
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -57,16 +57,16 @@
 {
     for (auto* target : places) {
         target->reserved += need;
-        step.reserved.push_back({target->report.name, target->report.born_ms, need});
+        step.reserved.push_back({target->report.name, target->listing, need});
     }
 }
 
 void coordinator::free_reservation(workflow_step& step)
 {
-    for (const auto& [name, born, need] : step.reserved) {
-        // A later life of the target has kept nothing for it.
-        if (auto* target = this->find_life(name, born); target != nullptr)
-            target->reserved -= need;
+    for (const auto& [name, listing, need] : step.reserved) {
+        const auto known = this->targets.find(name);
+        if (known != this->targets.end() && known->second->listing == listing)
+            known->second->reserved -= need;
     }
     step.reserved.clear();
 }
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -55,6 +55,7 @@
 {
     auto added = std::make_unique<fleet_target>(report);
     auto& target = *added;
+    target.listing = ++this->listings;
     target.session = std::make_unique<target_session>(
         this->around.loop, this->around.orders,
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -102,6 +102,9 @@
     [[nodiscard]] bool usable(milliseconds now) const;
 
     target_report report;
+    /// Tells this object from others of the same target, also of the same life: one that was off
+    /// the platform's list and is back has nothing of what was kept before.
+    std::uint64_t listing = 0;
     bool ended_life = false; ///< it has said that this life is over
     bool listed = true;      ///< the platform's list has it
     std::unique_ptr<target_session> session;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -50,10 +50,10 @@
     milliseconds valid_until{0}; ///< boot time
 };
 
-/// Room kept on one life of a target.
+/// Room kept on a target.
 struct kept_room {
     std::string target;
-    std::int64_t born_ms = 0;
+    std::uint64_t listing = 0; ///< of the target, see fleet_target
     resources need;
 };
 
