--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <optional>
 
 #include <utility>
@@ -12,7 +13,54 @@
 namespace verbenalever {
 namespace {
 
-class coordinator_recovery_test : public coordinator_fixture {};
+class coordinator_recovery_test : public coordinator_fixture {
+protected:
+    /// Have a gang ask again with room kept for it, let the targets go and come back, answer it,
+    /// and see that no target is given more than it has.
+    /// @param come_back lets the targets go and come back
+    void expect_kept_room_forgotten(const std::function<void()>& come_back)
+    {
+        this->configuration->queues.push_back({.name = "advised",
+                                               .pool = "pool",
+                                               .priority = 1,
+                                               .attempts = 3,
+                                               .latency_objective = milliseconds(5000),
+                                               .needs_advice = true,
+                                               .advice_base_ms = 1,
+                                               .advice_target_ms = 1});
+        for (const auto* name : {"t1", "t2", "t3", "t4"})
+            this->targets.add(name, 4000).work = milliseconds(0);
+        auto& first = this->elect("vm-1");
+        std::vector<std::pair<advice_question, advice_desk::answer_callback>> open;
+        first.duty->advisors().add_vm("vm-1", [&open](const advice_question& question, milliseconds,
+                                                      advice_desk::answer_callback done) {
+            open.emplace_back(question, done);
+        });
+        const auto answer = [&open](std::int64_t valid_ms) {
+            const auto [question, done] = open.back();
+            open.clear();
+            advice_answer told{.answered = true, .valid_ms = valid_ms};
+            for (const auto& name : question.targets)
+                told.granted.push_back({name, "ticket"});
+            done(told);
+        };
+        this->submit(first, "gang", {this->tasks(2, 3, true)}, "advised");
+        this->run_for(milliseconds(100));
+        ASSERT_FALSE(open.empty());
+        answer(1); // lapsed at once: room is kept while it is asked again
+        this->run_for(milliseconds(100));
+        ASSERT_FALSE(open.empty());
+        come_back();
+        this->run_for(milliseconds(100));
+        answer(10'000);
+        this->run_for(milliseconds(600));
+        this->submit(first, "other", {this->tasks(20, 1)});
+        this->run_for(milliseconds(500));
+        EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
+        EXPECT_EQ(this->targets.running("gang"), 2);
+        EXPECT_EQ(this->targets.running("other"), 10);
+    }
+};
 
 // A gang's second end, or one of a workflow whose end was on its way to the store, used to be
 // acknowledged at once; a coordinator that died then left neither record nor end.
@@ -193,45 +241,10 @@
 TEST_F(coordinator_recovery_test,
        room_kept_on_an_earlier_life_of_a_target_is_not_given_back_to_the_next)
 {
-    this->configuration->queues.push_back({.name = "advised",
-                                           .pool = "pool",
-                                           .priority = 1,
-                                           .attempts = 3,
-                                           .latency_objective = milliseconds(5000),
-                                           .needs_advice = true,
-                                           .advice_base_ms = 1,
-                                           .advice_target_ms = 1});
-    for (const auto* name : {"t1", "t2", "t3", "t4"})
-        this->targets.add(name, 4000).work = milliseconds(0);
-    auto& first = this->elect("vm-1");
-    std::vector<std::pair<advice_question, advice_desk::answer_callback>> open;
-    first.duty->advisors().add_vm(
-        "vm-1", [&open](const advice_question& question, milliseconds,
-                        advice_desk::answer_callback done) { open.emplace_back(question, done); });
-    const auto answer = [&open](std::int64_t valid_ms) {
-        const auto [question, done] = open.back();
-        open.clear();
-        advice_answer told{.answered = true, .valid_ms = valid_ms};
-        for (const auto& name : question.targets)
-            told.granted.push_back({name, "ticket"});
-        done(told);
-    };
-    this->submit(first, "gang", {this->tasks(2, 3, true)}, "advised");
-    this->run_for(milliseconds(100));
-    ASSERT_FALSE(open.empty());
-    answer(1); // lapsed at once: room is kept while it is asked again
-    this->run_for(milliseconds(100));
-    ASSERT_FALSE(open.empty());
-    for (const auto* name : {"t1", "t2", "t3", "t4"})
-        this->targets.start_again(name);
-    this->run_for(milliseconds(100));
-    answer(10'000);
-    this->run_for(milliseconds(600));
-    this->submit(first, "other", {this->tasks(20, 1)});
-    this->run_for(milliseconds(500));
-    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
-    EXPECT_EQ(this->targets.running("gang"), 2);
-    EXPECT_EQ(this->targets.running("other"), 10);
+    this->expect_kept_room_forgotten([this] {
+        for (const auto* name : {"t1", "t2", "t3", "t4"})
+            this->targets.start_again(name);
+    });
 }
 
 // Load pattern: a zone is cut off for some seconds, and the entries of its targets lapse in the
@@ -240,49 +253,14 @@
 TEST_F(coordinator_recovery_test,
        room_kept_before_a_target_was_off_the_list_is_not_given_back_twice)
 {
-    this->configuration->queues.push_back({.name = "advised",
-                                           .pool = "pool",
-                                           .priority = 1,
-                                           .attempts = 3,
-                                           .latency_objective = milliseconds(5000),
-                                           .needs_advice = true,
-                                           .advice_base_ms = 1,
-                                           .advice_target_ms = 1});
-    for (const auto* name : {"t1", "t2", "t3", "t4"})
-        this->targets.add(name, 4000).work = milliseconds(0);
-    auto& first = this->elect("vm-1");
-    std::vector<std::pair<advice_question, advice_desk::answer_callback>> open;
-    first.duty->advisors().add_vm(
-        "vm-1", [&open](const advice_question& question, milliseconds,
-                        advice_desk::answer_callback done) { open.emplace_back(question, done); });
-    const auto answer = [&open](std::int64_t valid_ms) {
-        const auto [question, done] = open.back();
-        open.clear();
-        advice_answer told{.answered = true, .valid_ms = valid_ms};
-        for (const auto& name : question.targets)
-            told.granted.push_back({name, "ticket"});
-        done(told);
-    };
-    this->submit(first, "gang", {this->tasks(2, 3, true)}, "advised");
-    this->run_for(milliseconds(100));
-    ASSERT_FALSE(open.empty());
-    answer(1); // lapsed at once: room is kept while it is asked again
-    this->run_for(milliseconds(100));
-    ASSERT_FALSE(open.empty());
-    auto away = std::move(this->targets.targets);
-    this->targets.targets.clear();
-    this->targets.tell_list();
-    this->run_for(milliseconds(500));
-    this->targets.targets = std::move(away);
-    this->targets.tell_list();
-    this->run_for(milliseconds(100));
-    answer(10'000);
-    this->run_for(milliseconds(600));
-    this->submit(first, "other", {this->tasks(20, 1)});
-    this->run_for(milliseconds(500));
-    EXPECT_TRUE(this->targets.breaches.empty()) << this->targets.breaches.front();
-    EXPECT_EQ(this->targets.running("gang"), 2);
-    EXPECT_EQ(this->targets.running("other"), 10);
+    this->expect_kept_room_forgotten([this] {
+        auto away = std::move(this->targets.targets);
+        this->targets.targets.clear();
+        this->targets.tell_list();
+        this->run_for(milliseconds(500));
+        this->targets.targets = std::move(away);
+        this->targets.tell_list();
+    });
 }
 
 // A start without an end of the lease used to be sent to a target that had just fallen silent. Held
