Scheduling cost that does not grow with the fleet

Cause: at 300 VMs a fleet has 3,000 targets, and each decision looked at all of them: a pass sorted them by free capacity, a step weighed each of them, each poll's answer went over all awaited placements, and the list of targets was copied and compared four times a second although most registrations are written again unchanged. perf on the new test on the code before: 17% of the time in walking the map of targets, 30% in weighing them.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -63,7 +63,6 @@
 void coordinator::apply_configuration(std::shared_ptr<const fleet_configuration> configuration)
 {
     this->configuration = std::move(configuration);
-    this->free_targets_refreshed_at = milliseconds(0); // zones may have been excluded
     this->request_scheduling_pass();
 }
 
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "coordinator/advice_dispatcher.h"
 #include "coordinator/fleet_target.h"
+#include "coordinator/free_capacity_index.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/progress_log.h"
 #include "coordinator/run_length_model.h"
@@ -232,8 +233,6 @@
     [[nodiscard]] int rank_of(const workflow& owner, std::uint32_t step_index) const;
     /// Sum the capacity of the usable targets and the weights of the teams.
     void update_fleet_capacity();
-    /// Rebuilds free_targets unless it is at most @p max_age old.
-    void refresh_free_targets(milliseconds max_age);
     [[nodiscard]] ready_key ready_key_of(const workflow& owner, std::uint32_t step_index) const;
     /// Stops a run to free capacity for @p preemptor; the task of the run waits for a target again.
     /// @param reason for the log: "limit" when the team's limit is used up, "room" when the target
@@ -258,10 +257,18 @@
     [[nodiscard]] std::optional<step_candidate>
     evaluate_target(fleet_target& target, const workflow& owner, std::uint32_t step_index,
                     const queue_definition* queue) const;
-    /// @return candidates among free_targets
+    /// @return candidates for the step: those that the advisor has allowed, and a limited number of
+    /// others, which are those with most free capacity
     [[nodiscard]] std::vector<step_candidate> find_candidates(const workflow& owner,
                                                               std::uint32_t step_index,
                                                               const queue_definition* queue) const;
+    /// @return a limited number of candidates for a step that needs no advice: those with least
+    /// free capacity
+    [[nodiscard]] std::vector<step_candidate>
+    find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
+                             const queue_definition* queue) const;
+    /// @return whether operators have taken the target's availability zone out
+    [[nodiscard]] bool in_excluded_zone(const fleet_target& target) const;
     /// @return candidates among the targets that the advisor has allowed
     [[nodiscard]] std::vector<step_candidate>
     find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
@@ -363,6 +370,7 @@
     milliseconds started_at{0};  ///< time since boot of start()
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
+    free_capacity_index free_targets; ///< outlives the targets, which it refers to
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
     /// Placements by earlier coordinators on targets that have not answered in this term, by
     /// target name. Their tasks may still be running.
@@ -370,11 +378,6 @@
     std::vector<std::string> inherited_placement_keys; ///< placement log of earlier coordinators
     std::vector<target_report> latest_reports;         ///< the platform's list as last read
     team_usage_tracker usage_by_team;
-    /// Usable targets with processors that no run uses, and the thousandths of a processor that are
-    /// unused there, fewest first. Capacity that is freed later is added by the next
-    /// refresh_free_targets().
-    std::vector<std::pair<std::int64_t, fleet_target*>> free_targets;
-    milliseconds free_targets_refreshed_at{0}; ///< time since boot
     /// Time since boot at which scheduling of the current step began.
     milliseconds evaluation_time{0};
     int preemptions_left = 0;           ///< steps that may still preempt in this pass
@@ -390,7 +393,7 @@
     /// Replies not sent yet, by reply id.
     std::map<std::uint64_t, std::function<void(call_outcome)>> pending_replies;
     std::uint64_t last_reply_id = 0;
-    std::uint64_t last_listing = 0;          ///< serial number of the fleet_target added last
+    std::uint64_t last_registration = 0;     ///< registration_id of the fleet_target added last
     std::unique_ptr<timer> load_retry_timer; ///< retries a page of records that could not be read
     timer scheduling_timer;
     timer check_timer;
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -15,9 +15,6 @@
 /// The delay doubles with each missed answer, at most this many times (to half a second): missed
 /// answers show that the advisor or the connection to it is loaded, and retries add to the load.
 constexpr int max_retry_doublings = 5;
-/// free_targets may be this old when an answer is handled: a large fleet gets some hundred answers
-/// a second, and refreshing the list costs more than the rest of the handling.
-constexpr milliseconds max_free_targets_age{10};
 /// The advisor accepts no more targets in one question.
 constexpr std::size_t max_targets_per_question = 100;
 /// Targets in each of several parallel questions: with fewer, most of the advisor's time would be
@@ -201,10 +198,8 @@
     for (const auto& grant : answer.granted)
         step.advice[grant.target] = {true, grant.ticket, valid_until};
     // The step is scheduled at once, before others take the capacity that it asked about.
-    if (step.in_ready_list) {
-        this->refresh_free_targets(max_free_targets_age);
+    if (step.in_ready_list)
         this->schedule_step(*owner, step_index);
-    }
     auto [current_rate, added] =
         this->grant_rate.try_emplace(owner->record.queue, initial_grant_rate);
     current_rate->second +=
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -41,7 +41,9 @@
         return;
     this->end_wait_for_poll(target.report.name);
     this->update_polling(target);
-    this->update_adoption();
+    // Its cost grows with the awaited targets; while there are any, check_targets() calls it.
+    if (this->awaited_placements.empty())
+        this->update_adoption();
     this->request_scheduling_pass();
 }
 
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <ranges>
 
 namespace verbenalever {
 
@@ -26,6 +27,9 @@
 /// if a gang will probably not get enough of them. A few times the one second that the users'
 /// urgent jobs may take.
 constexpr milliseconds optimistic_estimate_after{3000};
+/// Targets, other than those that the advisor has allowed, that are considered for a step. A gang
+/// asks about at most this many.
+constexpr std::size_t max_new_candidates = 400;
 /// Steps that may preempt runs in one pass: each of them examines all running tasks.
 constexpr int preemptions_per_pass = 6;
 
@@ -66,22 +70,6 @@
         this->scheduling_timer.start_once(std::max(wait, this->earliest_next_pass - boot_time()));
 }
 
-void coordinator::refresh_free_targets(milliseconds max_age)
-{
-    const auto now = boot_time();
-    if (now - this->free_targets_refreshed_at <= max_age)
-        return;
-    this->free_targets_refreshed_at = now;
-    this->free_targets.clear();
-    for (const auto& [name, target] : this->targets) {
-        const auto free_capacity = target->unused_resources().processors_milli;
-        if (free_capacity > 0 && target->usable(now) &&
-            !this->configuration->zones_out.contains(target->report.availability_zone))
-            this->free_targets.emplace_back(free_capacity, target.get());
-    }
-    std::ranges::sort(this->free_targets);
-}
-
 void coordinator::add_ready_steps(workflow& owner)
 {
     if (is_final(owner.state))
@@ -126,7 +114,6 @@
         return;
     const auto pass_started_at = boot_time();
     this->usage_by_team.clear_urgent_reservations();
-    this->refresh_free_targets(milliseconds(-1));
     this->preemptions_left = preemptions_per_pass;
     int steps_left = max_steps_per_pass;
     std::vector<std::pair<workflow*, std::uint32_t>> reranked;
@@ -239,8 +226,7 @@
 bool coordinator::can_use(const fleet_target& target, const workflow& owner,
                           std::uint32_t step_index) const
 {
-    return target.usable(this->evaluation_time) &&
-           !this->configuration->zones_out.contains(target.report.availability_zone) &&
+    return target.usable(this->evaluation_time) && !this->in_excluded_zone(target) &&
            this->is_suitable(target, owner, step_index);
 }
 
@@ -298,21 +284,55 @@
                                                          std::uint32_t step_index,
                                                          const queue_definition* queue) const
 {
-    const auto& spec = owner.record.spec.steps[step_index];
+    if (queue == nullptr || !queue->needs_advice)
+        return this->find_tightest_candidates(owner, step_index, queue);
+    // Targets that the advisor has allowed are found through its answers, wherever they stand in
+    // the order.
+    auto found = this->find_allowed_candidates(owner, step_index, queue);
+    const auto& need = owner.record.spec.steps[step_index].need;
+    const auto& advice = owner.steps[step_index].advice;
+    const auto with_advice = found.size();
+    std::int64_t weighed = 0;
+    for (const auto& entry : this->free_targets.entries()) {
+        if (entry.unused_processors_milli < need.processors_milli ||
+            found.size() - with_advice == max_new_candidates)
+            break;
+        if (advice.contains(entry.target->report.name) || this->in_excluded_zone(*entry.target))
+            continue;
+        ++weighed;
+        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
+            found.push_back(*candidate);
+    }
+    this->env.metrics.add("targets_weighed", weighed);
+    return found;
+}
+
+std::vector<step_candidate>
+coordinator::find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
+                                      const queue_definition* queue) const
+{
+    const auto& need = owner.record.spec.steps[step_index].need;
     std::vector<step_candidate> found;
-    const auto first_large_enough =
-        std::ranges::lower_bound(this->free_targets, spec.need.processors_milli, {},
-                                 &std::pair<std::int64_t, fleet_target*>::first);
-    this->env.metrics.add("targets_weighed",
-                          std::distance(first_large_enough, this->free_targets.end()));
-    for (auto at = first_large_enough; at != this->free_targets.end(); ++at) {
-        auto& target = *at->second;
-        if (const auto candidate = this->evaluate_target(target, owner, step_index, queue))
+    std::int64_t weighed = 0;
+    for (const auto& entry : std::views::reverse(this->free_targets.entries())) {
+        if (found.size() == max_new_candidates)
+            break;
+        if (entry.unused_processors_milli < need.processors_milli ||
+            this->in_excluded_zone(*entry.target))
+            continue;
+        ++weighed;
+        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
             found.push_back(*candidate);
     }
+    this->env.metrics.add("targets_weighed", weighed);
     return found;
 }
 
+bool coordinator::in_excluded_zone(const fleet_target& target) const
+{
+    return this->configuration->zones_out.contains(target.report.availability_zone);
+}
+
 std::vector<step_candidate>
 coordinator::find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
                                      const queue_definition* queue) const
@@ -322,8 +342,7 @@
         if (!answer.allowed)
             continue;
         const auto known = this->targets.find(name);
-        if (known == this->targets.end() ||
-            this->configuration->zones_out.contains(known->second->report.availability_zone))
+        if (known == this->targets.end() || this->in_excluded_zone(*known->second))
             continue;
         if (const auto candidate = this->evaluate_target(*known->second, owner, step_index, queue))
             found.push_back(*candidate);
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -41,7 +41,7 @@
             known->second->in_directory = true;
             if (report.leaving && !known->second->report.leaving)
                 this->env.log.write("coordinator", "target_leaving", {{"target", report.name}});
-            known->second->report = report;
+            known->second->update_report(report);
         }
         else {
             this->add_target(report);
@@ -53,9 +53,9 @@
 
 void coordinator::add_target(const target_report& report)
 {
-    auto added = std::make_unique<fleet_target>(report);
+    auto added =
+        std::make_unique<fleet_target>(report, ++this->last_registration, this->free_targets);
     auto& target = *added;
-    target.registration_id = ++this->last_listing;
     target.session = std::make_unique<target_session>(
         this->env.loop, this->env.orders,
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
@@ -93,8 +93,6 @@
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
     }
-    std::erase_if(this->free_targets,
-                  [&target](const auto& entry) { return entry.second == &target; });
     this->targets.erase(name);
 }
 
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/fleet_target.h"
 
+#include "coordinator/free_capacity_index.h"
 #include "coordinator/target_session.h"
 
 #include <algorithm>
@@ -21,9 +22,23 @@
 
 } // namespace
 
-fleet_target::fleet_target(target_report report) : report(std::move(report)) {}
+fleet_target::fleet_target(target_report report, std::uint64_t registration_id,
+                           free_capacity_index& free_targets)
+    : report(std::move(report)), registration_id(registration_id), free_targets(free_targets)
+{
+    this->free_targets.update(*this);
+}
 
-fleet_target::~fleet_target() = default;
+fleet_target::~fleet_target()
+{
+    this->free_targets.remove(*this);
+}
+
+void fleet_target::update_report(const target_report& newer)
+{
+    this->report = newer;
+    this->free_targets.update(*this);
+}
 
 placed_run& fleet_target::add_run(const task_name& task, const placed_run& run)
 {
@@ -31,6 +46,7 @@
     this->used += run.need;
     if (run.owner == nullptr)
         ++this->runs_of_unknown_size;
+    this->free_targets.update(*this);
     return this->tasks.emplace(task, run).first->second;
 }
 
@@ -43,6 +59,7 @@
     if (found->second.owner == nullptr)
         --this->runs_of_unknown_size;
     this->tasks.erase(found);
+    this->free_targets.update(*this);
 }
 
 resources fleet_target::free_resources() const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -14,6 +14,7 @@
 
 namespace verbenalever {
 
+class free_capacity_index;
 class target_session;
 struct workflow;
 
@@ -48,7 +49,10 @@
 /// ended runs to acknowledge, and whether new work may be placed there.
 class fleet_target {
 public:
-    explicit fleet_target(target_report report);
+    /// @param registration_id see the member
+    /// @param free_targets    holds this target while some of its processors are unused
+    fleet_target(target_report report, std::uint64_t registration_id,
+                 free_capacity_index& free_targets);
     ~fleet_target();
     fleet_target(const fleet_target&) = delete;
     fleet_target& operator=(const fleet_target&) = delete;
@@ -107,13 +111,17 @@
     /// @return whether new work may be placed here now
     [[nodiscard]] bool usable(milliseconds now) const;
 
+    /// Use a newer report of the same target, whose capacity may differ.
+    void update_report(const target_report& newer);
+
     target_report report;
     /// Distinguishes this object from earlier ones of the same target, which exist even without a
     /// restart: a target that disappears from the platform's list and returns gets a new object,
     /// which has none of the earlier reservations.
     std::uint64_t registration_id = 0;
-    bool restarted = false;   ///< the target has answered that it was restarted
-    bool in_directory = true; ///< it is on the platform's list
+    std::int64_t indexed_processors_milli = 0; ///< its key in the free_capacity_index; 0: not there
+    bool restarted = false;                    ///< the target has answered that it was restarted
+    bool in_directory = true;                  ///< it is on the platform's list
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_run> tasks;
     resources used;
@@ -124,6 +132,7 @@
     std::uint32_t runs_of_unknown_size = 0; ///< runs whose needed resources are not known
 
 private:
+    free_capacity_index& free_targets;
     std::deque<unacknowledged_end> unacknowledged_ends;
     std::int64_t last_end_number = 0;
     std::int64_t stored_up_to = 0;
--- a/src/libverbenalever/coordinator/step_placer_test.cpp
+++ b/src/libverbenalever/coordinator/step_placer_test.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/step_placer.h"
 
 #include "coordinator/fleet_target.h"
+#include "coordinator/free_capacity_index.h"
 #include "coordinator/target_session.h"
 
 #include <gtest/gtest.h>
@@ -20,7 +21,8 @@
         target_report report;
         report.name = "t" + std::to_string(this->targets.size());
         report.capacity = {.processors_milli = cores * 1000, .memory_mb = 64'000};
-        this->targets.push_back(std::make_unique<fleet_target>(report));
+        this->targets.push_back(
+            std::make_unique<fleet_target>(report, this->targets.size() + 1, this->free_targets));
         auto* target = this->targets.back().get();
         this->candidates.push_back({target, advice_state, target->count_fitting(this->need),
                                     target->free_resources().processors_milli});
@@ -32,6 +34,7 @@
     }
 
     resources need{.processors_milli = 4000, .memory_mb = 1000};
+    free_capacity_index free_targets;
     std::vector<std::unique_ptr<fleet_target>> targets;
     std::vector<step_candidate> candidates;
 };
--- a/src/libverbenalever/ports/target_report.h
+++ b/src/libverbenalever/ports/target_report.h
@@ -19,6 +19,8 @@
     std::vector<std::string> labels;
     resources capacity;
     bool leaving = false; ///< accepts no new work and will shut down soon
+
+    friend bool operator==(const target_report&, const target_report&) = default;
 };
 
 } // namespace verbenalever
