Stop counting a cancelled workflow's inherited tasks against its team for good

Cause: a new coordinator counts each task that its predecessor placed on a target against the team's limit until that target has answered. When the workflow was cancelled or failed in between, the end of the wait skipped it, and the amount stayed counted for the rest of the term. Ruled out: advice (wait_advice 0 at the end), capacity, a question left open. Change: the amount is kept with the awaited placement and given back when that is resolved, whatever has become of the workflow. Test: a_workflow_cancelled_during_adoption_frees_its_teams_limit failed before (0 of 4 tasks ran), passes.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -164,10 +164,15 @@
     /// Called when a target has answered a poll: the tasks that earlier
     /// coordinators placed there no longer wait for that answer.
     void end_wait_for_poll(const std::string& target_name);
+    /// A placement by an earlier coordinator whose target has not answered in this term.
+    struct awaited_placement {
+        placement_entry placement;
+        resources need; ///< counted as a possible run of the team until the placement is resolved
+    };
     /// Handle placements by earlier coordinators of which it is known whether they still run, or
     /// that none of them can. A task that was not found running is requeued, unless it has another
     /// placement on a target that has not answered yet.
-    void resolve_inherited_placements(const std::vector<placement_entry>& entries);
+    void resolve_inherited_placements(const std::vector<awaited_placement>& entries);
     /// Stop waiting for targets that were restarted or on which all leases of earlier terms have
     /// expired; once no target is awaited, remove the placements that earlier coordinators stored.
     void update_adoption();
@@ -374,7 +379,7 @@
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
     /// Placements by earlier coordinators on targets that have not answered in this term, by
     /// target name. Their tasks may still be running.
-    std::map<std::string, std::vector<placement_entry>> awaited_placements;
+    std::map<std::string, std::vector<awaited_placement>> awaited_placements;
     std::vector<std::string> inherited_placement_keys; ///< placement log of earlier coordinators
     std::vector<target_report> latest_reports;         ///< the platform's list as last read
     team_usage_tracker usage_by_team;
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -125,6 +125,31 @@
     EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
 }
 
+// Until a target answers, a successor counts what its predecessor may have started there against
+// the team's limit. Cancelling the workflow in the meantime must not leave it counted for good.
+TEST_F(coordinator_recovery_test, a_workflow_cancelled_during_adoption_frees_its_teams_limit)
+{
+    this->configuration->teams[0].limit = {.processors_milli = 4000};
+    this->targets.add("t1", 4000).task_duration = milliseconds(0);
+    this->targets.add("t2", 4000).task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "cancelled", {this->tasks(4, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("cancelled"), 4);
+    for (const auto* name : {"t1", "t2"})
+        this->targets.targets[name]->unresponsive = true;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    second.active_coordinator->cancel("cancelled", [](call_outcome) {});
+    this->submit(second, "gang", {this->tasks(4, 1, true)});
+    for (const auto* name : {"t1", "t2"})
+        this->targets.targets[name]->unresponsive = false;
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.running("cancelled"), 0);
+    EXPECT_EQ(this->targets.running("gang"), 4);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 // Placements from before a restart of a target must not be taken for current ones.
 TEST_F(coordinator_recovery_test, an_unreachable_target_that_was_restarted_is_waited_for)
 {
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -78,15 +78,15 @@
     auto& task = step.tasks[entry.index];
     if (task.current_phase == workflow_task::phase::done)
         return;
+    const auto& need = owner->record.spec.steps[entry.step].need;
     if (task.current_phase == workflow_task::phase::waiting) {
         task.current_phase = workflow_task::phase::awaiting_target;
         --step.waiting_count;
-        this->usage_by_team.add_possible_run(owner->record.team,
-                                             owner->record.spec.steps[entry.step].need);
+        this->usage_by_team.add_possible_run(owner->record.team, need);
     }
     task.run = std::max(task.run, entry.run);
     ++task.awaited_target_count;
-    this->awaited_placements[entry.target].push_back(entry);
+    this->awaited_placements[entry.target].push_back({entry, need});
 }
 
 void coordinator::load_record(std::string_view value)
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -170,12 +170,13 @@
     const auto elapsed = boot_time() - this->started_at;
     // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
     const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
-    std::vector<placement_entry> expired_entries;
+    std::vector<awaited_placement> expired_entries;
     for (auto& [name, entries] : this->awaited_placements) {
         const auto found = this->targets.find(name);
-        std::erase_if(entries, [&](const placement_entry& entry) {
-            const bool target_restarted = found != this->targets.end() &&
-                                          found->second->report.born_ms != entry.target_born_ms;
+        std::erase_if(entries, [&](const awaited_placement& entry) {
+            const bool target_restarted =
+                found != this->targets.end() &&
+                found->second->report.born_ms != entry.placement.target_born_ms;
             if (elapsed < limit && !target_restarted)
                 return false;
             expired_entries.push_back(entry);
@@ -204,23 +205,23 @@
     this->resolve_inherited_placements(entries);
 }
 
-void coordinator::resolve_inherited_placements(const std::vector<placement_entry>& entries)
+void coordinator::resolve_inherited_placements(const std::vector<awaited_placement>& entries)
 {
     if (entries.empty())
         return;
-    for (const auto& entry : entries) {
-        auto* owner = this->find_workflow(entry.workflow);
-        if (owner == nullptr || is_final(owner->state))
+    for (const auto& [placement, need] : entries) {
+        auto* owner = this->find_workflow(placement.workflow);
+        if (owner == nullptr)
             continue;
-        auto& step = owner->steps[entry.step];
-        auto& task = step.tasks[entry.index];
+        auto& step = owner->steps[placement.step];
+        auto& task = step.tasks[placement.index];
         if (task.current_phase != workflow_task::phase::awaiting_target ||
             --task.awaited_target_count > 0)
             continue;
         task.current_phase = workflow_task::phase::waiting;
         ++step.waiting_count;
-        this->usage_by_team.remove_possible_run(owner->record.team,
-                                                owner->record.spec.steps[entry.step].need);
+        // Also when the workflow has been cancelled or has failed since.
+        this->usage_by_team.remove_possible_run(owner->record.team, need);
         this->add_ready_steps(*owner);
     }
     this->request_scheduling_pass();
