Measure teams' shares against the availability zones in service

Ruled out: targets of that zone in the free-capacity index (they were never used). Change: the fleet's capacity leaves excluded zones out.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -387,8 +387,8 @@
     milliseconds evaluation_time{0};
     int preemptions_left = 0;           ///< steps that may still preempt in this pass
     milliseconds earliest_next_pass{0}; ///< time since boot; ends the pause after the last pass
-    resources fleet_capacity;           ///< total capacity of the usable targets
-    double total_team_weight = 0;       ///< sum over the teams in the configuration
+    resources fleet_capacity;     ///< total capacity of the usable targets in zones in service
+    double total_team_weight = 0; ///< sum over the teams in the configuration
     /// Assumed grant rate of a queue for which the advisor has not answered yet.
     static constexpr double initial_grant_rate = 0.5;
     /// Moving average of the fraction of targets that the advisor allows, by queue.
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -145,6 +145,27 @@
     EXPECT_EQ(this->targets.start_count, 2);
 }
 
+// Load pattern: operators take out one of two availability zones while a team uses more than half
+// of what is left. Its share is a part of the targets in service, so the other team goes first.
+TEST_F(coordinator_load_test, shares_are_measured_against_the_zones_in_service)
+{
+    this->configuration->teams.push_back({.name = "other", .keys = {}, .weight = 1, .limit = {}});
+    this->configuration->zones_out.insert("z2");
+    this->targets.add("t1", 10'000, "z1").task_duration = milliseconds(0);
+    this->targets.add("t2", 10'000, "z2").task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "large", {this->tasks(7, 1)});
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("large"), 7);
+    this->submit(first, "next", {this->tasks(3, 1)});
+    first.active_coordinator->submit(
+        {"others", "urgent", "other", {.payload = "p", .steps = {this->tasks(3, 1)}}},
+        [](call_outcome) {});
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->targets.running("others"), 3);
+    EXPECT_EQ(this->targets.running("next"), 0);
+}
+
 // Load pattern: submissions arrive faster than the store can write them. Without refusals they wait
 // until their callers time out, which leaves the outcome unknown.
 TEST_F(coordinator_load_test, submissions_are_refused_while_the_write_backlog_is_too_long)
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -137,7 +137,7 @@
     const auto now = boot_time();
     this->fleet_capacity = {};
     for (const auto& [name, target] : this->targets) {
-        if (target->usable(now))
+        if (target->usable(now) && !this->in_excluded_zone(*target))
             this->fleet_capacity += target->report.capacity;
     }
     this->total_team_weight = 0;
