--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -20,8 +20,6 @@
 constexpr milliseconds cleanup_interval{10'000};
 /// How often the load is logged, for finding the cause of long waits.
 constexpr milliseconds load_log_interval{5000};
-/// How often the models of run lengths are stored.
-constexpr milliseconds run_length_store_interval{3000};
 
 } // namespace
 
@@ -38,8 +36,7 @@
       scheduling_timer(this->env.loop, [this] { this->run_scheduling_pass(); }),
       check_timer(this->env.loop, [this] { this->check_targets(); }),
       cleanup_timer(this->env.loop, [this] { this->delete_ended_workflows(); }),
-      load_log_timer(this->env.loop, [this] { this->log_load(); }),
-      run_length_timer(this->env.loop, [this] { this->store_run_lengths(); })
+      load_log_timer(this->env.loop, [this] { this->log_load(); })
 {
 }
 
@@ -57,12 +54,10 @@
     this->started_at = boot_time();
     this->env.directory.start(
         [this](const std::vector<target_report>& reports) { this->apply_directory(reports); });
-    this->load_run_lengths();
     this->load_page(this->record_key({}), {});
     this->check_timer.start_repeating(check_interval);
     this->cleanup_timer.start_repeating(cleanup_interval);
     this->load_log_timer.start_repeating(load_log_interval);
-    this->run_length_timer.start_repeating(run_length_store_interval);
 }
 
 void coordinator::apply_configuration(std::shared_ptr<const fleet_configuration> configuration)
@@ -180,12 +175,6 @@
     existing->replies_after_end_stored.push_back(reply_id);
 }
 
-milliseconds coordinator::predict_run_length(std::string_view queue, milliseconds estimated) const
-{
-    const auto found = this->run_length_models.find(queue);
-    return found == this->run_length_models.end() ? estimated : found->second.predict(estimated);
-}
-
 std::int64_t coordinator::count_waiting(std::string_view queue) const
 {
     std::int64_t waiting = 0;
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -115,10 +115,6 @@
     /// @return number of stored workflows of the queue of which no task has started
     [[nodiscard]] std::int64_t count_waiting(std::string_view queue) const;
 
-    /// @return expected duration of a run of the queue's workflows with this estimate
-    [[nodiscard]] milliseconds predict_run_length(std::string_view queue,
-                                                  milliseconds estimated) const;
-
     /// @return the dispatcher, for adding and removing the VMs that can reach the advisor
     [[nodiscard]] advice_dispatcher& advice_dispatch()
     {
@@ -352,13 +348,6 @@
     /// While the store does not answer, refuse the workflows whose records were not sent to it.
     void refuse_unsent_submissions();
     workflow& add_workflow(workflow_record record);
-    /// Set when a workflow is due, from the predicted lengths of its runs.
-    void predict_times(workflow& owner);
-    /// Store the models of run lengths for the next coordinator. One that has to learn them anew
-    /// learns from short runs first, which end first, and takes most workflows for late.
-    void store_run_lengths();
-    /// Use the models that an earlier coordinator has stored, if they arrive before the records.
-    void load_run_lengths();
     /// @param done called when the record is stored
     void store_record(workflow& owner, std::function<void()> done);
     /// Delete the records of workflows that ended longer ago than environment::ended_retention.
@@ -371,7 +360,6 @@
     [[nodiscard]] std::string record_key(const std::string& id) const;
     [[nodiscard]] std::string placement_key(const std::string& id) const;
     [[nodiscard]] std::string progress_key(const std::string& id) const;
-    [[nodiscard]] std::string run_length_key() const;
 
     environment env;
     leadership& election;
@@ -416,7 +404,6 @@
     timer check_timer;
     timer cleanup_timer;
     timer load_log_timer;
-    timer run_length_timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -62,11 +62,6 @@
     return this->env.prefix + "p/" + id;
 }
 
-std::string coordinator::run_length_key() const
-{
-    return this->env.prefix + "run-lengths";
-}
-
 std::string coordinator::progress_key(const std::string& id) const
 {
     return this->env.prefix + "e/" + id;
@@ -77,16 +72,25 @@
     auto added = std::make_unique<workflow>();
     added->record = std::move(record);
     added->state = added->record.stored_state();
-    for (const auto& spec : added->record.spec.steps) {
+    const auto remaining =
+        remaining_times(added->record.spec, this->run_length_models[added->record.queue]);
+    std::int64_t longest = 0;
+    for (std::size_t number = 0; number < remaining.size(); ++number) {
         auto& added_step = added->steps.emplace_back();
-        added_step.tasks.resize(spec.count);
-        added_step.waiting_count = spec.count;
+        added_step.tasks.resize(added->record.spec.steps[number].count);
+        added_step.waiting_count = added->record.spec.steps[number].count;
+        added_step.time_to_workflow_end = milliseconds(remaining[number]);
+        longest = std::max(longest, remaining[number]);
     }
-    if (const auto* queue = this->configuration->queue(added->record.queue))
+    if (const auto* queue = this->configuration->queue(added->record.queue)) {
         added->priority = queue->priority;
+        added->objective =
+            queue->latency_objective +
+            milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
+    }
     const auto age = wall_microseconds() / 1000 - added->record.accepted_ms;
     added->accepted_at = boot_time() - milliseconds(age);
-    this->predict_times(*added);
+    added->due_at = added->accepted_at + added->objective;
     // The runs of this term are numbered above all that earlier terms can have used.
     constexpr std::int64_t runs_per_revision = 16;
     added->run_number_base = (this->term - added->record.term) * runs_per_revision;
@@ -95,22 +99,6 @@
     return *placed;
 }
 
-void coordinator::predict_times(workflow& owner)
-{
-    const auto remaining =
-        remaining_times(owner.record.spec, this->run_length_models[owner.record.queue]);
-    std::int64_t longest = 0;
-    for (std::size_t number = 0; number < remaining.size(); ++number) {
-        owner.steps[number].time_to_workflow_end = milliseconds(remaining[number]);
-        longest = std::max(longest, remaining[number]);
-    }
-    if (const auto* queue = this->configuration->queue(owner.record.queue))
-        owner.objective =
-            queue->latency_objective +
-            milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
-    owner.due_at = owner.accepted_at + owner.objective;
-}
-
 void coordinator::store_record(workflow& owner, std::function<void()> done)
 {
     const auto id = owner.record.id;
@@ -139,14 +127,6 @@
         });
 }
 
-void coordinator::store_run_lengths()
-{
-    if (!this->loaded || this->run_length_models.empty())
-        return;
-    this->chain.put(this->run_length_key(),
-                    [this] { return pack_message(this->run_length_models); }, false, {});
-}
-
 void coordinator::refuse_unsent_submissions()
 {
     if (!this->chain.stalled())
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -56,27 +56,6 @@
         this->finish_load();
 }
 
-void coordinator::load_run_lengths()
-{
-    this->env.store.read(this->run_length_key(), [this, alive = this->alive](const auto& item) {
-        if (!*alive || this->loaded)
-            return;
-        if (!item.ok()) {
-            this->env.log.write("coordinator", "run_lengths_unread",
-                                {{"reason", std::string(item.status().message())}});
-            return;
-        }
-        if (!item->has_value())
-            return;
-        auto models = unpack_message<decltype(this->run_length_models)>((*item)->value);
-        if (models.ok())
-            this->run_length_models = *std::move(models);
-        else
-            this->env.log.write("coordinator", "run_lengths_unreadable",
-                                {{"reason", std::string(models.status().message())}});
-    });
-}
-
 void coordinator::load_placements(const std::string& key, std::string_view value)
 {
     this->inherited_placement_keys.push_back(key);
@@ -177,7 +156,6 @@
         if (is_final(entry->state))
             continue;
         ++unfinished;
-        this->predict_times(*entry);
         this->add_ready_steps(*entry);
     }
     this->env.log.write("coordinator", "loaded",
