--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -28,31 +28,6 @@
 /// If this many times the tasks would fit, the advisor is asked regardless of the grant rate.
 constexpr std::uint64_t ample_capacity_factor = 2;
 
-/// Orders targets to ask about: first those known to be allowed, then those where most tasks fit.
-void sort_for_gang(std::vector<const step_candidate*>& askable)
-{
-    std::ranges::sort(askable, [](const auto* left, const auto* right) {
-        if (left->advice_state != right->advice_state)
-            return left->advice_state == step_candidate::advice_permission::ticket_expired;
-        return left->max_tasks > right->max_tasks;
-    });
-}
-
-/// Orders targets to ask about: first those known to be allowed, then the fullest ones of which one
-/// question can name enough. The emptier ones stay free for gangs, whose tasks are large.
-/// @param askable     by free processors, fewest first
-/// @param named_tasks tasks for which the named targets should have capacity
-void sort_for_single_tasks(std::vector<const step_candidate*>& askable, double named_tasks)
-{
-    const auto min_tasks = std::ceil(named_tasks / static_cast<double>(max_targets_asked_at_once));
-    const auto group = [min_tasks](const step_candidate* candidate) {
-        if (candidate->advice_state == step_candidate::advice_permission::ticket_expired)
-            return 0;
-        return candidate->max_tasks >= min_tasks ? 1 : 2;
-    };
-    std::ranges::stable_sort(askable, {}, group);
-}
-
 } // namespace
 
 step_placer::step_placer(std::vector<step_candidate> candidates, resources need)
@@ -110,11 +85,13 @@
     }
     if (all_or_nothing && !this->can_fit(wanted, grant_rate))
         return {};
+    // Targets known to be allowed first, then those where most tasks fit.
+    std::ranges::sort(askable, [](const auto* left, const auto* right) {
+        if (left->advice_state != right->advice_state)
+            return left->advice_state == step_candidate::advice_permission::ticket_expired;
+        return left->max_tasks > right->max_tasks;
+    });
     const double needed_tasks = wanted * (all_or_nothing ? gang_target_margin : target_margin);
-    if (all_or_nothing)
-        sort_for_gang(askable);
-    else
-        sort_for_single_tasks(askable, needed_tasks / grant_rate);
     std::vector<fleet_target*> targets;
     std::size_t extra_left = extra_targets;
     const auto limit = all_or_nothing ? max_gang_targets_asked_at_once : max_targets_asked_at_once;
