--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -220,7 +220,8 @@
     void end_workflow(workflow& owner, workflow_state state);
     void stop_workflow(workflow& owner);
 
-    // Scheduling (coordinator_scheduling.cpp, _advice.cpp, _starts.cpp, _preemption.cpp).
+    // Scheduling (coordinator_scheduling.cpp, _candidates.cpp, _advice.cpp, _starts.cpp,
+    // _preemption.cpp).
     /// Runs a scheduling pass after @p wait, or later when the pause after the last pass has not
     /// ended by then.
     void request_scheduling_pass(milliseconds wait = milliseconds(2));
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -4,19 +4,13 @@
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
-#include "coordinator/target_session.h"
-#include "timeline/counters.h"
 
 #include <algorithm>
-#include <optional>
-#include <ranges>
 
 namespace verbenalever {
 
 namespace {
 
-/// A ticket that expires sooner than this is not used, since the start order takes time to arrive.
-constexpr milliseconds ticket_expiry_margin{150};
 /// Steps for which one pass evaluates targets; later ones would find no free capacity either. Steps
 /// that wait for their team's limit or for the advisor do not count: later ones may still start.
 constexpr int max_steps_per_pass = 400;
@@ -27,9 +21,6 @@
 /// if a gang will probably not get enough of them. A few times the one second that the users'
 /// urgent jobs may take.
 constexpr milliseconds optimistic_estimate_after{3000};
-/// Targets, other than those that the advisor has allowed, that are considered for a step. A gang
-/// asks about at most this many.
-constexpr std::size_t max_new_candidates = 400;
 /// Steps that may preempt runs in one pass: each of them examines all running tasks.
 constexpr int preemptions_per_pass = 6;
 
@@ -47,13 +38,6 @@
     return end <= owner.due_at + owner.objective * (useless_lateness_factor - 1) ? 1 : 2;
 }
 
-/// @return whether a gang of lower order is asking the advisor about this target: it would use the
-/// target first, so a question of another gang would most likely be wasted
-bool has_better_claim(const fleet_target& target, int order)
-{
-    return !target.gang_claims.empty() && *target.gang_claims.begin() < order;
-}
-
 /// @return the targets without duplicates, in no particular order
 std::vector<fleet_target*> without_duplicates(std::vector<fleet_target*> targets)
 {
@@ -223,133 +207,6 @@
     return true;
 }
 
-bool coordinator::can_use(const fleet_target& target, const workflow& owner,
-                          std::uint32_t step_index) const
-{
-    return target.usable(this->evaluation_time) && !this->in_excluded_zone(target) &&
-           this->is_suitable(target, owner, step_index);
-}
-
-bool coordinator::is_suitable(const fleet_target& target, const workflow& owner,
-                              std::uint32_t step_index) const
-{
-    const auto& report = target.report;
-    const auto& label = owner.record.spec.steps[step_index].required_label;
-    const auto& avoided_until = owner.steps[step_index].avoided_until;
-    const auto failed = avoided_until.find(report.name);
-    return report.pool == owner.record.pool &&
-           (label.empty() || std::ranges::find(report.labels, label) != report.labels.end()) &&
-           (failed == avoided_until.end() || this->evaluation_time >= failed->second);
-}
-
-std::optional<step_candidate> coordinator::evaluate_target(fleet_target& target,
-                                                           const workflow& owner,
-                                                           std::uint32_t step_index,
-                                                           const queue_definition* queue) const
-{
-    const auto now = this->evaluation_time;
-    const auto& spec = owner.record.spec.steps[step_index];
-    const auto free_capacity = target.free_resources();
-    step_candidate candidate{.target = &target,
-                             .max_tasks = fleet_target::count_fitting(free_capacity, spec.need),
-                             .free_processors_milli = free_capacity.processors_milli};
-    if (candidate.max_tasks == 0 || !target.usable(now) ||
-        !this->is_suitable(target, owner, step_index))
-        return std::nullopt;
-    if (spec.max_per_target > 0) {
-        const auto tasks_on_target = target.count_tasks(owner.record.id, step_index);
-        candidate.max_tasks =
-            std::min(candidate.max_tasks,
-                     spec.max_per_target - std::min(spec.max_per_target, tasks_on_target));
-        if (candidate.max_tasks == 0)
-            return std::nullopt;
-    }
-    if (queue == nullptr || !queue->needs_advice)
-        return candidate;
-    const auto& advice = owner.steps[step_index].advice;
-    const auto answer = advice.find(target.report.name);
-    if (answer == advice.end()) {
-        if (spec.gang && has_better_claim(target, owner.gang_order(step_index)))
-            return std::nullopt;
-        candidate.advice_state = step_candidate::advice_permission::not_asked;
-    }
-    else if (!answer->second.allowed)
-        return std::nullopt;
-    else if (answer->second.valid_until < now + ticket_expiry_margin)
-        candidate.advice_state = step_candidate::advice_permission::ticket_expired;
-    return candidate;
-}
-
-std::vector<step_candidate> coordinator::find_candidates(const workflow& owner,
-                                                         std::uint32_t step_index,
-                                                         const queue_definition* queue) const
-{
-    if (queue == nullptr || !queue->needs_advice)
-        return this->find_tightest_candidates(owner, step_index, queue);
-    // Targets that the advisor has allowed are found through its answers, wherever they stand in
-    // the order.
-    auto found = this->find_allowed_candidates(owner, step_index, queue);
-    const auto& need = owner.record.spec.steps[step_index].need;
-    const auto& advice = owner.steps[step_index].advice;
-    const auto with_advice = found.size();
-    std::int64_t weighed = 0;
-    for (const auto& entry : this->free_targets.entries()) {
-        if (entry.unused_processors_milli < need.processors_milli ||
-            found.size() - with_advice == max_new_candidates)
-            break;
-        if (advice.contains(entry.target->report.name) || this->in_excluded_zone(*entry.target))
-            continue;
-        ++weighed;
-        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
-            found.push_back(*candidate);
-    }
-    this->env.metrics.add("targets_weighed", weighed);
-    return found;
-}
-
-std::vector<step_candidate>
-coordinator::find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
-                                      const queue_definition* queue) const
-{
-    const auto& need = owner.record.spec.steps[step_index].need;
-    std::vector<step_candidate> found;
-    std::int64_t weighed = 0;
-    for (const auto& entry : std::views::reverse(this->free_targets.entries())) {
-        if (found.size() == max_new_candidates)
-            break;
-        if (entry.unused_processors_milli < need.processors_milli ||
-            this->in_excluded_zone(*entry.target))
-            continue;
-        ++weighed;
-        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
-            found.push_back(*candidate);
-    }
-    this->env.metrics.add("targets_weighed", weighed);
-    return found;
-}
-
-bool coordinator::in_excluded_zone(const fleet_target& target) const
-{
-    return this->configuration->zones_out.contains(target.report.availability_zone);
-}
-
-std::vector<step_candidate>
-coordinator::find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
-                                     const queue_definition* queue) const
-{
-    std::vector<step_candidate> found;
-    for (const auto& [name, answer] : owner.steps[step_index].advice) {
-        if (!answer.allowed)
-            continue;
-        const auto known = this->targets.find(name);
-        if (known == this->targets.end() || this->in_excluded_zone(*known->second))
-            continue;
-        if (const auto candidate = this->evaluate_target(*known->second, owner, step_index, queue))
-            found.push_back(*candidate);
-    }
-    return found;
-}
-
 std::uint32_t coordinator::tasks_within_team_limit(const workflow& owner, const resources& need,
                                                    std::uint32_t wanted) const
 {
