--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <ranges>
 
 namespace verbenalever {
 
@@ -117,9 +116,10 @@
     const auto& need = owner.record.spec.steps[step_index].need;
     std::vector<step_candidate> found;
     std::int64_t weighed = 0;
-    for (const auto& entry : std::views::reverse(this->free_targets.entries())) {
-        if (found.size() == max_new_candidates)
-            break;
+    const auto& entries = this->free_targets.entries();
+    for (auto at = entries.rbegin(); at != entries.rend() && found.size() < max_new_candidates;
+         ++at) {
+        const auto& entry = *at;
         if (entry.unused_processors_milli < need.processors_milli ||
             this->in_excluded_zone(*entry.target))
             continue;
