operators-zones waits for its load instead of one second

The test slept one second and took the load for started. Ruled out: a fault of the product: after the zone was taken out nothing started there. Change: the test waits until a request has run in the zone; its checks are as before.

--- a/testsuite/operators-zones/run.py
+++ b/testsuite/operators-zones/run.py
@@ -25,7 +25,9 @@
         for down in ("", "refuse"):
             with self.subTest(down), Cluster(zones=2, entries=1, targets=2) as cluster:
                 load = cluster.start_load(100, 14, entries=["entry-a1"], work_ms=5)
-                time.sleep(1)
+                cluster.wait(lambda: any(e["process"].startswith("target-a")
+                                         for e in cluster.events("request_running")),
+                             10, "the load has not reached the zone")
                 cluster.platform_faults(down=down)
                 answer = admin(cluster, "entry-b1", "POST", "restrictions",
                                {"kind": "zone_out", "subject": "zone-a", "drain": "let-end"})
