Look up a target's advice only when it has capacity

Cause: the walk over the index of free capacity looked up the advisor's answer before the capacity. Change: capacity first; allowed targets are looked up through the answers only when the walk ended early. The failing pattern (a full fleet of 1,100 targets) has no test that fails first yet.

--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -24,6 +24,12 @@
     return !target.gang_claims.empty() && *target.gang_claims.begin() < order;
 }
 
+/// @return whether the advisor has not been asked about the target
+bool is_new(const step_candidate& candidate)
+{
+    return candidate.advice_state == step_candidate::advice_permission::not_asked;
+}
+
 } // namespace
 
 bool coordinator::can_use(const fleet_target& target, const workflow& owner,
@@ -89,23 +95,29 @@
 {
     if (queue == nullptr || !queue->needs_advice)
         return this->find_tightest_candidates(owner, step_index, queue);
-    // The advisor's answers name the allowed targets, wherever they stand in the index.
-    auto found = this->find_allowed_candidates(owner, step_index, queue);
     const auto& need = owner.record.spec.steps[step_index].need;
-    const auto& advice = owner.steps[step_index].advice;
-    const auto allowed_count = found.size();
+    std::vector<step_candidate> found;
+    std::size_t added = 0;
     std::int64_t weighed = 0;
     for (const auto& entry : this->free_targets.entries()) {
-        if (entry.unused_processors_milli < need.processors_milli ||
-            found.size() - allowed_count == max_new_candidates)
+        if (entry.unused_processors_milli < need.processors_milli || added == max_new_candidates)
             break;
-        if (advice.contains(entry.target->report.name) || this->in_excluded_zone(*entry.target))
+        if (this->in_excluded_zone(*entry.target))
             continue;
         ++weighed;
-        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
-            found.push_back(*candidate);
+        const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue);
+        if (!candidate)
+            continue;
+        found.push_back(*candidate);
+        added += is_new(*candidate) ? 1 : 0;
     }
     this->env.metrics.add("targets_weighed", weighed);
+    if (added < max_new_candidates)
+        return found;
+    // The walk ended early: the advisor's answers name the allowed targets that it did not reach.
+    std::erase_if(found, [](const auto& candidate) { return !is_new(candidate); });
+    const auto allowed = this->find_allowed_candidates(owner, step_index, queue);
+    found.insert(found.end(), allowed.begin(), allowed.end());
     return found;
 }
 
