Do not take a large gang for too large on a fleet of a thousand targets

Cause: a step considers at most 400 targets without advice. A gang of 240 tasks on targets that have capacity for one each then seemed not to fit (it needs twice its tasks or an expected fit), and asked the advisor only after three seconds. Ruled out: fleets of up to 400 targets (all were considered). Change: the walk ends only when the targets found also hold twice the step's tasks. Steps without advice start at the place in the index where tasks begin to fit, instead of walking over all fuller targets.

--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -13,8 +13,8 @@
 
 /// A ticket that expires sooner than this is not used, since the start order takes time to arrive.
 constexpr milliseconds ticket_expiry_margin{150};
-/// Targets, other than those that the advisor has allowed, that are considered for a step. A gang
-/// asks about at most this many.
+/// Targets, other than those that the advisor has allowed, that suffice for a step when they have
+/// ample capacity. A gang asks about at most this many at once.
 constexpr std::size_t max_new_candidates = 400;
 
 /// @return whether a gang of lower order is asking the advisor about this target: it would use the
@@ -96,11 +96,18 @@
     if (queue == nullptr || !queue->needs_advice)
         return this->find_tightest_candidates(owner, step_index, queue);
     const auto& need = owner.record.spec.steps[step_index].need;
+    const auto waiting = owner.steps[step_index].waiting_count;
+    const auto ample_tasks = step_placer::ample_capacity_factor * waiting;
     std::vector<step_candidate> found;
-    std::size_t added = 0;
+    std::size_t new_count = 0;
+    std::uint64_t new_tasks = 0; ///< tasks that fit on the new candidates
     std::int64_t weighed = 0;
+    bool ended_early = false;
     for (const auto& entry : this->free_targets.entries()) {
-        if (entry.unused_processors_milli < need.processors_milli || added == max_new_candidates)
+        if (entry.unused_processors_milli < need.processors_milli)
+            break;
+        ended_early = new_count >= max_new_candidates && new_tasks >= ample_tasks;
+        if (ended_early)
             break;
         if (this->in_excluded_zone(*entry.target))
             continue;
@@ -109,12 +116,15 @@
         if (!candidate)
             continue;
         found.push_back(*candidate);
-        added += is_new(*candidate) ? 1 : 0;
+        if (is_new(*candidate)) {
+            ++new_count;
+            new_tasks += std::min(candidate->max_tasks, waiting);
+        }
     }
     this->env.metrics.add("targets_weighed", weighed);
-    if (added < max_new_candidates)
+    if (!ended_early)
         return found;
-    // The walk ended early: the advisor's answers name the allowed targets that it did not reach.
+    // The advisor's answers name the allowed targets that it did not reach.
     std::erase_if(found, [](const auto& candidate) { return !is_new(candidate); });
     const auto allowed = this->find_allowed_candidates(owner, step_index, queue);
     found.insert(found.end(), allowed.begin(), allowed.end());
@@ -129,14 +139,13 @@
     std::vector<step_candidate> found;
     std::int64_t weighed = 0;
     const auto& entries = this->free_targets.entries();
-    for (auto at = entries.rbegin(); at != entries.rend() && found.size() < max_new_candidates;
-         ++at) {
-        const auto& entry = *at;
-        if (entry.unused_processors_milli < need.processors_milli ||
-            this->in_excluded_zone(*entry.target))
+    auto at = this->free_targets.first_below(need.processors_milli);
+    while (at != entries.begin() && found.size() < max_new_candidates) {
+        auto& target = *(--at)->target;
+        if (this->in_excluded_zone(target))
             continue;
         ++weighed;
-        if (const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue))
+        if (const auto candidate = this->evaluate_target(target, owner, step_index, queue))
             found.push_back(*candidate);
     }
     this->env.metrics.add("targets_weighed", weighed);
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -123,6 +123,19 @@
     EXPECT_EQ(this->targets.running("gang"), 30);
 }
 
+// Load pattern: a gang of 240 tasks on a busy fleet of a thousand targets, each with capacity for
+// one. A limit on the targets considered must not make the gang look too large for the fleet.
+TEST_F(coordinator_gangs_test, a_large_gang_on_a_large_fleet_asks_at_once)
+{
+    this->add_targets(1000, 1);
+    this->targets.detect_duplicate_runs = false;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 30, every_fourth);
+    this->submit(first, "gang", {this->tasks(240, 1, true)}, "advised");
+    this->run_for(milliseconds(500));
+    EXPECT_FALSE(this->questions.empty());
+}
+
 // Load pattern: many gangs at once on a fleet with capacity for all of them. They must start in
 // parallel, each within a few questions, and not one after the other.
 TEST_F(coordinator_gangs_test, concurrent_gangs_all_start_when_they_fit)
--- a/src/libverbenalever/coordinator/free_capacity_index.h
+++ b/src/libverbenalever/coordinator/free_capacity_index.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -38,6 +39,13 @@
         return this->ordered;
     }
 
+    /// @return the first of entries() with fewer unused processors than this
+    [[nodiscard]] std::set<entry>::const_iterator first_below(std::int64_t processors_milli) const
+    {
+        constexpr auto last_registration = std::numeric_limits<std::uint64_t>::max();
+        return this->ordered.upper_bound({processors_milli, last_registration, nullptr});
+    }
+
 private:
     std::set<entry> ordered;
 };
--- a/src/libverbenalever/coordinator/free_capacity_index_test.cpp
+++ b/src/libverbenalever/coordinator/free_capacity_index_test.cpp
@@ -56,6 +56,16 @@
     EXPECT_EQ(this->order(), (names{"b", "a", "c"}));
 }
 
+TEST_F(free_capacity_index_test, finds_the_first_target_with_too_few_processors)
+{
+    this->add("a", 4000);
+    this->add("b", 8000);
+    this->add("c", 2000);
+    EXPECT_EQ(this->index.first_below(4000)->target->report.name, "c");
+    EXPECT_EQ(this->index.first_below(9000)->target->report.name, "b");
+    EXPECT_EQ(this->index.first_below(1000), this->index.entries().end());
+}
+
 TEST_F(free_capacity_index_test, follows_runs_that_are_added_and_removed)
 {
     this->add("a", 4000);
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -25,8 +25,6 @@
 /// questions of the largest size that the advisor accepts, 100 targets (see
 /// max_targets_per_question in coordinator_advice.cpp).
 constexpr std::size_t max_gang_targets_asked_at_once = 400;
-/// If this many times the tasks would fit, the advisor is asked regardless of the grant rate.
-constexpr std::uint64_t ample_capacity_factor = 2;
 
 } // namespace
 
--- a/src/libverbenalever/coordinator/step_placer.h
+++ b/src/libverbenalever/coordinator/step_placer.h
@@ -49,6 +49,9 @@
     [[nodiscard]] std::vector<fleet_target*>
     select_targets_to_ask(std::uint32_t wanted, bool all_or_nothing, double grant_rate) const;
 
+    /// If this many times the tasks would fit, the advisor is asked regardless of the grant rate.
+    static constexpr std::uint64_t ample_capacity_factor = 2;
+
 private:
     /// @return whether all tasks are likely to fit at once
     [[nodiscard]] bool can_fit(std::uint32_t wanted, double grant_rate) const;
