Poll a target that missed an answer until it answers

Cause: an order whose answer is lost times out after 500 ms. When polls were answered in between and nothing was left to run on the target, no poll followed the time-out, and the target counted as silent until the coordinator changed. A gang that needs such targets waits for good.

Ruled out: quarantine (shorter than the quiet time of the test; the last event of the three targets is target_silent).

Change: a missed answer schedules a poll unless one is under way.

--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -178,6 +178,9 @@
 
 void target_session::record_missed_answer()
 {
+    // Only an answer shows that the target is back, so it is polled even if nothing runs there.
+    if (!this->poll_in_progress && !this->poll_timer.active())
+        this->schedule_poll(retry_wait);
     if (++this->missed_answers == 1)
         this->notify.reachability_changed(false);
 }
