A gang that cannot start asks about the whole fleet at once, however large

On a full fleet it asked nothing and so knew nothing when capacity became free.

As before at most 100 targets are all asked about at first. Which targets the advisor allows does not change, so later questions only renew tickets.

Test: a_gang_learns_its_targets_while_a_large_fleet_is_full fails without the change (0 of 240 targets asked) and passes.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -299,21 +299,26 @@
                                     const std::string& target) const;
     /// Asks the advisor which of @p targets may run the step. The targets of a gang are divided
     /// among several questions when there are many.
+    /// @param add_claims see send_question()
     /// @return whether a VM accepted a question
     bool ask_advisor(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
-                     const std::vector<fleet_target*>& targets);
+                     const std::vector<fleet_target*>& targets, bool add_claims);
     /// @param add_claims whether other gangs are not placed on these targets until the answer
     /// @return whether a VM accepted the question
     bool send_question(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
                        std::span<fleet_target* const> targets, bool add_claims);
-    /// @return whether a gang that has no advice yet asks about all suitable targets at once
+    /// @param targets_to_ask targets with free capacity that the gang would ask about; empty: too
+    ///                       few for all its tasks
+    /// @return whether the gang asks about all suitable targets instead
     [[nodiscard]] bool asks_whole_fleet(const workflow& owner, std::uint32_t step_index,
-                                        const queue_definition& queue) const;
-    /// Asks about all targets that can hold a task of the gang when they are empty: which of them
-    /// the advisor allows does not change, so one answer is enough until the gang starts.
-    /// @return whether a VM accepted the question
-    bool ask_about_suitable_targets(workflow& owner, std::uint32_t step_index,
-                                    const queue_definition& queue);
+                                        const queue_definition& queue,
+                                        std::span<fleet_target* const> targets_to_ask) const;
+    /// Asks about all targets that can hold a task of the gang when they are empty and that it has
+    /// not asked about: which of them the advisor allows does not change, so that later questions
+    /// only renew tickets.
+    /// @return false when there are none
+    bool ask_about_unasked_targets(workflow& owner, std::uint32_t step_index,
+                                   const queue_definition& queue);
     /// Marks the question's targets as claimed by a gang of this order (workflow::gang_order).
     void add_gang_claims(const advice_question& question, int order);
     void release_gang_claims(const advice_question& question, int order);
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -41,12 +41,17 @@
 } // namespace
 
 bool coordinator::asks_whole_fleet(const workflow& owner, std::uint32_t step_index,
-                                   const queue_definition& queue) const
+                                   const queue_definition& queue,
+                                   std::span<fleet_target* const> targets_to_ask) const
 {
+    const auto& step = owner.steps[step_index];
     // Short questions are cheap enough to be repeated for the targets with free capacity.
-    return owner.record.spec.steps[step_index].gang && owner.steps[step_index].advice.empty() &&
-           this->targets.size() <= max_targets_per_question &&
-           advisor_time(queue, this->targets.size()) > advice_dispatcher::long_question;
+    if (!owner.record.spec.steps[step_index].gang || step.asked_all_targets ||
+        advisor_time(queue, this->targets.size()) <= advice_dispatcher::long_question)
+        return false;
+    // On a fleet that takes several questions the targets with free capacity are tried first.
+    return this->targets.size() <= max_targets_per_question || !step.advice.empty() ||
+           targets_to_ask.empty();
 }
 
 void coordinator::reserve(workflow_step& step, const resources& need,
@@ -83,7 +88,7 @@
 
 bool coordinator::ask_advisor(workflow& owner, std::uint32_t step_index,
                               const queue_definition& queue,
-                              const std::vector<fleet_target*>& targets_to_ask)
+                              const std::vector<fleet_target*>& targets_to_ask, bool add_claims)
 {
     auto& step = owner.steps[step_index];
     std::size_t parts = 1;
@@ -93,9 +98,6 @@
         const auto efficient_parts = question_count(targets_to_ask.size(), efficient_question_size);
         parts = std::max(min_parts, std::min(efficient_parts, this->dispatcher.free_long_vms()));
     }
-    // A question about the whole fleet only collects advice and must not block other gangs.
-    const bool add_claims = owner.record.spec.steps[step_index].gang &&
-                            !this->asks_whole_fleet(owner, step_index, queue);
     bool accepted = false;
     for (std::size_t part = 0; part < parts; ++part) {
         const auto begin = targets_to_ask.size() * part / parts;
@@ -139,17 +141,21 @@
     return false;
 }
 
-bool coordinator::ask_about_suitable_targets(workflow& owner, std::uint32_t step_index,
-                                             const queue_definition& queue)
+bool coordinator::ask_about_unasked_targets(workflow& owner, std::uint32_t step_index,
+                                            const queue_definition& queue)
 {
+    auto& step = owner.steps[step_index];
     const auto& need = owner.record.spec.steps[step_index].need;
-    std::vector<fleet_target*> suitable;
+    std::vector<fleet_target*> unasked;
     for (const auto& [name, target] : this->targets) {
-        if (this->can_use(*target, owner, step_index) &&
+        if (this->can_use(*target, owner, step_index) && !step.advice.contains(name) &&
             fleet_target::count_fitting(target->report.capacity, need) > 0)
-            suitable.push_back(target.get());
+            unasked.push_back(target.get());
     }
-    return !suitable.empty() && this->ask_advisor(owner, step_index, queue, suitable);
+    // These questions only collect advice and must not keep other gangs from the targets.
+    step.asked_all_targets =
+        unasked.empty() || this->ask_advisor(owner, step_index, queue, unasked, false);
+    return !unasked.empty();
 }
 
 void coordinator::add_gang_claims(const advice_question& question, int order)
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -152,5 +152,32 @@
         EXPECT_EQ(this->targets.running("gang" + std::to_string(number)), 10) << number;
 }
 
+// Load pattern: gangs wait on a full fleet of more targets than one question may name. A gang that
+// asked only about targets with free capacity would learn nothing until it is free, and would then
+// lose it to other work while it asks.
+TEST_F(coordinator_gangs_test, a_gang_learns_its_targets_while_a_large_fleet_is_full)
+{
+    constexpr int fleet = 240;
+    this->add_targets(fleet, 4);
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 8, every_fourth);
+    this->submit(first, "filling", {this->tasks(fleet, 4)});
+    this->run_for(milliseconds(600));
+    ASSERT_EQ(this->targets.running("filling"), fleet);
+    this->submit(first, "gang", {this->tasks(10, 4, true)}, "advised");
+    this->run_for(milliseconds(1500));
+    std::set<std::string> asked;
+    for (const auto& question : this->questions)
+        asked.insert(question.targets.begin(), question.targets.end());
+    EXPECT_EQ(asked.size(), fleet);
+    this->questions.clear();
+    for (int number = 0; number < fleet; number += 2)
+        this->targets.end_all("t" + std::to_string(1000 + number), target_view::ending::done);
+    this->run_for(milliseconds(800));
+    EXPECT_EQ(this->targets.running("gang"), 10);
+    for (const auto& question : this->questions)
+        EXPECT_LE(question.targets.size(), 10);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -182,7 +182,9 @@
                 targets_to_ask.push_back(target);
         }
         // The step may preempt again as soon as the advisor has answered.
-        if (!targets_to_ask.empty() && this->ask_advisor(owner, step_index, *queue, targets_to_ask))
+        const bool is_gang = owner.record.spec.steps[step_index].gang;
+        if (!targets_to_ask.empty() &&
+            this->ask_advisor(owner, step_index, *queue, targets_to_ask, is_gang))
             step.next_preemption_at = now;
         return !targets_to_ask.empty();
     }
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -186,22 +186,22 @@
     // After a long wait it is enough that the step would fit if all targets were allowed.
     const bool waited_long = boot_time() - step.ready_since > optimistic_estimate_after;
     const auto grant_rate = waited_long ? 1.0 : this->expected_grant_rate(owner, step_index);
-    if (this->asks_whole_fleet(owner, step_index, *queue)) {
-        this->ask_about_suitable_targets(owner, step_index, *queue);
-        return true;
-    }
     if (spec.gang) {
         // Targets that were allowed before are reserved while their tickets are renewed.
         if (const auto renewed_targets = placer.place_with_renewal(wanted);
             !renewed_targets.empty()) {
-            if (this->ask_advisor(owner, step_index, *queue, without_duplicates(renewed_targets)))
+            if (this->ask_advisor(owner, step_index, *queue, without_duplicates(renewed_targets),
+                                  true))
                 this->reserve(step, spec.need, renewed_targets);
             return true;
         }
     }
     const auto targets_to_ask = placer.select_targets_to_ask(wanted, spec.gang, grant_rate);
+    if (this->asks_whole_fleet(owner, step_index, *queue, targets_to_ask) &&
+        this->ask_about_unasked_targets(owner, step_index, *queue))
+        return true;
     if (!targets_to_ask.empty())
-        this->ask_advisor(owner, step_index, *queue, targets_to_ask);
+        this->ask_advisor(owner, step_index, *queue, targets_to_ask, spec.gang);
     else
         this->preempt_for_capacity(owner, step_index, queue, wanted);
     return true;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -71,8 +71,9 @@
     std::map<std::string, cached_advice, std::less<>> advice; ///< by target
     /// Capacity that is reserved for the step while the advisor renews its expired tickets.
     std::vector<capacity_reservation> reserved;
-    int open_questions = 0;             ///< questions to the advisor without an answer yet
-    milliseconds next_question_at{0};   ///< time since boot before which the advisor is not asked
+    int open_questions = 0;           ///< questions to the advisor without an answer yet
+    bool asked_all_targets = false;   ///< whether the advisor was asked about all suitable targets
+    milliseconds next_question_at{0}; ///< time since boot before which the advisor is not asked
     int consecutive_missed_answers = 0; ///< questions without answer since the last answer
     milliseconds ready_since{0};        ///< time since boot when it first became ready; 0: not yet
     bool in_ready_list = false;         ///< whether coordinator::ready_steps contains the step
