The record log refers to its batches by pointer; the load tells how many keys were read

Ruled out: the number of keys, 914 for 2,841 workflows.

Change: shared pointers instead of keys; "loaded" logs the keys.

Conclusion: kept, it is simpler.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -378,6 +378,7 @@
     progress_log progress;
 
     bool loaded = false;         ///< all stored records have been read
+    std::size_t loaded_keys = 0; ///< keys of the store read so far
     bool renewing_leases = true; ///< result of the last check whether task leases may be renewed
     milliseconds started_at{0};  ///< time since boot of start()
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -38,6 +38,7 @@
 {
     const bool records = prefix == this->record_prefix();
     const bool progress = prefix == this->progress_prefix();
+    this->loaded_keys += page.items.size();
     for (const auto& item : page.items) {
         if (records)
             this->load_records(item.key, item.value);
@@ -175,6 +176,7 @@
                         {{"term", this->term},
                          {"workflows", this->workflows.size()},
                          {"open", unfinished},
+                         {"keys", this->loaded_keys},
                          {"unseen_targets", this->awaited_placements.size()},
                          {"ms", (boot_time() - this->started_at).count()}});
     this->apply_directory(this->latest_reports);
--- a/src/libverbenalever/coordinator/record_log.cpp
+++ b/src/libverbenalever/coordinator/record_log.cpp
@@ -30,28 +30,30 @@
 
 void record_log::begin_batch()
 {
-    this->open_key = fmt::format("{}{}-{}", this->prefix, this->term, ++this->last_batch_number);
+    this->open_batch = std::make_shared<batch>();
+    this->open_batch->key =
+        fmt::format("{}{}-{}", this->prefix, this->term, ++this->last_batch_number);
     this->chain.put(
-        this->open_key,
-        [this, alive = this->alive, key = this->open_key]() -> std::optional<std::string> {
+        this->open_batch->key,
+        [this, alive = this->alive, from = this->open_batch]() -> std::optional<std::string> {
             if (!*alive)
                 return std::nullopt;
-            return this->compose_batch(key);
+            return this->compose(*from);
         },
         true,
-        [this, alive = this->alive, key = this->open_key] {
+        [this, alive = this->alive, written = this->open_batch] {
             if (*alive)
-                this->handle_batch_stored(key);
+                this->handle_stored(written);
         });
 }
 
-std::string record_log::compose_batch(const std::string& key)
+std::string record_log::compose(batch& from)
 {
-    if (this->open_key == key)
-        this->open_key.clear();
+    if (this->open_batch.get() == &from)
+        this->open_batch.reset();
     std::vector<workflow_record> records;
-    for (const auto& [id, callbacks] : this->batches[key].unstored) {
-        this->unsent_key.erase(id);
+    for (const auto& [id, callbacks] : from.unstored) {
+        this->unsent.erase(id);
         if (const auto* record = this->record_of(id))
             records.push_back(*record);
     }
@@ -60,39 +62,37 @@
 
 void record_log::store(const std::string& id, callback stored)
 {
-    const auto unsent = this->unsent_key.find(id);
-    if (unsent == this->unsent_key.end() &&
-        (this->open_key.empty() ||
-         this->batches[this->open_key].unstored.size() >= records_per_batch))
-        this->begin_batch();
-    const auto& key = unsent == this->unsent_key.end()
-                          ? this->unsent_key.emplace(id, this->open_key).first->second
-                          : unsent->second;
-    auto& callbacks = this->batches[key].unstored[id];
+    auto& to = this->unsent[id];
+    if (!to) {
+        if (!this->open_batch || this->open_batch->unstored.size() >= records_per_batch)
+            this->begin_batch();
+        to = this->open_batch;
+    }
+    auto& callbacks = to->unstored[id];
     if (stored)
         callbacks.push_back(std::move(stored));
 }
 
 bool record_log::withdraw(const std::string& id)
 {
-    const auto unsent = this->unsent_key.find(id);
-    if (unsent == this->unsent_key.end())
+    const auto found = this->unsent.find(id);
+    if (found == this->unsent.end())
         return false;
-    this->batches[unsent->second].unstored.erase(id);
-    this->unsent_key.erase(unsent);
+    found->second->unstored.erase(id);
+    this->unsent.erase(found);
     return true;
 }
 
-void record_log::handle_batch_stored(const std::string& key)
+void record_log::handle_stored(const std::shared_ptr<batch>& written)
 {
-    const auto stored = std::exchange(this->batches[key].unstored, {});
+    const auto stored = std::exchange(written->unstored, {});
     // One more than the records, so that the key is not deleted before all are counted.
-    this->batches[key].current_records = 1;
+    written->current_records = 1;
     for (const auto& [id, callbacks] : stored) {
         if (this->record_of(id) != nullptr)
-            this->move_record(id, key);
+            this->move_record(id, written);
     }
-    this->release_record(key);
+    this->release_record(*written);
     const auto log_alive = this->alive;
     for (const auto& [id, callbacks] : stored) {
         for (const auto& done : callbacks) {
@@ -103,15 +103,15 @@
     }
 }
 
-void record_log::move_record(const std::string& id, const std::string& key)
+void record_log::move_record(const std::string& id, const std::shared_ptr<batch>& newest)
 {
-    ++this->batches[key].current_records;
+    ++newest->current_records;
     auto& at = this->locations[id];
-    const auto older_key = std::exchange(at.key, key);
-    if (older_key.empty())
+    const auto older = std::exchange(at.newest, newest);
+    if (!older)
         return;
-    at.outdated.push_back(older_key);
-    this->release_record(older_key);
+    at.outdated.push_back(older);
+    this->release_record(*older);
 }
 
 bool record_log::try_remove(const std::string& id)
@@ -120,49 +120,50 @@
     if (found == this->locations.end())
         return true;
     bool outdated_left = false;
-    for (const auto& key : found->second.outdated) {
-        if (!this->batches.contains(key))
+    for (const auto& older : found->second.outdated) {
+        const auto left = older.lock();
+        if (!left || left->current_records == 0)
             continue;
         outdated_left = true;
-        this->rewrite_key(key);
+        this->rewrite(*left);
     }
     if (outdated_left)
         return false;
-    const auto key = found->second.key;
+    const auto newest = found->second.newest;
     this->locations.erase(found);
-    this->release_record(key);
+    if (newest)
+        this->release_record(*newest);
     return true;
 }
 
 void record_log::add_inherited_key(const std::string& key, std::span<const std::string> current,
                                    std::span<const std::string> outdated)
 {
+    const auto inherited = std::make_shared<batch>();
+    inherited->key = key;
     // One more than the records, so that the key is deleted below when it has no current one.
-    this->batches[key].current_records = 1;
+    inherited->current_records = 1;
     for (const auto& id : current)
-        this->move_record(id, key);
+        this->move_record(id, inherited);
     for (const auto& id : outdated)
-        this->locations[id].outdated.push_back(key);
-    this->release_record(key);
+        this->locations[id].outdated.push_back(inherited);
+    this->release_record(*inherited);
 }
 
-void record_log::release_record(const std::string& key)
+void record_log::release_record(batch& from)
 {
-    const auto found = this->batches.find(key);
-    if (found == this->batches.end() || --found->second.current_records > 0)
-        return;
-    this->batches.erase(found);
     // Not urgent, so that the key is deleted after the records that replace its own are written.
-    this->chain.put(key, [] { return std::nullopt; }, false, {});
+    if (--from.current_records == 0)
+        this->chain.put(from.key, [] { return std::nullopt; }, false, {});
 }
 
-void record_log::rewrite_key(const std::string& key)
+void record_log::rewrite(batch& from)
 {
-    if (std::exchange(this->batches[key].rewriting, true))
+    if (std::exchange(from.rewriting, true))
         return;
     std::vector<std::string> current;
     for (const auto& [id, at] : this->locations) {
-        if (at.key == key)
+        if (at.newest.get() == &from)
             current.push_back(id);
     }
     for (const auto& id : current)
--- a/src/libverbenalever/coordinator/record_log.h
+++ b/src/libverbenalever/coordinator/record_log.h
@@ -61,35 +61,36 @@
     decode(std::string_view value);
 
 private:
+    /// The records of one key.
     struct batch {
+        std::string key;
         std::map<std::string, std::vector<callback>> unstored; ///< by workflow id
         std::size_t current_records = 0; ///< stored records that no newer one replaces
         bool rewriting = false;          ///< its current records are being stored again
     };
     /// Where the records of a workflow are.
     struct location {
-        std::string key;                   ///< of its newest stored record
-        std::vector<std::string> outdated; ///< keys of older records, which may be deleted by now
+        std::shared_ptr<batch> newest;              ///< has its newest stored record
+        std::vector<std::weak_ptr<batch>> outdated; ///< have older ones until they are deleted
     };
 
     void begin_batch();
-    [[nodiscard]] std::string compose_batch(const std::string& key);
-    void handle_batch_stored(const std::string& key);
-    /// Make @p key the one of the workflow's newest record.
-    void move_record(const std::string& id, const std::string& key);
-    /// Count one record of the key as replaced; delete the key after its last one.
-    void release_record(const std::string& key);
-    /// Store the current records of the key again, under another one.
-    void rewrite_key(const std::string& key);
+    [[nodiscard]] std::string compose(batch& from);
+    void handle_stored(const std::shared_ptr<batch>& written);
+    /// Make @p newest the batch of the workflow's newest record.
+    void move_record(const std::string& id, const std::shared_ptr<batch>& newest);
+    /// Count one record of the batch as replaced; delete its key after the last one.
+    void release_record(batch& from);
+    /// Store the current records of the batch again, under another key.
+    void rewrite(batch& from);
 
     commit_chain& chain;
     std::string prefix;
     std::int64_t term;
     record_source record_of;
-    std::map<std::string, batch> batches;                    ///< by key
-    std::unordered_map<std::string, location> locations;     ///< by id, of the stored records
-    std::unordered_map<std::string, std::string> unsent_key; ///< by id, of records to be sent
-    std::string open_key; ///< key of the batch that takes records; empty: none
+    std::unordered_map<std::string, location> locations; ///< of the stored records, by workflow id
+    std::unordered_map<std::string, std::shared_ptr<batch>> unsent; ///< by workflow id
+    std::shared_ptr<batch> open_batch; ///< takes records until it is full or sent; null: none
     std::int64_t last_batch_number = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
