Read records of builds that stored each under a key of its own

Cause: with the change to batches a coordinator of the new build could not read the records that an earlier build had stored ("record_unreadable"), so that an upgrade would have lost accepted work.

Change: a value that is no batch is read as one record; its key is deleted like any other once it is replaced. The way back, to an earlier build, is not possible with open work.

--- a/src/libverbenalever/coordinator/record_log.cpp
+++ b/src/libverbenalever/coordinator/record_log.cpp
@@ -131,8 +131,7 @@
         return false;
     const auto newest = found->second.newest;
     this->locations.erase(found);
-    if (newest)
-        this->release_record(*newest);
+    this->release_record(*newest);
     return true;
 }
 
@@ -172,7 +171,14 @@
 
 absl::StatusOr<std::vector<workflow_record>> record_log::decode(std::string_view value)
 {
-    return unpack_message<std::vector<workflow_record>>(value);
+    auto records = unpack_message<std::vector<workflow_record>>(value);
+    if (records.ok())
+        return records;
+    // Builds without batches stored each record under a key of its own.
+    auto record = unpack_message<workflow_record>(value);
+    if (!record.ok())
+        return records.status();
+    return std::vector<workflow_record>{*std::move(record)};
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/record_log_test.cpp
+++ b/src/libverbenalever/coordinator/record_log_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/commit_chain.h"
 #include "loop/event_loop.h"
 #include "loop/timer.h"
+#include "membership/message_codec.h"
 #include "testing/fake_store.h"
 #include "timeline/event_log.h"
 
@@ -146,5 +147,14 @@
     EXPECT_TRUE(this->store.items.contains("w/3-2"));
 }
 
+TEST_F(record_log_test, a_record_of_a_build_without_batches_can_be_read)
+{
+    const auto read = record_log::decode(pack_message(workflow_record{.id = "a", .queue = "q"}));
+    ASSERT_TRUE(read.ok());
+    ASSERT_EQ(read->size(), 1);
+    EXPECT_EQ(read->front().id, "a");
+    EXPECT_FALSE(record_log::decode("neither").ok());
+}
+
 } // namespace
 } // namespace verbenalever
