A gang learns 400 targets at once and forgets them when its workflow ends

Change: at most 400 targets at once; the answers go with the end of the workflow. Fleets of up to 400 targets ask as before.

Test: a_gang_learns_the_targets_of_the_largest_fleets_in_parts.

--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -179,5 +179,29 @@
         EXPECT_LE(question.targets.size(), 10);
 }
 
+// Load pattern: gangs wait on a full fleet of a thousand targets. One gang must not take the VMs of
+// all others for its questions.
+TEST_F(coordinator_gangs_test, a_gang_learns_the_targets_of_the_largest_fleets_in_parts)
+{
+    constexpr int fleet = 900;
+    this->add_targets(fleet, 4);
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 30, every_fourth);
+    this->submit(first, "filling", {this->tasks(fleet, 4)});
+    this->run_for(milliseconds(1500));
+    ASSERT_EQ(this->targets.running("filling"), fleet);
+    this->submit(first, "gang", {this->tasks(10, 4, true)}, "advised");
+    const auto count_asked = [this] {
+        std::size_t count = 0;
+        for (const auto& question : this->questions)
+            count += question.targets.size();
+        return count;
+    };
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(count_asked(), 400);
+    this->run_for(milliseconds(1700));
+    EXPECT_EQ(count_asked(), fleet);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -293,8 +293,10 @@
     owner.record.ended_ms = wall_microseconds() / 1000;
     for (std::uint32_t step = 0; step < owner.steps.size(); ++step)
         this->remove_from_ready(owner, step);
-    for (auto& step : owner.steps)
+    for (auto& step : owner.steps) {
         this->release_reservation(step);
+        step.advice.clear(); // as large as the fleet, and the workflow stays known for minutes
+    }
     for (auto& step : owner.steps)
         step.time_tracker.enter(step_time_tracker::state::idle, boot_time());
     owner.ended_at = boot_time();
