Gangs learn the whole fleet only on fleets of up to 400 targets

Each pass looks at all allowed targets of each waiting gang, and while no VM is free each gang lists the targets that it has not asked about every 15 ms.

Ruled out: that it is of this alone.

Fleets of up to 400 targets ask as measured.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -313,9 +313,9 @@
     [[nodiscard]] bool asks_whole_fleet(const workflow& owner, std::uint32_t step_index,
                                         const queue_definition& queue,
                                         std::span<fleet_target* const> targets_to_ask) const;
-    /// Asks about targets that can hold a task of the gang when they are empty and that it has not
-    /// asked about, a limited number at once: which of them the advisor allows does not change, so
-    /// that later questions only renew tickets.
+    /// Asks about all targets that can hold a task of the gang when they are empty and that it has
+    /// not asked about: which of them the advisor allows does not change, so that later questions
+    /// only renew tickets.
     /// @return false when there are none
     bool ask_about_unasked_targets(workflow& owner, std::uint32_t step_index,
                                    const queue_definition& queue);
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -20,9 +20,9 @@
 /// Targets in each of several parallel questions: with fewer, most of the advisor's time would be
 /// its base time, which equals that of some 70 targets in the users' load sheets.
 constexpr std::size_t efficient_question_size = 50;
-/// A gang asks about at most this many targets at once to learn where it may run, so that on the
-/// largest fleets it leaves VMs to other gangs and learns no more than it needs.
-constexpr std::size_t max_unasked_targets_at_once = 400;
+/// On larger fleets a gang asks only about targets with free capacity: each pass looks at all
+/// allowed targets of each waiting gang, and the questions of one gang would take many VMs.
+constexpr std::size_t max_fleet_to_learn = 400;
 /// Weight of a queue's grant rate in the estimate for a step, as a number of answers about targets.
 constexpr double queue_grant_rate_weight = 8;
 /// Weight of a new answer in the moving average of a queue's grant rate.
@@ -50,6 +50,7 @@
     const auto& step = owner.steps[step_index];
     // Short questions are cheap enough to be repeated for the targets with free capacity.
     if (!owner.record.spec.steps[step_index].gang || step.asked_all_targets ||
+        this->targets.size() > max_fleet_to_learn ||
         advisor_time(queue, this->targets.size()) <= advice_dispatcher::long_question)
         return false;
     // On a fleet that takes several questions the targets with free capacity are tried first.
@@ -151,8 +152,6 @@
     const auto& need = owner.record.spec.steps[step_index].need;
     std::vector<fleet_target*> unasked;
     for (const auto& [name, target] : this->targets) {
-        if (unasked.size() == max_unasked_targets_at_once)
-            break;
         if (this->can_use(*target, owner, step_index) && !step.advice.contains(name) &&
             fleet_target::count_fitting(target->report.capacity, need) > 0)
             unasked.push_back(target.get());
