A gang preempts batch work that resumes from a checkpoint

Change: a gang in time whose allowed targets lack capacity stops less urgent runs there that have a checkpoint and whose workflows are in time even so, keeps what they free and renews its tickets meanwhile. The test of the load fails without the call.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -37,6 +37,7 @@
 class metadata_store;
 class target_directory;
 class target_orders;
+struct preemption_plan;
 struct step_candidate;
 struct store_page;
 
@@ -253,6 +254,17 @@
     /// @return whether runs were preempted or targets were named to the advisor
     bool preempt_for_capacity(workflow& owner, std::uint32_t step_index,
                               const queue_definition* queue, std::uint32_t wanted);
+    /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until all
+    /// tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets are
+    /// renewed meanwhile.
+    /// @return whether the gang now waits for stopped runs or for the advisor
+    bool preempt_for_gang(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
+                          std::uint32_t wanted);
+    /// @return plans for tasks of the gang on all targets that the advisor has allowed, in no
+    /// particular order; fewer than @p wanted when not all tasks can be made to fit
+    [[nodiscard]] std::vector<preemption_plan>
+    plan_gang_preemptions(const workflow& owner, std::uint32_t step_index,
+                          std::uint32_t wanted) const;
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
@@ -294,6 +306,9 @@
     void reserve(workflow_step& step, const resources& need,
                  const std::vector<fleet_target*>& placement);
     void release_reservation(workflow_step& step);
+    /// @return the targets without duplicates, in no particular order
+    [[nodiscard]] static std::vector<fleet_target*>
+    without_duplicates(std::vector<fleet_target*> targets);
     /// @return whether the advisor's ticket for the target has not expired; true without a ticket
     [[nodiscard]] bool ticket_valid(const workflow& owner, std::uint32_t step_index,
                                     const std::string& target) const;
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -77,6 +77,13 @@
     step.reserved.clear();
 }
 
+std::vector<fleet_target*> coordinator::without_duplicates(std::vector<fleet_target*> targets)
+{
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    return targets;
+}
+
 double coordinator::expected_grant_rate(const workflow& owner, std::uint32_t step_index) const
 {
     const auto found = this->grant_rate.find(owner.record.queue);
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
@@ -0,0 +1,74 @@
+// Preemption for gangs: less urgent runs that resume from a checkpoint make room for a whole gang.
+
+#include "coordinator/coordinator.h"
+#include "coordinator/preemption_plan.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace verbenalever {
+
+namespace {
+
+/// Wait before a gang for which too few runs could be stopped looks for others.
+constexpr milliseconds retry_wait{250};
+/// A ticket that expires sooner is renewed while the runs stop, which takes some hundred
+/// milliseconds.
+constexpr milliseconds min_ticket_life{1000};
+
+} // namespace
+
+bool coordinator::preempt_for_gang(workflow& owner, std::uint32_t step_index,
+                                   const queue_definition& queue, std::uint32_t wanted)
+{
+    auto& step = owner.steps[step_index];
+    if (step.rank > 0 || this->evaluation_time < step.next_preemption_at)
+        return false;
+    auto plans = this->plan_gang_preemptions(owner, step_index, wanted);
+    if (plans.size() < wanted) {
+        step.next_preemption_at = this->evaluation_time + retry_wait;
+        return false;
+    }
+    std::ranges::stable_sort(plans, {}, &preemption_plan::lost_work);
+    plans.resize(wanted);
+    std::vector<fleet_target*> chosen;
+    bool tickets_valid = true;
+    for (const auto& plan : plans) {
+        chosen.push_back(plan.target);
+        tickets_valid = tickets_valid && step.advice[plan.target->report.name].valid_until >
+                                             this->evaluation_time + min_ticket_life;
+    }
+    if (!tickets_valid &&
+        !this->ask_advisor(owner, step_index, queue, without_duplicates(chosen), true))
+        return true;
+    this->reserve(step, owner.record.spec.steps[step_index].need, chosen);
+    for (const auto& plan : plans) {
+        for (const auto& run : plan.runs)
+            this->preempt_run(*plan.target, run.task, owner, "gang");
+    }
+    return true;
+}
+
+std::vector<preemption_plan> coordinator::plan_gang_preemptions(const workflow& owner,
+                                                                std::uint32_t step_index,
+                                                                std::uint32_t wanted) const
+{
+    const auto& spec = owner.record.spec.steps[step_index];
+    const auto per_target =
+        spec.max_per_target == 0 ? wanted : std::min(wanted, spec.max_per_target);
+    std::vector<preemption_plan> plans;
+    for (const auto& [name, answer] : owner.steps[step_index].advice) {
+        if (!answer.allowed)
+            continue;
+        const auto known = this->targets.find(name);
+        if (known == this->targets.end() || !this->can_use(*known->second, owner, step_index))
+            continue;
+        std::ranges::move(plan_preemptions(*known->second, spec.need,
+                                           {.priority = owner.priority, .only_harmless = true},
+                                           per_target),
+                          std::back_inserter(plans));
+    }
+    return plans;
+}
+
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -36,6 +36,23 @@
                                                .advice_target_ms = 1});
     }
 
+    /// Adds the queue "batch" and fills each target but for 22 of its 64 processors with tasks of
+    /// it that have checkpoints.
+    void fill_with_batch(process& to, int target_count, milliseconds latency_objective)
+    {
+        this->configuration->queues.push_back({.name = "batch",
+                                               .pool = "pool",
+                                               .priority = 2,
+                                               .attempts = 3,
+                                               .latency_objective = latency_objective});
+        auto tasks = this->tasks(static_cast<std::uint32_t>(target_count), 42);
+        tasks.checkpointing = true;
+        tasks.max_per_target = 1;
+        this->submit(to, "batch", {tasks}, "batch");
+        this->run_for(milliseconds(500));
+        ASSERT_EQ(this->targets.running("batch"), target_count);
+    }
+
     void add_targets(int count, std::int64_t cores)
     {
         for (int number = 0; number < count; ++number)
@@ -179,6 +196,40 @@
         EXPECT_LE(question.targets.size(), 10);
 }
 
+// Load pattern: gangs of three tasks to an empty target on a fleet at two thirds of its capacity.
+// The free processors are spread over all targets, so that a large gang would wait for many ends of
+// batch work at once while new batch work takes the place of what ended.
+TEST_F(coordinator_gangs_test, a_large_gang_preempts_batch_work_that_resumes_and_is_in_time)
+{
+    constexpr int fleet = 120;
+    this->add_targets(fleet, 64);
+    this->targets.detect_duplicate_runs = false;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 8, every_fourth);
+    this->fill_with_batch(first, fleet, milliseconds(20'000));
+    this->submit(first, "gang", {this->tasks(60, 18, true)}, "advised");
+    this->run_for(milliseconds(2500));
+    EXPECT_EQ(this->targets.running("gang"), 60);
+    EXPECT_LT(this->targets.running("batch"), fleet);
+    EXPECT_GT(this->targets.running("batch"), fleet * 2 / 3);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
+// Load pattern: the same, with batch work that would be late if it were stopped.
+TEST_F(coordinator_gangs_test, a_gang_preempts_no_batch_work_that_would_become_late)
+{
+    constexpr int fleet = 120;
+    this->add_targets(fleet, 64);
+    this->targets.detect_duplicate_runs = false;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 8, every_fourth);
+    this->fill_with_batch(first, fleet, milliseconds(1000));
+    this->submit(first, "gang", {this->tasks(60, 18, true)}, "advised");
+    this->run_for(milliseconds(2500));
+    EXPECT_EQ(this->targets.running("gang"), 0);
+    EXPECT_EQ(this->targets.running("batch"), fleet);
+}
+
 // Load pattern: gangs wait on a full fleet of a thousand targets. What they would learn costs more
 // than it is worth: each pass looks at all allowed targets of each gang.
 TEST_F(coordinator_gangs_test, a_gang_asks_nothing_while_one_of_the_largest_fleets_is_full)
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -1,6 +1,7 @@
 // Preemption: runs of less urgent queues are stopped for urgent steps and run again later.
 
 #include "coordinator/coordinator.h"
+#include "coordinator/preemption_plan.h"
 #include "coordinator/target_session.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
@@ -17,51 +18,9 @@
 constexpr milliseconds preemption_delay{60};
 /// Minimum time between two preemptions for one step: a stop takes some hundred milliseconds.
 constexpr milliseconds preemption_interval{700};
-/// A run that would lose more work than this is not preempted.
-constexpr milliseconds max_lost_work{1500};
-/// Work that a run with checkpoints loses at most: about the time between two checkpoints.
-constexpr milliseconds checkpoint_interval{700};
 /// Targets named to the advisor when preemption is possible only on targets without advice.
 constexpr std::size_t max_targets_to_ask = 8;
 
-/// A run that may be preempted.
-struct victim {
-    task_name task;
-    const placed_run* placed = nullptr;
-    double lost_work = 0; ///< work to be repeated, in thousandths of a processor times milliseconds
-};
-
-/// @return runs on @p target that a step of this priority may preempt, least lost work first
-std::vector<victim> preemptible_runs(const fleet_target& target, int priority)
-{
-    const auto now = boot_time();
-    std::vector<victim> found;
-    for (const auto& [task, placed] : target.tasks) {
-        if (placed.owner == nullptr || placed.stopping || !placed.started ||
-            placed.owner->priority <= priority || is_final(placed.owner->state))
-            continue;
-        const auto& spec = placed.owner->record.spec.steps[task.step];
-        if (spec.gang || spec.long_running)
-            continue;
-        auto lost_work = now - placed.started_at;
-        if (spec.checkpointing)
-            lost_work = std::min(lost_work, checkpoint_interval);
-        if (lost_work <= max_lost_work)
-            found.push_back({task, &placed,
-                             static_cast<double>(lost_work.count()) *
-                                 static_cast<double>(placed.need.processors_milli)});
-    }
-    std::ranges::sort(found, {}, &victim::lost_work);
-    return found;
-}
-
-/// Runs to preempt on one target so that one more task fits; none when it fits already.
-struct preemption_plan {
-    fleet_target* target = nullptr;
-    std::vector<victim> victims;
-    double lost_work = 0;
-};
-
 /// @return whether the run belongs to the team of @p owner, so that its end frees part of that
 /// team's limit
 bool same_team(const placed_run& placed, const workflow& owner)
@@ -69,36 +28,6 @@
     return placed.owner != nullptr && placed.owner->record.team == owner.record.team;
 }
 
-/// @return a plan for each task that can be made to fit on @p target, at most @p wanted, least lost
-/// work first
-std::vector<preemption_plan> preemption_plans(fleet_target& target, const resources& need,
-                                              int priority, std::uint32_t wanted)
-{
-    auto free_capacity = target.free_resources();
-    // Runs that are being stopped count as free.
-    for (const auto& [task, placed] : target.tasks) {
-        if (placed.stopping)
-            free_capacity += placed.need;
-    }
-    std::vector<preemption_plan> plans;
-    preemption_plan plan{.target = &target};
-    auto victims = preemptible_runs(target, priority);
-    std::size_t next = 0;
-    while (plans.size() < wanted) {
-        if (need.fits_within(free_capacity)) {
-            free_capacity -= need;
-            plans.push_back(std::exchange(plan, {.target = &target}));
-            continue;
-        }
-        if (next == victims.size())
-            break;
-        free_capacity += victims[next].placed->need;
-        plan.lost_work += victims[next].lost_work;
-        plan.victims.push_back(std::move(victims[next++]));
-    }
-    return plans;
-}
-
 } // namespace
 
 void coordinator::preempt_for_team_limit(workflow& owner, std::uint32_t step_index)
@@ -111,9 +40,9 @@
     --this->preemptions_left;
     step.next_preemption_at = now + preemption_interval;
     const auto& need = owner.record.spec.steps[step_index].need;
-    std::vector<std::pair<victim, fleet_target*>> found;
+    std::vector<std::pair<preemptible_run, fleet_target*>> found;
     for (const auto& [name, target] : this->targets) {
-        for (auto& candidate : preemptible_runs(*target, owner.priority)) {
+        for (auto& candidate : preemptible_runs(*target, {.priority = owner.priority})) {
             if (same_team(*candidate.placed, owner))
                 found.emplace_back(std::move(candidate), target.get());
         }
@@ -163,7 +92,7 @@
     for (const auto& [name, target] : this->targets) {
         if (!this->can_use(*target, owner, step_index))
             continue;
-        auto found = preemption_plans(*target, need, owner.priority, wanted);
+        auto found = plan_preemptions(*target, need, {.priority = owner.priority}, wanted);
         if (found.empty())
             continue;
         const auto answer = step.advice.find(name);
@@ -190,7 +119,7 @@
     }
     std::ranges::sort(plans, {}, &preemption_plan::lost_work);
     for (std::size_t next_plan = 0; next_plan < plans.size() && next_plan < wanted; ++next_plan) {
-        for (const auto& chosen : plans[next_plan].victims) {
+        for (const auto& chosen : plans[next_plan].runs) {
             this->preempt_run(*plans[next_plan].target, chosen.task, owner, "room");
         }
     }
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -38,14 +38,6 @@
     return end <= owner.due_at + owner.objective * (useless_lateness_factor - 1) ? 1 : 2;
 }
 
-/// @return the targets without duplicates, in no particular order
-std::vector<fleet_target*> without_duplicates(std::vector<fleet_target*> targets)
-{
-    std::sort(targets.begin(), targets.end());
-    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-    return targets;
-}
-
 } // namespace
 
 void coordinator::request_scheduling_pass(milliseconds wait)
@@ -195,6 +187,8 @@
                 this->reserve(step, spec.need, renewed_targets);
             return true;
         }
+        if (this->preempt_for_gang(owner, step_index, *queue, wanted))
+            return true;
     }
     const auto targets_to_ask = placer.select_targets_to_ask(wanted, spec.gang, grant_rate);
     if (this->asks_whole_fleet(owner, step_index, *queue, targets_to_ask) &&
