Send a start without an answer again at once

Ruled out: waiting for capacity or advice (20 to 130 ms of these workflows' time). Change: a start times out after 250 ms and is sent once more at once, if its run is still wanted. A way in which the target's session repeats it by itself failed two tests (a run that has ended meanwhile, a workflow that is over), so the coordinator decides. The fake targets refuse a run that has ended there, as the real ones do. A case of the load fails without the change.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -11,6 +11,7 @@
 #include "coordinator/workflow.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
+#include "ports/target_orders.h"
 #include "ports/target_view.h"
 
 #include <absl/status/status.h>
@@ -36,7 +37,6 @@
 class leadership;
 class metadata_store;
 class target_directory;
-class target_orders;
 struct preemption_plan;
 struct step_candidate;
 struct store_page;
@@ -254,17 +254,17 @@
     /// @return whether runs were preempted or targets were named to the advisor
     bool preempt_for_capacity(workflow& owner, std::uint32_t step_index,
                               const queue_definition* queue, std::uint32_t wanted);
-    /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until all
-    /// tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets are
-    /// renewed meanwhile.
+    /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until
+    /// all tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets
+    /// are renewed meanwhile.
     /// @return whether the gang now waits for stopped runs or for the advisor
     bool preempt_for_gang(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
                           std::uint32_t wanted);
     /// @return plans for tasks of the gang on all targets that the advisor has allowed, in no
     /// particular order; fewer than @p wanted when not all tasks can be made to fit
-    [[nodiscard]] std::vector<preemption_plan>
-    plan_gang_preemptions(const workflow& owner, std::uint32_t step_index,
-                          std::uint32_t wanted) const;
+    [[nodiscard]] std::vector<preemption_plan> plan_gang_preemptions(const workflow& owner,
+                                                                     std::uint32_t step_index,
+                                                                     std::uint32_t wanted) const;
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
@@ -343,6 +343,14 @@
     void place_tasks(workflow& owner, std::uint32_t step_index,
                      const std::vector<fleet_target*>& targets);
     void send_start_order(fleet_target& target, const task_name& task);
+    /// Sends a start order that was not answered once more, at once: the order or its answer may be
+    /// lost, and urgent work cannot wait for the next poll of the target.
+    void repeat_start_order(fleet_target& target, const task_name& task);
+    [[nodiscard]] start_order make_start_order(const fleet_target& target,
+                                               const task_name& task) const;
+    /// @return a function that passes the target's answer to handle_start_result()
+    [[nodiscard]] target_orders::order_callback
+    start_result_handler(fleet_target& target, const task_name& task, std::int64_t run);
     /// Handles a target's answer to a start order.
     void handle_start_result(fleet_target& target, const task_name& task, std::int64_t run,
                              const order_result& result);
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -272,6 +272,26 @@
         EXPECT_FALSE(asked_targets["late"].contains(name)) << name;
 }
 
+// Load pattern: urgent work on targets of which some leave orders unanswered. A start that is sent
+// again only after the next poll of its target is late.
+TEST_F(coordinator_load_test, a_start_without_an_answer_is_sent_again_at_once)
+{
+    auto& target = this->targets.add("t1", 4000);
+    target.task_duration = milliseconds(0);
+    target.loses_response = [this](const start_order&) { return this->targets.start_count == 1; };
+    auto& first = this->elect("vm-1");
+    this->submit(first, "urgent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.start_count, 1);
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->targets.start_count, 2);
+    // The target counts as reachable again.
+    this->submit(first, "next", {this->tasks(1, 1)});
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(this->targets.running("next"), 1);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 // An end that is not recorded yet must not cause further polls of its target.
 TEST_F(coordinator_load_test, polls_do_not_outnumber_ends)
 {
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -106,13 +106,9 @@
     }
 }
 
-void coordinator::send_start_order(fleet_target& target, const task_name& name)
+start_order coordinator::make_start_order(const fleet_target& target, const task_name& name) const
 {
-    const auto found = target.tasks.find(name);
-    if (found == target.tasks.end() || found->second.owner == nullptr ||
-        is_final(found->second.owner->state) || !target.session->can_grant_lease())
-        return;
-    auto& placed = found->second;
+    const auto& placed = target.tasks.at(name);
     const auto& owner = *placed.owner;
     const auto& step = owner.steps[name.step];
     const bool gang = owner.record.spec.steps[name.step].gang;
@@ -120,13 +116,42 @@
     order.checkpoint = step.tasks[gang ? 0 : name.index].checkpoint;
     if (const auto answer = step.advice.find(target.report.name); answer != step.advice.end())
         order.ticket = answer->second.ticket;
+    return order;
+}
+
+void coordinator::send_start_order(fleet_target& target, const task_name& name)
+{
+    const auto found = target.tasks.find(name);
+    if (found == target.tasks.end() || found->second.owner == nullptr ||
+        is_final(found->second.owner->state) || !target.session->can_grant_lease())
+        return;
+    auto& placed = found->second;
     placed.last_order_at = boot_time();
     ++placed.unanswered_starts;
-    target.session->start(order, [this, alive = this->alive, &target, name,
-                                  run = placed.run](const order_result& result) {
+    target.session->start(this->make_start_order(target, name),
+                          this->start_result_handler(target, name, placed.run));
+}
+
+void coordinator::repeat_start_order(fleet_target& target, const task_name& name)
+{
+    auto& placed = target.tasks.at(name);
+    if (placed.start_repeated || placed.started || placed.stopping || placed.owner == nullptr ||
+        is_final(placed.owner->state))
+        return; // resend_orders() sends it once the target answers, unless a poll shows the run
+                // first
+    placed.start_repeated = true;
+    ++placed.unanswered_starts;
+    target.session->repeat_start(this->make_start_order(target, name),
+                                 this->start_result_handler(target, name, placed.run));
+}
+
+target_orders::order_callback
+coordinator::start_result_handler(fleet_target& target, const task_name& name, std::int64_t run)
+{
+    return [this, alive = this->alive, &target, name, run](const order_result& result) {
         if (*alive)
             this->handle_start_result(target, name, run, result);
-    });
+    };
 }
 
 void coordinator::handle_start_result(fleet_target& target, const task_name& name, std::int64_t run,
@@ -155,8 +180,10 @@
         this->env.metrics.add("tasks_started");
         return;
     }
-    if (result.how == order_result::outcome::unknown)
-        return; // resend_orders() repeats the order, unless a poll shows the run first
+    if (result.how == order_result::outcome::unknown) {
+        this->repeat_start_order(target, name);
+        return;
+    }
     if (!placed.stopping && !placed.started)
         this->handle_refused_start(target, name, result);
 }
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -24,11 +24,12 @@
     workflow* owner = nullptr;
     std::int64_t run = 0;
     resources need;
-    int unanswered_starts = 0; ///< start orders that were not answered yet
-    std::int64_t batch = 0;    ///< number of its batch in the placement log
-    bool start_sent = false;   ///< by this coordinator or an earlier one
-    bool started = false;      ///< the target has confirmed the start
-    bool stopping = false;     ///< a stop was ordered
+    int unanswered_starts = 0;   ///< start orders that were not answered yet
+    std::int64_t batch = 0;      ///< number of its batch in the placement log
+    bool start_sent = false;     ///< by this coordinator or an earlier one
+    bool start_repeated = false; ///< sent again at once because the first order was not answered
+    bool started = false;        ///< the target has confirmed the start
+    bool stopping = false;       ///< a stop was ordered
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds max_store_wait{400};
 /// Timeout of an order.
 constexpr milliseconds order_timeout{500};
+/// Timeout of a start order that is sent for the first time: targets answer within milliseconds.
+constexpr milliseconds first_start_timeout{250};
 /// A target's clock may be slower than ours by this many percent.
 constexpr int clock_drift_percent = 2;
 /// Margin for rounding when the expiry of a lease is computed.
@@ -68,22 +70,38 @@
 
 order_authority target_session::issue_authority()
 {
-    order_authority result{.fencing_token = this->fencing_token};
     // The lease of a target that does not answer isn't renewed, so that it expires at the time
     // known here.
-    if (!this->can_grant_lease())
-        return result;
+    return this->can_grant_lease() ? this->grant_lease()
+                                   : order_authority{.fencing_token = this->fencing_token};
+}
+
+order_authority target_session::grant_lease()
+{
     const auto now = boot_time();
-    result.lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count();
     this->lease_expires_at =
         std::max(this->lease_expires_at,
                  now + this->lease * (100 + clock_drift_percent) / 100 + expiry_slack);
-    return result;
+    return {.fencing_token = this->fencing_token,
+            .lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count()};
 }
 
 void target_session::start(const start_order& order, target_orders::order_callback done)
 {
-    this->orders.start(this->life, this->issue_authority(), order, order_timeout,
+    this->send_start(order, this->issue_authority(), first_start_timeout, std::move(done));
+}
+
+void target_session::repeat_start(const start_order& order, target_orders::order_callback done)
+{
+    const bool may_grant = this->clock_ms != 0 && this->notify.may_renew_leases();
+    this->send_start(order, may_grant ? this->grant_lease() : this->issue_authority(),
+                     order_timeout, std::move(done));
+}
+
+void target_session::send_start(const start_order& order, const order_authority& authority,
+                                milliseconds timeout, target_orders::order_callback done)
+{
+    this->orders.start(this->life, authority, order, timeout,
                        [this, alive = this->alive, done = std::move(done)](order_result result) {
                            if (!*alive)
                                return;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -59,6 +59,9 @@
     void wait_for_stored_end();
 
     void start(const start_order& order, target_orders::order_callback done);
+    /// Send a start order again whose answer has just been missed, with a lease although the target
+    /// counts as unreachable.
+    void repeat_start(const start_order& order, target_orders::order_callback done);
     void stop(const task_name& task, std::int64_t run, target_orders::order_callback done);
 
     /// @return whether an order can contain the time at which the lease expires. A start order
@@ -91,6 +94,11 @@
 private:
     /// @return the fencing token, with a renewed lease if one can be granted
     [[nodiscard]] order_authority issue_authority();
+    /// @return the fencing token with a renewed lease
+    [[nodiscard]] order_authority grant_lease();
+    /// Send a start order once.
+    void send_start(const start_order& order, const order_authority& authority,
+                    milliseconds timeout, target_orders::order_callback done);
     void schedule_poll(milliseconds wait);
     void poll();
     void apply_poll_result(const target_view& view, milliseconds sent);
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -68,6 +68,7 @@
     auto& destination = *this->targets.at(name);
     destination.running.clear();
     destination.ended.clear();
+    destination.highest_ended_run.clear();
     destination.last_end_number = 0;
     destination.highest_fencing_token = 0;
     destination.lease_until_ms = 0;
@@ -124,8 +125,11 @@
         destination.highest_fencing_token =
             std::max(destination.highest_fencing_token, authority.fencing_token);
         renew_lease(destination, authority);
+        const auto ended = destination.highest_ended_run.find(order.task);
         if (destination.lease_until_ms <= result.clock_ms)
             result.how = order_result::outcome::expired;
+        else if (ended != destination.highest_ended_run.end() && order.run <= ended->second)
+            result.how = order_result::outcome::superseded;
     }
     if (result.how == order_result::outcome::done && !destination.running.contains(order.task)) {
         for (const auto& [name, other] : this->targets) {
@@ -183,6 +187,7 @@
     if (found == destination.running.end() || found->second != run)
         return;
     destination.running.erase(found);
+    destination.highest_ended_run[task] = run;
     destination.ended.push_back({++destination.last_end_number, task, run, how, {}});
     this->answer_polls(name);
 }
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -38,6 +38,7 @@
         std::map<task_name, std::int64_t> running;
         std::map<task_name, resources> needs;
         std::vector<target_view::ended_task> ended;
+        std::map<task_name, std::int64_t> highest_ended_run; ///< such a run cannot start again
     };
 
     explicit fake_targets(event_loop& loop);
