Use no targets of a zone that has fallen silent

Ruled out: the members' heartbeats as a sign (silent after 1.05 s only). Change: a zone whose targets have missed three answers since any of them has answered, 200 ms ago at least, is not used until one of them answers. Its capacity does not count for shares meanwhile.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -9,6 +9,7 @@
 #include "coordinator/run_length_model.h"
 #include "coordinator/team_usage_tracker.h"
 #include "coordinator/workflow.h"
+#include "coordinator/zone_silence_detector.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
 #include "ports/target_orders.h"
@@ -286,8 +287,9 @@
     [[nodiscard]] std::vector<step_candidate>
     find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
                              const queue_definition* queue) const;
-    /// @return whether operators have taken the target's availability zone out
-    [[nodiscard]] bool in_excluded_zone(const fleet_target& target) const;
+    /// @return whether operators have taken the target's availability zone out, or none of its
+    /// targets answers
+    [[nodiscard]] bool in_unusable_zone(const fleet_target& target) const;
     /// @return candidates among the targets that the advisor has allowed
     [[nodiscard]] std::vector<step_candidate>
     find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
@@ -414,6 +416,7 @@
     std::vector<std::string> inherited_placement_keys; ///< placement log of earlier coordinators
     std::vector<target_report> latest_reports;         ///< the platform's list as last read
     team_usage_tracker usage_by_team;
+    zone_silence_detector silent_zones;
     /// Time since boot at which scheduling of the current step began.
     milliseconds evaluation_time{0};
     int preemptions_left = 0;           ///< steps that may still preempt in this pass
--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -35,7 +35,7 @@
 bool coordinator::can_use(const fleet_target& target, const workflow& owner,
                           std::uint32_t step_index) const
 {
-    return target.usable(this->evaluation_time) && !this->in_excluded_zone(target) &&
+    return target.usable(this->evaluation_time) && !this->in_unusable_zone(target) &&
            this->is_suitable(target, owner, step_index);
 }
 
@@ -109,7 +109,7 @@
         ended_early = new_count >= max_new_candidates && new_tasks >= ample_tasks;
         if (ended_early)
             break;
-        if (this->in_excluded_zone(*entry.target))
+        if (this->in_unusable_zone(*entry.target))
             continue;
         ++weighed;
         const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue);
@@ -142,7 +142,7 @@
     auto at = this->free_targets.first_below(need.processors_milli);
     while (at != entries.begin() && found.size() < max_new_candidates) {
         auto& target = *(--at)->target;
-        if (this->in_excluded_zone(target))
+        if (this->in_unusable_zone(target))
             continue;
         ++weighed;
         if (const auto candidate = this->evaluate_target(target, owner, step_index, queue))
@@ -152,9 +152,11 @@
     return found;
 }
 
-bool coordinator::in_excluded_zone(const fleet_target& target) const
+bool coordinator::in_unusable_zone(const fleet_target& target) const
 {
-    return this->configuration->zones_out.contains(target.report.availability_zone);
+    const auto& zone = target.report.availability_zone;
+    return this->configuration->zones_out.contains(zone) ||
+           this->silent_zones.is_silent(zone, this->evaluation_time);
 }
 
 std::vector<step_candidate>
@@ -166,7 +168,7 @@
         if (!answer.allowed)
             continue;
         const auto known = this->targets.find(name);
-        if (known == this->targets.end() || this->in_excluded_zone(*known->second))
+        if (known == this->targets.end() || this->in_unusable_zone(*known->second))
             continue;
         if (const auto candidate = this->evaluate_target(*known->second, owner, step_index, queue))
             found.push_back(*candidate);
--- a/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
@@ -41,6 +41,9 @@
     if (!tickets_valid &&
         !this->ask_advisor(owner, step_index, queue, without_duplicates(chosen), true))
         return true;
+    // An answer that came within the call has scheduled the step already.
+    if (!tickets_valid && step.open_questions == 0)
+        return true;
     this->reserve(step, owner.record.spec.steps[step_index].need, chosen);
     for (const auto& plan : plans) {
         for (const auto& run : plan.runs)
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -292,6 +292,41 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// Load pattern: an availability zone is cut off. Each of its targets would be found silent by
+// losing a task; the others must not be used meanwhile.
+TEST_F(coordinator_load_test, few_tasks_are_placed_in_a_zone_that_was_cut_off)
+{
+    constexpr int targets_per_zone = 30;
+    for (int number = 0; number < targets_per_zone; ++number) {
+        this->targets.add("a" + std::to_string(number), 2000, "z1");
+        this->targets.add("b" + std::to_string(number), 2000, "z2");
+    }
+    auto& first = this->elect("vm-1");
+    int submitted = 0;
+    const auto submit_for = [&](milliseconds span) {
+        for (milliseconds passed{0}; passed < span; passed += milliseconds(20)) {
+            this->submit(first, "w" + std::to_string(++submitted), {this->tasks(2, 1)});
+            this->run_for(milliseconds(20));
+        }
+    };
+    submit_for(milliseconds(500));
+    int lost_starts = 0;
+    this->targets.on_start_at = [&lost_starts](const fake_targets::target& destination) {
+        lost_starts += destination.unresponsive ? 1 : 0;
+    };
+    for (int number = 0; number < targets_per_zone; ++number)
+        this->targets.targets["a" + std::to_string(number)]->unresponsive = true;
+    submit_for(milliseconds(1500));
+    // One start on each of half as many targets, sent again once.
+    EXPECT_LE(lost_starts, targets_per_zone);
+    for (int number = 0; number < targets_per_zone; ++number)
+        this->targets.targets["a" + std::to_string(number)]->unresponsive = false;
+    this->run_for(milliseconds(7000));
+    for (int number = 1; number <= submitted; ++number)
+        EXPECT_EQ(this->state(first, "w" + std::to_string(number)), workflow_state::completed);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 // An end that is not recorded yet must not cause further polls of its target.
 TEST_F(coordinator_load_test, polls_do_not_outnumber_ends)
 {
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -25,6 +25,7 @@
                                     milliseconds sent)
 {
     const auto coordinator_alive = this->alive;
+    this->silent_zones.record_answer(target.report.availability_zone, boot_time());
     bool any_new_end = false;
     for (const auto& end : view.ended)
         any_new_end = this->apply_run_end(target, end) || any_new_end;
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -95,8 +95,9 @@
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
-        if (!target->session->can_grant_lease()) {
-            // The target stopped answering while the placement was being stored.
+        if (!target->session->can_grant_lease() ||
+            this->silent_zones.is_silent(target->report.availability_zone, boot_time())) {
+            // The target or its zone stopped answering while the placement was being stored.
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
@@ -136,7 +137,8 @@
 {
     auto& placed = target.tasks.at(name);
     if (placed.start_repeated || placed.started || placed.stopping || placed.owner == nullptr ||
-        is_final(placed.owner->state))
+        is_final(placed.owner->state) ||
+        this->silent_zones.is_silent(target.report.availability_zone, boot_time()))
         return; // resend_orders() sends it once the target answers, unless a poll shows the run
                 // first
     placed.start_repeated = true;
@@ -163,6 +165,8 @@
     auto& placed = found->second;
     --placed.unanswered_starts;
     placed.last_order_at = boot_time();
+    if (result.how != order_result::outcome::unknown)
+        this->silent_zones.record_answer(target.report.availability_zone, boot_time());
     if (result.how == order_result::outcome::done) {
         placed.started = true;
         placed.started_at = boot_time();
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -76,6 +76,8 @@
                         {{"target", target.report.name}, {"tasks", target.tasks.size()}});
                     if (reachable)
                         this->request_scheduling_pass();
+                    else
+                        this->silent_zones.record_missed_answer(target.report.availability_zone);
                 }});
     this->targets[report.name] = std::move(added);
     target.session->start_polling();
@@ -135,9 +137,10 @@
 void coordinator::update_fleet_capacity()
 {
     const auto now = boot_time();
+    this->evaluation_time = now; // for in_unusable_zone()
     this->fleet_capacity = {};
     for (const auto& [name, target] : this->targets) {
-        if (target->usable(now) && !this->in_excluded_zone(*target))
+        if (target->usable(now) && !this->in_unusable_zone(*target))
             this->fleet_capacity += target->report.capacity;
     }
     this->total_team_weight = 0;
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -110,6 +110,8 @@
     ++this->start_count;
     if (this->on_start)
         this->on_start(order);
+    if (this->on_start_at)
+        this->on_start_at(destination);
     if (this->on_start_authority)
         this->on_start_authority(authority);
     if (destination.unresponsive) {
