Notice lost polls early while urgent work runs

Change: while urgent work runs on a target its polls wait 400 ms for an end and time out 300 ms later, and a first poll without an answer is repeated at once. A run that is first seen after its workflow has ended is stopped, as it is when its start is found unanswered; with the earlier polls the case of an unconfirmed start depended on which came first. The case of the load fails with polls as before.

--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -292,6 +292,20 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// Load pattern: urgent work on targets of which some leave polls unanswered. The end of a run stays
+// unknown until the lost poll times out.
+TEST_F(coordinator_load_test, a_lost_poll_does_not_hide_the_end_of_urgent_work_for_long)
+{
+    auto& target = this->targets.add("t1", 4000);
+    target.task_duration = milliseconds(300);
+    auto& first = this->elect("vm-1");
+    target.polls_to_lose = 1;
+    this->submit(first, "urgent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(target.polls_to_lose, 0);
+    EXPECT_EQ(this->state(first, "urgent"), workflow_state::completed);
+}
+
 // Load pattern: an availability zone is cut off. Each of its targets would be found silent by
 // losing a task; the others must not be used meanwhile.
 TEST_F(coordinator_load_test, few_tasks_are_placed_in_a_zone_that_was_cut_off)
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -62,9 +62,16 @@
             this->stop_run(target, reported.task, reported.run);
         return;
     }
-    if (!placed.started)
+    if (!placed.started) {
+        placed.started = true;
         placed.started_at = boot_time();
-    placed.started = true;
+        // Its start was not confirmed when the workflow ended, so that it was not stopped then.
+        const bool workflow_over = placed.owner == nullptr || is_final(placed.owner->state);
+        if (workflow_over && !placed.stopping) {
+            this->stop_run(target, reported.task, reported.run);
+            return;
+        }
+    }
     this->detect_stall(target, reported, placed);
     if (placed.owner != nullptr && !is_final(placed.owner->state))
         placed.owner->steps[reported.task.step].tasks[reported.task.index].update_checkpoint(
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -103,7 +103,7 @@
         }
         found->second.start_sent = true;
         this->send_start_order(*target, entry.task());
-        target->session->set_polling(true);
+        this->update_polling(*target);
     }
 }
 
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -23,6 +23,13 @@
 /// Wait before an order without an answer is sent again.
 constexpr milliseconds resend_wait{150};
 
+bool has_urgent_runs(const fleet_target& target)
+{
+    return std::ranges::any_of(target.tasks, [](const auto& entry) {
+        return entry.second.owner != nullptr && entry.second.owner->urgent();
+    });
+}
+
 } // namespace
 
 void coordinator::apply_directory(const std::vector<target_report>& reports)
@@ -232,7 +239,7 @@
 
 void coordinator::update_polling(fleet_target& target)
 {
-    target.session->set_polling(!target.tasks.empty());
+    target.session->set_polling(!target.tasks.empty(), has_urgent_runs(target));
 }
 
 void coordinator::stop_run(fleet_target& target, const task_name& task, std::int64_t run)
@@ -266,7 +273,7 @@
                 this->update_polling(target);
             }
         });
-    target.session->set_polling(true);
+    target.session->set_polling(true, has_urgent_runs(target));
 }
 
 void coordinator::resend_orders(fleet_target& target, milliseconds now)
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -10,8 +10,12 @@
 
 /// How long a poll waits at the target for an end: well below the lease that it renews.
 constexpr milliseconds poll_wait{1000};
+/// The same while the end of an urgent run is awaited: a poll that gets lost hides the end until it
+/// times out.
+constexpr milliseconds urgent_poll_wait{400};
 /// Timeout of a poll beyond the time that the target waits for an end.
 constexpr milliseconds answer_timeout{600};
+constexpr milliseconds urgent_answer_timeout{300};
 /// Wait before a target that did not answer is polled again.
 constexpr milliseconds retry_wait{300};
 /// Longest wait for an end to be stored before the next poll, which renews the lease.
@@ -44,9 +48,10 @@
     this->poll();
 }
 
-void target_session::set_polling(bool wanted)
+void target_session::set_polling(bool wanted, bool urgent)
 {
     this->polling_wanted = wanted;
+    this->polling_urgent = urgent;
     if (wanted && !this->poll_in_progress && !this->waiting_for_stored_end &&
         !this->poll_timer.active())
         this->schedule_poll(milliseconds(0));
@@ -136,10 +141,13 @@
     this->poll_in_progress = true;
     const bool wait_for_end =
         this->has_been_polled && this->missed_answers == 0 && !this->waiting_for_stored_end;
-    const auto wait = wait_for_end ? poll_wait : milliseconds(0);
+    const auto longest_wait = this->polling_urgent ? urgent_poll_wait : poll_wait;
+    const auto wait = wait_for_end ? longest_wait : milliseconds(0);
+    const auto timeout =
+        wait + (this->polling_urgent && wait_for_end ? urgent_answer_timeout : answer_timeout);
     const auto sent = boot_time();
-    this->orders.poll(this->life, this->issue_authority(), this->acknowledged_up_to, wait,
-                      wait + answer_timeout, [this, alive = this->alive, sent](target_view view) {
+    this->orders.poll(this->life, this->issue_authority(), this->acknowledged_up_to, wait, timeout,
+                      [this, alive = this->alive, sent](target_view view) {
                           if (*alive)
                               this->apply_poll_result(view, sent);
                       });
@@ -153,7 +161,8 @@
     if (!*session_alive)
         return;
     if (view.result.how != order_result::outcome::done) {
-        this->schedule_poll(retry_wait);
+        // A single poll may have been lost.
+        this->schedule_poll(this->missed_answers == 1 ? milliseconds(0) : retry_wait);
         return;
     }
     this->has_been_polled = true;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -44,9 +44,10 @@
     /// Send the first poll.
     void start_polling();
 
-    /// Start or stop repeated polls. @param wanted whether something runs on the target or
-    /// is about to run there
-    void set_polling(bool wanted);
+    /// Start or stop repeated polls.
+    /// @param wanted whether something runs on the target or is about to run there
+    /// @param urgent whether some of it is urgent, so that a lost poll must be noticed early
+    void set_polling(bool wanted, bool urgent);
 
     /// Make the next poll acknowledge the ended runs up to @p number, so that the target no longer
     /// reports them.
@@ -117,6 +118,7 @@
     milliseconds lease_expires_at{0};
     std::int64_t acknowledged_up_to = 0;
     bool polling_wanted = false;
+    bool polling_urgent = false;
     bool poll_in_progress = false;
     bool waiting_for_stored_end = false;
     bool has_been_polled = false;
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -30,6 +30,7 @@
         bool unresponsive = false; ///< does not respond
         /// Selects the start orders that the target executes without a response.
         std::function<bool(const start_order&)> loses_response;
+        int polls_to_lose = 0;        ///< number of polls that get no response
         milliseconds order_delay{1};  ///< delay of the response to a start order
         bool fails_all_tasks = false; ///< every task fails when its time is over
         bool is_stalled = false;      ///< tasks make no progress and do not end
