--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -126,7 +126,7 @@
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_run> tasks;
     resources used;
-    resources reserved; ///< for steps whose tickets the advisor is renewing
+    resources reserved; ///< for gangs whose tickets are renewed or for which other runs stop
     /// gang_order() of each gang whose unanswered question to the advisor names this target.
     std::multiset<int> gang_claims;
     milliseconds start_backoff_until{0}; ///< time since boot; set when the target refuses a start
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -69,7 +69,8 @@
     std::map<std::string, milliseconds, std::less<>> avoided_until;
 
     std::map<std::string, cached_advice, std::less<>> advice; ///< by target
-    /// Capacity that is reserved for the step while the advisor renews its expired tickets.
+    /// Capacity that is reserved for the step while the advisor renews its expired tickets or while
+    /// preempted runs stop.
     std::vector<capacity_reservation> reserved;
     int open_questions = 0;           ///< questions to the advisor without an answer yet
     bool asked_all_targets = false;   ///< whether the advisor was asked about all suitable targets
