Count failures at the same time once for a target's quarantine

Its log: in the last 110 ms with faults seven targets, on which everything failed, had three to five failures each. Each counted as another failure in a row, so that their quarantines were 6 to 24 s, although no task had been tried again. Ruled out: silent targets (all had answered), advice (it waited for processors), the team's limit (none). Change: failures during a quarantine do not lengthen it; it doubles only when a task that was started after it fails. Conclusion: a fault on the users' platform too, where a job must not wait for 3 s beside free capacity.

--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -128,7 +128,9 @@
 
 void fleet_target::record_failure(milliseconds now)
 {
-    if (++this->consecutive_failures < failures_before_quarantine)
+    // Runs that were there when the quarantine began may fail too; only one that was started after
+    // it shows that the target has not recovered.
+    if (now < this->quarantined_until || ++this->consecutive_failures < failures_before_quarantine)
         return;
     const int factor =
         std::min(max_quarantine_factor,
