Resend a stalled transaction as soon as a later call is answered

Shorter polls only moved the last attempt to another time. Change: the answer to a call that was sent after the last attempt shows that the attempt was lost; it is repeated at once.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -177,9 +177,9 @@
     });
 }
 
-void commit_chain::resend_if_stalled()
+void commit_chain::resend_if_stalled(milliseconds answered_call_sent_at)
 {
-    if (!this->in_flight || this->closed || boot_time() - this->in_flight->last_sent < stall_limit)
+    if (this->closed || !this->stalled() || this->in_flight->last_sent >= answered_call_sent_at)
         return;
     this->timeout = shortest_timeout;
     this->resend_timer.stop();
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -80,9 +80,10 @@
     [[nodiscard]] bool stalled() const;
 
     /// Resend a transaction that has had no answer for too long. To be called when the store has
-    /// answered another call: the transaction or its answer was probably lost while the store was
-    /// unavailable.
-    void resend_if_stalled();
+    /// answered another call: a transaction that was sent before that call was probably lost, or
+    /// its answer was, while the store was unavailable.
+    /// @param answered_call_sent_at time since boot
+    void resend_if_stalled(milliseconds answered_call_sent_at);
 
     /// @return number of transactions composed, for metrics
     [[nodiscard]] std::int64_t transactions() const
--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -71,7 +71,7 @@
     this->run_for(milliseconds(3000));
     EXPECT_TRUE(this->chain->stalled());
     this->store.down = false;
-    this->chain->resend_if_stalled();
+    this->chain->resend_if_stalled(boot_time());
     this->run_for(milliseconds(100));
     EXPECT_EQ(this->writes_done, 1);
     EXPECT_FALSE(this->chain->stalled());
@@ -83,6 +83,23 @@
     EXPECT_FALSE(this->has_lost_fence);
 }
 
+// Load pattern: the store returns soon after an attempt was lost. The answer to a later call shows
+// that, and the next attempt must not wait for the timeout.
+TEST_F(commit_chain_test, a_stalled_transaction_is_resent_once_a_later_call_is_answered)
+{
+    this->store.down = true;
+    this->put("a", "1");
+    this->run_for(milliseconds(1200)); // the last attempt was sent some 150 ms ago
+    EXPECT_TRUE(this->chain->stalled());
+    this->store.down = false;
+    this->chain->resend_if_stalled(boot_time() - milliseconds(1000));
+    this->run_for(milliseconds(50));
+    EXPECT_EQ(this->writes_done, 0) << "the answered call was sent before the last attempt";
+    this->chain->resend_if_stalled(boot_time());
+    this->run_for(milliseconds(50));
+    EXPECT_EQ(this->writes_done, 1);
+}
+
 TEST_F(commit_chain_test, a_delayed_transaction_does_not_overwrite_a_newer_one)
 {
     this->store.transactions_to_delay = 1;
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -290,7 +290,7 @@
                                 if (!this->leads() || tenure != this->tenure)
                                     return;
                                 if (status.ok() || absl::IsNotFound(status))
-                                    this->chain->resend_if_stalled();
+                                    this->chain->resend_if_stalled(sent);
                                 if (status.ok())
                                     this->last_renewal = std::max(this->last_renewal, sent);
                                 else if (absl::IsNotFound(status))
--- a/src/libverbenalever/order_relay/order_relay_test.cpp
+++ b/src/libverbenalever/order_relay/order_relay_test.cpp
@@ -55,7 +55,8 @@
     {
         const auto result = std::make_shared<std::optional<order_result>>();
         this->orders.start(this->life, {.fencing_token = 7, .lease_until_ms = this->lease_end()},
-                           {.task = {"w", 0, 0, 0}, .run = 1, .payload = "p"}, milliseconds(500),
+                           {.task = {"w", 0, 0, 0}, .run = ++this->last_run, .payload = "p"},
+                           milliseconds(500),
                            [result](order_result response) { *result = response; });
         this->run_for(milliseconds(50));
         return *result;
@@ -71,6 +72,7 @@
     counters count;
     fake_targets targets{this->loop};
     order_relay relay{this->targets, this->count};
+    std::int64_t last_run = 0;     ///< a run that has ended cannot start again
     milliseconds network_delay{0}; ///< of each message to a relay
     std::vector<std::string> called_relays;
     std::map<std::string, absl::Status> relay_errors;
