Log what tells the ways in which a task can run twice apart

A dropped target now shows the start time that was compared, lapsed runs how long ago their lease expired, a duplicate where the other run is. Ruled out: nothing yet.

--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -149,7 +149,9 @@
                          {"step", reported.task.step},
                          {"index", reported.task.index},
                          {"run", reported.run},
-                         {"target", target.report.name}});
+                         {"target", target.report.name},
+                         {"placed_run", task.run},
+                         {"placed_on", task.target == nullptr ? "" : task.target->report.name}});
     if (duplicate) {
         this->stop_run(target, reported.task, reported.run);
         return;
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -97,7 +97,10 @@
         return;
     auto& target = *found->second;
     this->env.log.write("coordinator", "target_dropped",
-                        {{"target", name}, {"reason", reason}, {"tasks", target.tasks.size()}});
+                        {{"target", name},
+                         {"reason", reason},
+                         {"born_ms", target.report.born_ms},
+                         {"tasks", target.tasks.size()}});
     while (!target.tasks.empty()) {
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
@@ -164,8 +167,11 @@
 
 void coordinator::mark_all_runs_lost(fleet_target& target, std::string_view reason)
 {
-    this->env.log.write("coordinator", "runs_lapsed",
-                        {{"target", target.report.name}, {"tasks", target.tasks.size()}});
+    this->env.log.write(
+        "coordinator", "runs_lapsed",
+        {{"target", target.report.name},
+         {"tasks", target.tasks.size()},
+         {"expired_for_ms", (boot_time() - target.session->lease_expiry()).count()}});
     while (!target.tasks.empty()) {
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
