Wait for leases that an earlier coordinator granted

Cause: a target's session assumed no lease until this coordinator had granted one. A successor that adopts runs while it may not renew leases (the store is away, and a member is missing), or that waits for an end to be stored before its second poll, has granted none. When the target then misses an answer, check_targets() takes the lease for expired, though the one of the earlier coordinator has up to five seconds left, and starts the tasks again elsewhere as soon as the store answers. The class: a value that is not known was taken for the one that allows most. Change: the first answered poll of a target begins a lease of full length. Figures: leases_of_an_earlier_coordinator_are_waited_for failed before (2 running, "runs on two targets") and passes now. Conclusion: likely the reported fault; it needs three disruptions within five seconds, which is why single ones never showed it.

--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -371,5 +371,32 @@
     EXPECT_EQ(answer, call_outcome::refused);
 }
 
+// A task must not run twice because its target missed an answer: leases that an earlier coordinator
+// granted last on although this one has not granted any.
+TEST_F(coordinator_recovery_test, leases_of_an_earlier_coordinator_are_waited_for)
+{
+    this->task_lease = milliseconds(8000);
+    auto& adopted_target = this->targets.add("t1", 1000);
+    adopted_target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    adopted_target.unresponsive = true;
+    this->kill(first);
+    this->elect("vm-2");
+    this->store.down = true;
+    this->run_for(milliseconds(1700)); // by then the successor may not renew leases
+    adopted_target.unresponsive = false;
+    this->run_for(milliseconds(1000));
+    adopted_target.unresponsive = true;
+    this->run_for(milliseconds(1300));
+    this->store.down = false;
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.running("w"), 1);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -81,12 +81,17 @@
                                    : order_authority{.fencing_token = this->fencing_token};
 }
 
-order_authority target_session::grant_lease()
+void target_session::assume_full_lease()
 {
-    const auto now = boot_time();
     this->lease_expires_at =
         std::max(this->lease_expires_at,
-                 now + this->lease * (100 + clock_drift_percent) / 100 + expiry_slack);
+                 boot_time() + this->lease * (100 + clock_drift_percent) / 100 + expiry_slack);
+}
+
+order_authority target_session::grant_lease()
+{
+    const auto now = boot_time();
+    this->assume_full_lease();
     return {.fencing_token = this->fencing_token,
             .lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count()};
 }
@@ -165,6 +170,8 @@
         this->schedule_poll(this->missed_answers == 1 ? milliseconds(0) : retry_wait);
         return;
     }
+    if (!this->has_been_polled)
+        this->assume_full_lease();
     this->has_been_polled = true;
     this->notify.poll_answered(view, sent);
     if (!*session_alive || this->poll_in_progress || this->poll_timer.active())
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -41,7 +41,7 @@
             .log = this->log,
             .metrics = this->metrics,
             .prefix = "v/",
-            .task_lease = milliseconds(1500),
+            .task_lease = this->task_lease,
             .ended_retention = milliseconds(60'000),
             .all_members_connected = [this] { return this->all_members_connected; },
             .forget_departed_members = [](milliseconds) {},
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -34,6 +34,7 @@
     counters metrics;
     std::unique_ptr<coordinator> active_coordinator; ///< null while not elected
     bool all_members_connected = false;              ///< reported to the coordinator
+    milliseconds task_lease{1500};                   ///< used by the next coordinator
 
 private:
     void start_coordinator(std::int64_t term, commit_chain& chain);
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -48,6 +48,7 @@
         this->processes.push_back(std::make_unique<process>(this->loop, this->store, this->targets,
                                                             this->targets, this->configuration,
                                                             this->log, vm));
+        this->processes.back()->task_lease = this->task_lease;
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->active_coordinator, nullptr);
         return *this->processes.back();
@@ -93,6 +94,7 @@
     fake_targets targets{this->loop};
     event_log log{"test"};
     std::shared_ptr<fleet_configuration> configuration;
+    milliseconds task_lease{1500}; ///< of processes that are elected from now on
     std::map<std::string, call_outcome> outcomes;
     std::vector<std::unique_ptr<process>> processes;
 };
