Count members that were not heard during a pause as not connected

Cause: a coordinator that cannot reach the store renews leases while all members are connected. Which members are, it took from the state of their connections. After a pause of the process these look open until they have been read, and the silence of a connection is measured with a clock that stands still while a VM is suspended. A coordinator that was paused for longer than its lease could thus renew leases of tasks that its successor had waited for. Change: a member counts as connected if a greeting of it was read within the silence limit, by the clock that counts suspensions.

--- a/src/libverbenalever/coordination/member_hub.cpp
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -5,6 +5,8 @@
 #include "loop/event_loop.h"
 #include "membership/message_codec.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 member_hub::member_hub(event_loop& loop, callbacks notify)
@@ -25,6 +27,11 @@
     return absl::OkStatus();
 }
 
+std::uint16_t member_hub::port() const
+{
+    return this->listener ? this->listener->port() : std::uint16_t{0};
+}
+
 void member_hub::accept(std::unique_ptr<frame_connection> new_connection)
 {
     const auto number = ++this->last_number;
@@ -51,6 +58,7 @@
     auto& entry = this->connections.at(number);
     const bool first_greeting = entry.vm.empty();
     entry.vm = greeting->vm;
+    entry.heard_at = boot_time();
     this->members[greeting->vm] = number;
     this->disconnected.erase(greeting->vm);
     if (first_greeting)
@@ -90,7 +98,12 @@
 
 bool member_hub::all_members_connected() const
 {
-    return this->disconnected.empty() && !this->members.empty();
+    // After a pause of this process, connections that have ended meanwhile still look open.
+    const auto silent_since = boot_time() - peer_channel::silence_limit;
+    return this->disconnected.empty() && !this->members.empty() &&
+           std::ranges::all_of(this->members, [&](const auto& member) {
+               return this->connections.at(member.second).heard_at >= silent_since;
+           });
 }
 
 void member_hub::for_each_member(
--- a/src/libverbenalever/coordination/member_hub.h
+++ b/src/libverbenalever/coordination/member_hub.h
@@ -41,14 +41,18 @@
     /// @return UNAVAILABLE when the address cannot be bound
     [[nodiscard]] absl::Status listen(const endpoint& address);
 
+    /// @return the port on which this process listens; 0 before listen()
+    [[nodiscard]] std::uint16_t port() const;
+
     /// @return the channel to @p vm; null when it is not connected
     [[nodiscard]] peer_channel* find(const std::string& vm);
 
     /// Stop counting VMs that disconnected before @p when (time since boot) as disconnected.
     void forget_disconnected(milliseconds when);
 
-    /// @return whether at least one member is connected and no VM is disconnected, other than those
-    /// removed by forget_disconnected()
+    /// @return whether at least one member is connected, all of them have been heard within
+    /// peer_channel::silence_limit, and no VM is disconnected, other than those removed by
+    /// forget_disconnected()
     [[nodiscard]] bool all_members_connected() const;
 
     [[nodiscard]] std::size_t size() const
@@ -62,7 +66,8 @@
 private:
     struct connection {
         std::unique_ptr<peer_channel> channel;
-        std::string vm; ///< empty until its first greeting
+        std::string vm;           ///< empty until its first greeting
+        milliseconds heard_at{0}; ///< time since boot of the last greeting
     };
 
     void accept(std::unique_ptr<frame_connection> new_connection);
