Do not take the registration of an earlier life for a restart

Cause: apply_directory() and update_adoption() compared start times for inequality. A registration of an earlier life, written late, ended all runs of the present life and started their tasks elsewhere at once; a successor that read one did not wait for the target on which a task may run. Evidence: an_outdated_registration_ends_no_run and an_outdated_registration_does_not_end_the_wait_for_a_target failed before (2 running, "runs on two targets") and pass now. Change: only a later start time is a restart. A target whose listed life is over is not added again; when that is noticed after a newer registration was read, the latter is used at once.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -410,6 +410,9 @@
     std::set<ready_key> ready_steps;
     free_capacity_index free_targets; ///< outlives the targets, which it refers to
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
+    /// Start times of lives that targets have answered to be over, by target name, as long as the
+    /// platform's list shows them.
+    std::map<std::string, std::int64_t> ended_lives;
     /// Placements by earlier coordinators on targets that have not answered in this term, by
     /// target name. Their tasks may still be running.
     std::map<std::string, std::vector<awaited_placement>> awaited_placements;
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -398,5 +398,49 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// A task must not run twice because the registration of an earlier life of its target was written
+// late.
+TEST_F(coordinator_recovery_test, an_outdated_registration_ends_no_run)
+{
+    this->targets.add("t1", 1000).task_duration = milliseconds(0);
+    this->targets.restart("t1");
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.listed_born_ms["t1"] = 1;
+    this->targets.publish_targets();
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 1);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    this->targets.listed_born_ms.clear();
+    this->targets.publish_targets();
+    this->targets.end_all("t1", target_view::ending::done);
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
+// A task must not run twice because a successor reads the registration of an earlier life of its
+// target.
+TEST_F(coordinator_recovery_test, an_outdated_registration_does_not_end_the_wait_for_a_target)
+{
+    auto& restarted_target = this->targets.add("t1", 1000);
+    restarted_target.task_duration = milliseconds(0);
+    this->targets.restart("t1");
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    restarted_target.unresponsive = true;
+    this->targets.listed_born_ms["t1"] = 1;
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 1);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -8,6 +8,7 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenalever {
 
@@ -40,8 +41,20 @@
         return;
     for (auto& [name, target] : this->targets)
         target->in_directory = false;
+    const auto ended = std::exchange(this->ended_lives, {});
     for (const auto& report : reports) {
         const auto found = this->targets.find(report.name);
+        if (const auto life = ended.find(report.name);
+            life != ended.end() && life->second == report.born_ms) {
+            this->ended_lives.insert(*life);
+            continue;
+        }
+        if (found != this->targets.end() && report.born_ms < found->second->report.born_ms) {
+            // Written late by an earlier life of the target; the present one writes its own.
+            this->env.log.write("coordinator", "registration_outdated",
+                                {{"target", report.name}, {"born_ms", report.born_ms}});
+            continue;
+        }
         if (found != this->targets.end() && found->second->report.born_ms != report.born_ms)
             this->remove_target(report.name, "reborn");
         if (const auto known = this->targets.find(report.name); known != this->targets.end()) {
@@ -136,8 +149,14 @@
         else
             this->resend_orders(*target, now);
     }
-    for (const auto& [name, reason] : targets_to_remove)
+    for (const auto& [name, reason] : targets_to_remove) {
+        if (const auto& target = *this->targets.at(name); target.restarted)
+            this->ended_lives[name] = target.report.born_ms;
         this->remove_target(name, reason);
+    }
+    // The registration of a new life may have been read before the end of the last one was noticed.
+    if (!this->ended_lives.empty() && !targets_to_remove.empty())
+        this->apply_directory(std::vector(this->latest_reports));
     this->update_adoption();
     this->usage_by_team.decay_urgent_peaks();
     this->update_fleet_capacity();
@@ -192,7 +211,7 @@
         std::erase_if(entries, [&](const awaited_placement& entry) {
             const bool target_restarted =
                 found != this->targets.end() &&
-                found->second->report.born_ms != entry.placement.target_born_ms;
+                found->second->report.born_ms > entry.placement.target_born_ms;
             if (elapsed < limit && !target_restarted)
                 return false;
             expired_entries.push_back(entry);
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -57,8 +57,12 @@
 void fake_targets::publish_targets()
 {
     std::vector<target_report> reports;
-    for (const auto& [name, current_target] : this->targets)
-        reports.push_back(current_target->report);
+    for (const auto& [name, current_target] : this->targets) {
+        auto& report = reports.emplace_back(current_target->report);
+        if (const auto listed = this->listed_born_ms.find(name);
+            listed != this->listed_born_ms.end())
+            report.born_ms = listed->second;
+    }
     if (this->on_changed)
         this->on_changed(reports);
 }
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -73,6 +73,8 @@
     [[nodiscard]] std::size_t running(const std::string& workflow) const;
 
     std::map<std::string, std::unique_ptr<target>> targets;
+    /// Start times that the platform's list shows for targets instead of their current ones.
+    std::map<std::string, std::int64_t> listed_born_ms;
     std::map<std::string, resources> need_by_workflow; ///< of one task, for the capacity check
     std::vector<std::string> violations;
     std::function<void(const start_order&)> on_start;               ///< called for each start order
