Repeat no start without a lease

Cause: since a start without an answer is sent again at once, also when no lease can be granted, for instance by a coordinator that was paused. Such a start may be executed late, under a lease renewed since, while the task runs elsewhere. Evidence: a_paused_coordinator_repeats_no_start_without_a_lease failed before (1 start without a lease) and passes now. Change: the start is left to resend_orders(), which sends it with a lease or stops it.

--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -7,7 +7,7 @@
 
 #include <functional>
 #include <optional>
-
+#include <thread>
 #include <utility>
 
 namespace verbenalever {
@@ -442,5 +442,26 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// A start that is repeated without a lease may be executed late, under a lease that is renewed
+// later, while the task runs elsewhere.
+TEST_F(coordinator_recovery_test, a_paused_coordinator_repeats_no_start_without_a_lease)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    int starts_without_lease = 0;
+    this->targets.on_start_authority = [&starts_without_lease](const order_authority& authority) {
+        starts_without_lease += authority.lease_until_ms == 0 ? 1 : 0;
+    };
+    target.unresponsive = true;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->store.down = true;
+    std::this_thread::sleep_for(milliseconds(1700));
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(starts_without_lease, 0);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -137,7 +137,7 @@
 {
     auto& placed = target.tasks.at(name);
     if (placed.start_repeated || placed.started || placed.stopping || placed.owner == nullptr ||
-        is_final(placed.owner->state) ||
+        is_final(placed.owner->state) || !target.session->can_repeat_start() ||
         this->silent_zones.is_silent(target.report.availability_zone, boot_time()))
         return; // resend_orders() sends it once the target answers, unless a poll shows the run
                 // first
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -103,9 +103,7 @@
 
 void target_session::repeat_start(const start_order& order, target_orders::order_callback done)
 {
-    const bool may_grant = this->clock_ms != 0 && this->notify.may_renew_leases();
-    this->send_start(order, may_grant ? this->grant_lease() : this->issue_authority(),
-                     order_timeout, std::move(done));
+    this->send_start(order, this->grant_lease(), order_timeout, std::move(done));
 }
 
 void target_session::send_start(const start_order& order, const order_authority& authority,
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -61,7 +61,7 @@
 
     void start(const start_order& order, target_orders::order_callback done);
     /// Send a start order again whose answer has just been missed, with a lease although the target
-    /// counts as unreachable.
+    /// counts as unreachable; requires can_repeat_start().
     void repeat_start(const start_order& order, target_orders::order_callback done);
     void stop(const task_name& task, std::int64_t run, target_orders::order_callback done);
 
@@ -73,6 +73,12 @@
         return this->clock_ms != 0 && this->missed_answers == 0 && this->notify.may_renew_leases();
     }
 
+    /// @return whether repeat_start() can grant a lease
+    [[nodiscard]] bool can_repeat_start() const
+    {
+        return this->clock_ms != 0 && this->notify.may_renew_leases();
+    }
+
     /// @return whether the target has accepted the fencing token and answered a poll
     [[nodiscard]] bool polled() const
     {
