Allow for the drift of a clock that was read long ago when granting a lease

Cause: the end of a lease is told on the target's clock, which is worked out from its last answer. That of an idle target may be minutes old, and the clock 2 percent slow: the lease lasts up to that much longer than the coordinator assumes. Evidence: a_lease_ends_later_when_the_targets_clock_was_read_long_ago failed before (assumed to end 43 ms too early after 7 s without an answer) and passes now. Change: the lease is shortened by the possible drift, by half at the most; what is left of it is added to the assumed end.

--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -81,19 +81,23 @@
                                    : order_authority{.fencing_token = this->fencing_token};
 }
 
-void target_session::assume_full_lease()
+void target_session::assume_lease(milliseconds length)
 {
     this->lease_expires_at =
         std::max(this->lease_expires_at,
-                 boot_time() + this->lease * (100 + clock_drift_percent) / 100 + expiry_slack);
+                 boot_time() + length * (100 + clock_drift_percent) / 100 + expiry_slack);
 }
 
 order_authority target_session::grant_lease()
 {
-    const auto now = boot_time();
-    this->assume_full_lease();
+    const auto since_clock_read = boot_time() - this->clock_at;
+    // A slow clock may be this much behind; half of the lease is left until the clock is read
+    // again.
+    const auto drift = since_clock_read * clock_drift_percent / 100;
+    const auto length = std::max(this->lease - drift, this->lease / 2);
+    this->assume_lease(length + drift);
     return {.fencing_token = this->fencing_token,
-            .lease_until_ms = this->clock_ms + (now - this->clock_at + this->lease).count()};
+            .lease_until_ms = this->clock_ms + (since_clock_read + length).count()};
 }
 
 void target_session::start(const start_order& order, target_orders::order_callback done)
@@ -169,7 +173,7 @@
         return;
     }
     if (!this->has_been_polled)
-        this->assume_full_lease();
+        this->assume_lease(this->lease);
     this->has_been_polled = true;
     this->notify.poll_answered(view, sent);
     if (!*session_alive || this->poll_in_progress || this->poll_timer.active())
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -103,9 +103,9 @@
     [[nodiscard]] order_authority issue_authority();
     /// @return the fencing token with a renewed lease
     [[nodiscard]] order_authority grant_lease();
-    /// Assume that a lease of full length begins now: one that is granted, or one that an earlier
+    /// Assume that a lease of this length begins now: one that is granted, or one that an earlier
     /// coordinator granted just before the first poll fenced it off.
-    void assume_full_lease();
+    void assume_lease(milliseconds length);
     /// Send a start order once.
     void send_start(const start_order& order, const order_authority& authority,
                     milliseconds timeout, target_orders::order_callback done);
--- a/src/libverbenalever/coordinator/target_session_test.cpp
+++ b/src/libverbenalever/coordinator/target_session_test.cpp
@@ -55,5 +55,25 @@
     EXPECT_TRUE(this->session->reachable());
 }
 
+// A target that was idle for long may have a slow clock: its next lease ends later than its length
+// suggests, and tasks started elsewhere before that would run twice.
+TEST_F(target_session_test, a_lease_ends_later_when_the_targets_clock_was_read_long_ago)
+{
+    this->session->start_polling();
+    this->run_for(milliseconds(50));
+    const auto clock_read_at = boot_time();
+    this->run_for(milliseconds(7000));
+    order_authority authority;
+    this->targets.on_start_authority = [&authority](const order_authority& sent) {
+        authority = sent;
+    };
+    this->session->start({.task = {"w", 0, 0, 0}, .run = 1, .payload = "p"},
+                         [](const order_result&) {});
+    // A clock that is 2 percent slow since it was read shows at most this much less.
+    const auto drift = (boot_time() - clock_read_at) * 2 / 100;
+    const auto lease_end = milliseconds(authority.lease_until_ms) + drift;
+    EXPECT_GE(this->session->lease_expiry(), boot_time() + (lease_end - boot_time()) * 100 / 98);
+}
+
 } // namespace
 } // namespace verbenalever
