Read the list again whenever a target was dropped

Cause: a target that restarts with an earlier start time, since its clock was set back, has its registration taken for an outdated one. When its former life is dropped as gone, the list was not applied again, so that the target stayed unused until some other registration changed. Evidence: a_target_with_an_earlier_start_time_is_used_again and a_silent_target_with_an_earlier_start_time_is_used_again failed before and pass now. Ruled out: a permanent block by ended_lives (read by the reviewer).

--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -0,0 +1,83 @@
+// Orders that are executed late or by the next life of their target, and registrations out of
+// order.
+
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_late_orders_test : public coordinator_fixture {
+protected:
+    /// Remember the first start order, which its target receives late.
+    void hold_first_start()
+    {
+        this->targets.on_start = [this](const start_order& order) {
+            if (!this->held)
+                this->held = order;
+        };
+        this->targets.on_start_authority = [this](const order_authority& authority) {
+            if (!this->held_authority)
+                this->held_authority = authority;
+        };
+    }
+
+    /// Execute the held order on t1: the wire names only the target, not when it was born.
+    void deliver_held_start()
+    {
+        const auto& report = this->targets.targets.at("t1")->report;
+        this->targets.start(target_life{.name = "t1", .born_ms = report.born_ms},
+                            *this->held_authority, *this->held, milliseconds(500),
+                            [this](const order_result& result) { this->late_result = result.how; });
+        this->run_for(milliseconds(50));
+    }
+
+    std::optional<start_order> held;
+    std::optional<order_authority> held_authority;
+    order_result::outcome late_result = order_result::outcome::unknown;
+};
+
+// Liveness: a target whose clock was set back before it restarted must be used again.
+TEST_F(coordinator_late_orders_test, a_target_with_an_earlier_start_time_is_used_again)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.report.born_ms = 100;
+    auto& first = this->elect("vm-1");
+    this->run_for(milliseconds(300));
+    target.report.born_ms = 48;
+    this->targets.restart("t1"); // born 49, as if the clock had been set back
+    this->run_for(milliseconds(700));
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
+// The same, while the target does not answer for longer than its lease.
+TEST_F(coordinator_late_orders_test, a_silent_target_with_an_earlier_start_time_is_used_again)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.report.born_ms = 100;
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "v", {this->tasks(1, 1)});
+    this->run_for(milliseconds(300));
+    target.unresponsive = true;
+    target.report.born_ms = 48;
+    this->targets.restart("t1");
+    this->run_for(milliseconds(3500));
+    target.unresponsive = false;
+    target.task_duration = milliseconds(20);
+    this->run_for(milliseconds(1000));
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -155,7 +155,7 @@
         this->remove_target(name, reason);
     }
     // The registration of a new life may have been read before the end of the last one was noticed.
-    if (!this->ended_lives.empty() && !targets_to_remove.empty())
+    if (!targets_to_remove.empty())
         this->apply_directory(std::vector(this->latest_reports));
     this->update_adoption();
     this->usage_by_team.decay_urgent_peaks();
