Send no start to a target that has answered that it restarted

Cause: between the answer and the next check, up to 200 ms later, the session of the former life counts as reachable and grants leases. A start whose placement is stored just then is executed by the next life, which has the same name, and its task is started again when the former life is dropped. Evidence: no_start_is_sent_to_a_target_that_has_answered_that_it_restarted failed before (1 start) and passes now. Ruled out: queues with advice, whose tickets end with a life of the target.

--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -79,5 +79,39 @@
     EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
 }
 
+// A target has answered that it was restarted; until it is dropped (up to 200 ms later), the
+// session still counts as reachable and grants leases, and the start would reach the next life.
+TEST_F(coordinator_late_orders_test,
+       no_start_is_sent_to_a_target_that_has_answered_that_it_restarted)
+{
+    auto& target = this->targets.add("t1", 2000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "running", {this->tasks(1, 1)});
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("running"), 1);
+    int starts = 0;
+    this->targets.on_start = [&starts](const start_order& order) {
+        starts += order.task.workflow == "w" ? 1 : 0;
+    };
+    const auto placement_count = [this] {
+        return std::ranges::count_if(this->store.items, [](const auto& item) {
+            return item.first.starts_with("v/p/") && !item.second.removed;
+        });
+    };
+    const auto before = placement_count();
+    this->store.commit_delay = milliseconds(150);
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (placement_count() == before)
+        this->run_for(milliseconds(1));
+    this->run_for(milliseconds(135));
+    ASSERT_EQ(starts, 0);
+    // The platform's list does not show the restart yet; the waiting poll is answered.
+    this->targets.listed_born_ms["t1"] = target.report.born_ms;
+    this->targets.restart("t1");
+    this->run_for(milliseconds(40));
+    EXPECT_EQ(starts, 0);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -95,7 +95,7 @@
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
-        if (!target->session->can_grant_lease() ||
+        if (target->restarted || !target->session->can_grant_lease() ||
             this->silent_zones.is_silent(target->report.availability_zone, boot_time())) {
             // The target or its zone stopped answering while the placement was being stored.
             this->stop_run(*target, entry.task(), entry.run);
@@ -137,7 +137,7 @@
 {
     auto& placed = target.tasks.at(name);
     if (placed.start_repeated || placed.started || placed.stopping || placed.owner == nullptr ||
-        is_final(placed.owner->state) || !target.session->can_repeat_start() ||
+        is_final(placed.owner->state) || target.restarted || !target.session->can_repeat_start() ||
         this->silent_zones.is_silent(target.report.availability_zone, boot_time()))
         return; // resend_orders() sends it once the target answers, unless a poll shows the run
                 // first
