Poll the new life of a target before what its former one ran starts again

Cause: a successor gave up what ran on a target as soon as the list showed a newer life of it. Until that life is polled, earlier coordinators are not fenced off there, and it may execute a start of theirs. Evidence: a_new_life_is_polled_before_the_runs_of_the_last_one_start_again failed before ("runs on two targets") and passes now. Ruled out: queues with advice, whose tickets end with a life of the target.

--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -113,5 +113,29 @@
     EXPECT_EQ(starts, 0);
 }
 
+// A successor reads that a target was restarted and gives the runs up at once, before it has polled
+// (and so fenced) the new life, which may still execute a start of the earlier coordinator.
+TEST_F(coordinator_late_orders_test,
+       a_new_life_is_polled_before_the_runs_of_the_last_one_start_again)
+{
+    this->task_lease = milliseconds(8000);
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->hold_first_start();
+    target.unresponsive = true;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->kill(first);
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.restart("t1");
+    this->elect("vm-2");
+    this->run_for(milliseconds(300));
+    target.unresponsive = false;
+    this->deliver_held_start();
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -204,15 +204,14 @@
         return;
     const auto elapsed = boot_time() - this->started_at;
     // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
+    // A target that was restarted is waited for too: until it is polled, and earlier terms are
+    // fenced off, it may execute a start of an earlier term.
     const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
     std::vector<awaited_placement> expired_entries;
     for (auto& [name, entries] : this->awaited_placements) {
         const auto found = this->targets.find(name);
         std::erase_if(entries, [&](const awaited_placement& entry) {
-            const bool target_restarted =
-                found != this->targets.end() &&
-                found->second->report.born_ms > entry.placement.target_born_ms;
-            if (elapsed < limit && !target_restarted)
+            if (elapsed < limit)
                 return false;
             expired_entries.push_back(entry);
             return true;
