Do not take a run for lost whose end did not fit into the target's answer

Cause: a target lists at most 500 ends. A run whose end is not among them is in neither list of the answer, counted as lost, and its task was started again although it had ended as done. Ruled out: on the users' deployments some 40 tasks fit on a target; ends would have to wait for the store for very long. Change: an answer says whether ends did not fit; then no run is counted as lost. Relays pass it on as a last field, which builds before ignore and leave out. Conclusion: closed, but for answers through a relay of a build before.

--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -137,5 +137,37 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// A target lists at most 500 ends: a run that is in neither list may have ended.
+TEST_F(coordinator_late_orders_test, a_run_whose_end_is_not_listed_yet_is_not_lost)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    this->targets.detect_duplicate_runs = false;
+    std::map<task_name, int> starts;
+    this->targets.on_start = [&starts](const start_order& order) { ++starts[order.task]; };
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(600, 0)});
+    this->run_for(milliseconds(1500));
+    ASSERT_EQ(this->targets.running("w"), 600);
+    ASSERT_EQ(this->targets.start_count, 600);
+    this->targets.listed_ends_limit = 500;
+    // All end between two looks.
+    target.polls_to_lose = 1;
+    this->targets.end_all("t1", target_view::ending::done);
+    target.task_duration = milliseconds(20);
+    // Transactions of other workflows are under way, so that the ends and new placements are stored
+    // together.
+    this->store.commit_delay = milliseconds(60);
+    for (int number = 0; number < 150; ++number) {
+        this->submit(first, "other" + std::to_string(number), {this->tasks(1, 4)}); // fits nowhere
+        this->run_for(milliseconds(10));
+    }
+    std::size_t again = 0;
+    for (const auto& [name, count] : starts)
+        again += count > 1 ? 1 : 0;
+    EXPECT_EQ(again, 0) << "started again although they have ended as done";
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -37,7 +37,9 @@
         reported_tasks.insert(reported.task);
         this->apply_running_task(target, reported);
     }
-    this->detect_missing_runs(target, reported_tasks, sent);
+    // A run that is not listed may have ended: its end may be among those that did not fit.
+    if (!view.more_ends)
+        this->detect_missing_runs(target, reported_tasks, sent);
     if (!*coordinator_alive)
         return;
     this->end_wait_for_poll(target.report.name);
--- a/src/libverbenalever/order_relay/order_messages.cpp
+++ b/src/libverbenalever/order_relay/order_messages.cpp
@@ -40,6 +40,7 @@
 relayed_view relayed_view_of(const target_view& view)
 {
     relayed_view packed{.result = relayed_result_of(view.result)};
+    packed.more_ends = view.more_ends;
     packed.running.reserve(view.running.size());
     for (const auto& row : view.running)
         packed.running.push_back({relayed_task_of(row.task), row.run, row.checkpoint, row.percent});
@@ -54,6 +55,7 @@
 {
     constexpr int last = static_cast<int>(target_view::ending::unrecognised);
     target_view read{.result = result_of(view.result)};
+    read.more_ends = view.more_ends;
     read.running.reserve(view.running.size());
     for (const auto& row : view.running)
         read.running.push_back({task_of(row.task), row.run, row.checkpoint, row.percent});
--- a/src/libverbenalever/order_relay/order_messages.h
+++ b/src/libverbenalever/order_relay/order_messages.h
@@ -99,8 +99,9 @@
     relayed_result result;
     std::vector<relayed_running_task> running;
     std::vector<relayed_ended_task> ended;
+    bool more_ends = false; ///< absent in messages of earlier builds
 
-    MSGPACK_DEFINE(result, running, ended)
+    MSGPACK_DEFINE(result, running, ended, more_ends)
 };
 
 [[nodiscard]] relayed_order_header
--- a/src/libverbenalever/ports/target_view.h
+++ b/src/libverbenalever/ports/target_view.h
@@ -31,6 +31,7 @@
     order_result result;
     std::vector<running_task> running;
     std::vector<ended_task> ended;
+    bool more_ends = false; ///< the target has ended tasks that did not fit into this response
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -217,6 +217,10 @@
     for (const auto& [task, run] : source.running)
         view.running.push_back({task, run, {}, source.is_stalled ? 1.0 : this->next_percent()});
     view.ended = source.ended;
+    if (this->listed_ends_limit > 0 && view.ended.size() > this->listed_ends_limit) {
+        view.ended.resize(this->listed_ends_limit);
+        view.more_ends = true;
+    }
     return view;
 }
 
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -77,6 +77,7 @@
     std::map<std::string, std::int64_t> listed_born_ms;
     std::map<std::string, resources> need_by_workflow; ///< of one task, for the capacity check
     std::vector<std::string> violations;
+    std::size_t listed_ends_limit = 0; ///< most ends that one view lists, oldest first; 0: all
     std::function<void(const start_order&)> on_start;               ///< called for each start order
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
     /// Called for each start order with the target that it is sent to.
