--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -77,8 +77,9 @@
         target_directory& directory;
         const event_log& log;
         counters& metrics;
-        std::string prefix;              ///< prefix of this product's keys in the store
-        milliseconds task_lease{0};      ///< a task stops when its lease was not renewed this long
+        std::string prefix;         ///< prefix of this product's keys in the store
+        milliseconds task_lease{0}; ///< a task stops when its lease was not renewed this long
+        milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0}; ///< how long records of ended workflows stay in the store
         /// @return whether every recently seen member is still connected to this process, so that
         /// none of them can have been elected instead
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -79,7 +79,7 @@
     target.session = std::make_unique<target_session>(
         this->env.loop, this->env.orders,
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
-        this->term, this->env.task_lease,
+        this->term, this->env.task_lease, this->env.longest_task_lease,
         target_session::callbacks{
             .may_renew_leases = [this] { return this->may_renew_leases(); },
             .poll_answered =
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -32,9 +32,11 @@
 } // namespace
 
 target_session::target_session(event_loop& loop, target_orders& orders, target_life life,
-                               std::int64_t fencing_token, milliseconds lease, callbacks notify)
+                               std::int64_t fencing_token, milliseconds lease,
+                               milliseconds longest_lease, callbacks notify)
     : orders(orders), life(std::move(life)), fencing_token(fencing_token), lease(lease),
-      notify(std::move(notify)), poll_timer(loop, [this] { this->poll(); })
+      longest_lease(longest_lease), notify(std::move(notify)),
+      poll_timer(loop, [this] { this->poll(); })
 {
 }
 
@@ -83,6 +85,7 @@
 
 void target_session::assume_lease(milliseconds length)
 {
+    const auto effective = std::min(length, this->longest_lease);
     this->lease_expires_at =
         std::max(this->lease_expires_at,
                  boot_time() + length * (100 + clock_drift_percent) / 100 + expiry_slack);
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -35,8 +35,10 @@
     };
 
     /// @param lease how long runs go on after the last order or poll that renewed the lease
+    /// @param longest_lease the target shortens longer leases to this
     target_session(event_loop& loop, target_orders& orders, target_life life,
-                   std::int64_t fencing_token, milliseconds lease, callbacks notify);
+                   std::int64_t fencing_token, milliseconds lease, milliseconds longest_lease,
+                   callbacks notify);
     ~target_session();
     target_session(const target_session&) = delete;
     target_session& operator=(const target_session&) = delete;
@@ -120,6 +122,7 @@
     target_life life;
     std::int64_t fencing_token;
     milliseconds lease;
+    milliseconds longest_lease;
     callbacks notify;
 
     std::int64_t clock_ms = 0; ///< the target's clock at clock_at; 0: unknown
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -253,6 +253,7 @@
             .metrics = this->metrics,
             .prefix = this->own_settings.key_prefix,
             .task_lease = this->own_settings.task_lease,
+            .longest_task_lease = this->own_settings.longest_task_lease,
             .ended_retention = this->own_settings.ended_retention,
             .all_members_connected = [this] { return this->hub.all_members_connected(); },
             .forget_departed_members =
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -43,7 +43,8 @@
         std::string key_prefix;     ///< prefix of this product's keys in the store
         /// A task stops when the coordinator has not renewed its lease this long.
         milliseconds task_lease{0};
-        milliseconds ended_retention{0}; ///< how long ended workflows stay in the store
+        milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
+        milliseconds ended_retention{0};    ///< how long ended workflows stay in the store
     };
     /// Implementations of what is outside the process; they outlive this object.
     struct ports {
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -42,6 +42,7 @@
             .metrics = this->metrics,
             .prefix = "v/",
             .task_lease = this->task_lease,
+            .longest_task_lease = this->task_lease,
             .ended_retention = milliseconds(60'000),
             .all_members_connected = [this] { return this->all_members_connected; },
             .forget_departed_members = [](milliseconds) {},
