Stop starts that were given up before a target gets a lease again

Found by the review. Cause: a start without an answer is given up when the lease of its target has expired. The target may hold the order back, answer again, get a new lease for other runs, and execute the start under that lease, while the task runs elsewhere: a target judges how late a start is by the longest lease it has. Nobody had told it to refuse the run. Evidence: a_start_that_is_executed_after_its_lease_does_not_run_twice failed before ("runs on two targets") and passes now. Ruled out: runs that had started, since a run that has ended on a target is refused there. Change: starts that were sent and not confirmed are remembered when their runs are given up, also while the target is not listed. No lease is granted and no work is placed there until it has confirmed a stop for each.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -181,6 +181,16 @@
     /// expired; once no target is awaited, remove the placements that earlier coordinators stored.
     void update_adoption();
 
+    // Starts that may be executed late (coordinator_late_starts.cpp).
+    /// Remember the starts on the target that were sent and not confirmed, before their runs are
+    /// given up.
+    static void collect_unresolved_starts(fleet_target& target);
+    /// Keep the unresolved starts of a target that is removed until it returns.
+    void keep_unresolved_starts(const fleet_target& target);
+    void restore_unresolved_starts(fleet_target& target);
+    /// Order the target to stop the unresolved starts, so that it refuses them.
+    void stop_unresolved_starts(fleet_target& target);
+
     // Results of polls (coordinator_polls.cpp).
     void apply_poll_result(fleet_target& target, const target_view& view, milliseconds sent);
     void apply_running_task(fleet_target& target, const target_view::running_task& row);
@@ -414,6 +424,12 @@
     /// Start times of lives that targets have answered to be over, by target name, as long as the
     /// platform's list shows them.
     std::map<std::string, std::int64_t> ended_lives;
+    /// Unresolved starts of targets that were removed.
+    struct removed_starts {
+        std::map<task_name, unresolved_start> starts;
+        milliseconds removed_at{0}; ///< time since boot
+    };
+    std::map<std::string, removed_starts> removed_unresolved_starts; ///< by target name
     /// Placements by earlier coordinators on targets that have not answered in this term, by
     /// target name. Their tasks may still be running.
     std::map<std::string, std::vector<awaited_placement>> awaited_placements;
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -137,6 +137,31 @@
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
 }
 
+// A target executes a start after its lease has been given up and renewed for other runs.
+TEST_F(coordinator_late_orders_test, a_start_that_is_executed_after_its_lease_does_not_run_twice)
+{
+    auto& target = this->targets.add("t1", 2000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->hold_first_start();
+    target.unresponsive = true;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.publish_targets();
+    this->run_for(milliseconds(2200));
+    ASSERT_EQ(this->targets.running("w"), 1); // on t2
+    target.unresponsive = false;
+    this->run_for(milliseconds(700));
+    this->submit(first, "other", {this->tasks(1, 1)});
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("other"), 1); // on t1, whose lease is renewed for it
+    this->deliver_held_start();
+    EXPECT_NE(this->late_result, order_result::outcome::done);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+}
+
 // A target lists at most 500 ends: a run that is in neither list may have ended.
 TEST_F(coordinator_late_orders_test, a_run_whose_end_is_not_listed_yet_is_not_lost)
 {
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -81,7 +81,10 @@
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
         this->term, this->env.task_lease, this->env.longest_task_lease,
         target_session::callbacks{
-            .may_renew_leases = [this] { return this->may_renew_leases(); },
+            .may_renew_leases =
+                [this, &target] {
+                    return target.unresolved_starts.empty() && this->may_renew_leases();
+                },
             .poll_answered =
                 [this, &target](const target_view& view, milliseconds sent) {
                     this->apply_poll_result(target, view, sent);
@@ -94,12 +97,15 @@
                     this->env.log.write(
                         "coordinator", reachable ? "target_answers" : "target_silent",
                         {{"target", target.report.name}, {"tasks", target.tasks.size()}});
-                    if (reachable)
+                    if (reachable) {
+                        this->stop_unresolved_starts(target);
                         this->request_scheduling_pass();
+                    }
                     else
                         this->silent_zones.record_missed_answer(target.report.availability_zone);
                 }});
     this->targets[report.name] = std::move(added);
+    this->restore_unresolved_starts(target);
     target.session->start_polling();
 }
 
@@ -114,6 +120,8 @@
                          {"reason", reason},
                          {"born_ms", target.report.born_ms},
                          {"tasks", target.tasks.size()}});
+    collect_unresolved_starts(target);
+    this->keep_unresolved_starts(target);
     while (!target.tasks.empty()) {
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
@@ -146,8 +154,10 @@
             targets_to_remove.emplace_back(name, "left");
         else if (lease_expired && !target->tasks.empty())
             this->mark_all_runs_lost(*target, "lapsed");
-        else
+        else {
+            this->stop_unresolved_starts(*target);
             this->resend_orders(*target, now);
+        }
     }
     for (const auto& [name, reason] : targets_to_remove) {
         if (const auto& target = *this->targets.at(name); target.restarted)
@@ -191,6 +201,7 @@
         {{"target", target.report.name},
          {"tasks", target.tasks.size()},
          {"expired_for_ms", (boot_time() - target.session->lease_expiry()).count()}});
+    collect_unresolved_starts(target);
     while (!target.tasks.empty()) {
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
@@ -209,7 +220,6 @@
     const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
     std::vector<awaited_placement> expired_entries;
     for (auto& [name, entries] : this->awaited_placements) {
-        const auto found = this->targets.find(name);
         std::erase_if(entries, [&](const awaited_placement& entry) {
             if (elapsed < limit)
                 return false;
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -146,9 +146,9 @@
 bool fleet_target::usable(milliseconds now) const
 {
     return this->in_directory && !this->restarted && !this->report.leaving &&
-           this->session->polled() && this->session->reachable() &&
-           now >= this->start_backoff_until && now >= this->stall_backoff_until &&
-           !this->quarantined(now);
+           this->unresolved_starts.empty() && this->session->polled() &&
+           this->session->reachable() && now >= this->start_backoff_until &&
+           now >= this->stall_backoff_until && !this->quarantined(now);
 }
 
 bool fleet_target::quarantined(milliseconds now) const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -40,6 +40,12 @@
     int polls_without_progress = 0;
 };
 
+/// A start order that may still be executed although its run was given up.
+struct unresolved_start {
+    std::int64_t run = 0;
+    bool stop_in_flight = false; ///< a stop order for it was not answered yet
+};
+
 /// An ended run that the target reports until it is acknowledged.
 struct unacknowledged_end {
     std::int64_t number = 0;
@@ -125,6 +131,8 @@
     bool in_directory = true;                  ///< it is on the platform's list
     std::unique_ptr<target_session> session;
     std::map<task_name, placed_run> tasks;
+    /// Until each of them is stopped, no lease is granted and no work is placed here.
+    std::map<task_name, unresolved_start> unresolved_starts;
     resources used;
     resources reserved; ///< for gangs whose tickets are renewed or for which other runs stop
     /// gang_order() of each gang whose unanswered question to the advisor names this target.
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -88,7 +88,7 @@
     const auto effective = std::min(length, this->longest_lease);
     this->lease_expires_at =
         std::max(this->lease_expires_at,
-                 boot_time() + length * (100 + clock_drift_percent) / 100 + expiry_slack);
+                 boot_time() + effective * (100 + clock_drift_percent) / 100 + expiry_slack);
 }
 
 order_authority target_session::grant_lease()
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -182,6 +182,9 @@
     this->call_later(milliseconds(1), [this, name = life.name, task, run, done] {
         done({.how = order_result::outcome::done, .clock_ms = boot_time().count()});
         this->end(name, task, run, target_view::ending::stopped);
+        // A run that is not there yet is refused from now on.
+        auto& highest_ended = this->targets.at(name)->highest_ended_run[task];
+        highest_ended = std::max(highest_ended, run);
     });
 }
 
