Withdraw a start whose target shrank while its placement was stored

Capacity is checked when a task is placed, and the start follows once the placement is stored, which takes as long as the store does. A shrink that the list showed in between was not looked at, and the start brought the target over its capacity.

send_start_orders() now asks fleet_target::can_start() and withdraws a start that no longer fits; no order was sent, so its task waits for a target again at once. A resource of which the task needs nothing is not looked at: the start does not use it. start_withdrawn and the counter starts_withdrawn tell of it.

fake_targets checks each start against the listed capacity in all three resources, where it checked processors only and against the latest value. A capacity counts until a newer one is listed, since nobody can know before; after that it is strict. A resource of which the started task needs nothing is not checked for it; a start that used too much of it has been reported by itself.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -300,6 +300,10 @@
     [[nodiscard]] bool overloaded();
     /// Sends the start orders of placements that are now in the store.
     void send_start_orders(const std::vector<placement_entry>& stored_placements);
+    /// Stops a run that may not start any more, although its placement was stored or its start was
+    /// sent; its task waits for a target again.
+    /// @param reason for the log
+    void withdraw_start(fleet_target& target, const task_name& task, std::string_view reason);
     /// @return how many of @p wanted tasks the team may start without exceeding its limit
     [[nodiscard]] std::uint32_t tasks_within_team_limit(const workflow& owner,
                                                         const resources& need,
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_capacity_test.cpp
@@ -0,0 +1,177 @@
+// Targets whose capacity shrinks and grows while they run.
+
+#include "coordinator/target_session.h"
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_capacity_test : public coordinator_fixture {
+protected:
+    /// Adds a target whose tasks run until they are stopped or ended.
+    fake_targets::target& add_target(const std::string& name, std::int64_t cores)
+    {
+        auto& added = this->targets.add(name, cores * 1000);
+        added.task_duration = milliseconds(0);
+        return added;
+    }
+
+    /// Changes the processors of a target, which the list shows at once.
+    void list_cores(const std::string& name, std::int64_t cores)
+    {
+        auto capacity = this->targets.targets.at(name)->report.capacity;
+        capacity.processors_milli = cores * 1000;
+        this->targets.set_capacity(name, capacity);
+        this->targets.publish_targets();
+    }
+
+    /// Submits a step whose placement takes half a second to be stored, and returns once it is
+    /// placed.
+    void submit_with_slow_store(process& to, const std::string& id, const step_spec& step)
+    {
+        this->store.commit_delay = milliseconds(500);
+        this->submit(to, id, {step});
+        this->run_for(milliseconds(700)); // its record is stored, and its placement waits
+        ASSERT_EQ(this->targets.running(id), 0);
+    }
+
+    /// Lets the next start order to the target have neither an effect nor an answer; the target
+    /// answers again @p silence later.
+    void lose_next_start(fake_targets::target& at, milliseconds silence)
+    {
+        this->answers_again =
+            std::make_unique<timer>(this->loop, [&at] { at.unresponsive = false; });
+        this->targets.on_start_at = [this, &at, silence](const fake_targets::target& started_at) {
+            if (&started_at != &at || this->answers_again->active() || this->start_lost)
+                return;
+            this->start_lost = true;
+            at.unresponsive = true;
+            this->answers_again->start_once(silence);
+        };
+    }
+
+    void expect_no_violation()
+    {
+        EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    }
+
+    std::unique_ptr<timer> answers_again;
+    bool start_lost = false;
+};
+
+// A start whose placement was being stored while the capacity shrank must not be sent.
+TEST_F(coordinator_capacity_test, a_start_that_no_longer_fits_once_it_is_stored_is_withdrawn)
+{
+    this->add_target("t1", 4);
+    auto& first = this->elect("vm-1");
+    this->submit_with_slow_store(first, "w", this->tasks(2, 2));
+    this->list_cores("t1", 3);
+    this->run_for(milliseconds(1500));
+    this->expect_no_violation();
+    EXPECT_EQ(this->targets.running("w"), 1);
+    this->store.commit_delay = milliseconds(1);
+    this->list_cores("t1", 4);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 2);
+    this->expect_no_violation();
+}
+
+// Capacity goes to nothing, grows beyond its first value and shrinks below what is in use.
+TEST_F(coordinator_capacity_test, starts_follow_the_listed_capacity_in_any_order_of_changes)
+{
+    this->add_target("t1", 2);
+    auto& first = this->elect("vm-1");
+    this->list_cores("t1", 0);
+    this->submit(first, "w", {this->tasks(20, 1)});
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 0);
+    const auto run_at = [this](std::int64_t cores) {
+        this->list_cores("t1", cores);
+        this->run_for(milliseconds(300));
+        return this->targets.running("w");
+    };
+    EXPECT_EQ(run_at(3), 3);
+    EXPECT_EQ(run_at(8), 8);
+    EXPECT_EQ(run_at(5), 8);
+    EXPECT_EQ(run_at(0), 8);
+    EXPECT_EQ(run_at(9), 9);
+    this->list_cores("t1", 4);
+    this->targets.end_all("t1", target_view::ending::stopped);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 4);
+    this->expect_no_violation();
+}
+
+// Only the memory shrinks: processors that are free are no reason to start, and tasks that need
+// none of a resource that has shrunk are not held up.
+TEST_F(coordinator_capacity_test, a_shrink_of_one_resource_counts_for_tasks_that_need_it)
+{
+    auto& target = this->add_target("t1", 8);
+    target.report.capacity.memory_mb = 400;
+    target.report.capacity.accelerators = 1;
+    auto& first = this->elect("vm-1");
+    auto accelerated = this->tasks(1, 1);
+    accelerated.need.accelerators = 1;
+    this->submit(first, "accelerated", {accelerated});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("accelerated"), 1);
+    this->targets.set_capacity("t1", {.processors_milli = 8000, .memory_mb = 200});
+    this->targets.publish_targets();
+    this->submit(first, "w", {this->tasks(4, 1)});
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 1);
+    this->expect_no_violation();
+}
+
+// Runs that are being stopped count until their ends are listed.
+TEST_F(coordinator_capacity_test, runs_that_are_being_stopped_count_against_a_shrunk_capacity)
+{
+    auto& target = this->add_target("t1", 4);
+    target.stop_delay = milliseconds(600);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "batch", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("batch"), 4);
+    this->list_cores("t1", 2);
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 0);
+    this->run_for(milliseconds(2000));
+    EXPECT_EQ(this->targets.running("w"), 2);
+    this->expect_no_violation();
+}
+
+// A successor knows only what targets answer; what its predecessor started counts.
+TEST_F(coordinator_capacity_test, runs_of_an_earlier_coordinator_count_against_a_shrunk_capacity)
+{
+    this->add_target("t1", 4);
+    auto& target = this->add_target("t2", 4);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "earlier", {this->tasks(6, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("earlier"), 6);
+    target.unresponsive = true;
+    this->kill(first);
+    this->list_cores("t1", 3);
+    this->list_cores("t2", 3);
+    auto& second = this->elect("vm-2");
+    this->submit(second, "w", {this->tasks(6, 1)});
+    this->run_for(milliseconds(300));
+    target.unresponsive = false;
+    this->run_for(milliseconds(1500));
+    this->expect_no_violation();
+    EXPECT_EQ(this->targets.running("earlier"), 6);
+    EXPECT_LE(this->targets.running("w"), 1);
+    this->list_cores("t1", 6);
+    this->list_cores("t2", 6);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 6);
+    this->expect_no_violation();
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -95,6 +95,11 @@
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
+        if (!target->can_start(found->second.need)) {
+            // The target's capacity shrank while the placement was being stored.
+            this->withdraw_start(*target, entry.task(), "capacity");
+            continue;
+        }
         if (!target->session->can_grant_lease() ||
             this->silent_zones.is_silent(target->report.availability_zone, boot_time())) {
             // The target or its zone stopped answering while the placement was being stored.
@@ -107,6 +112,22 @@
     }
 }
 
+void coordinator::withdraw_start(fleet_target& target, const task_name& name,
+                                 std::string_view reason)
+{
+    const auto& placed = target.tasks.at(name);
+    this->env.metrics.add("starts_withdrawn");
+    this->env.log.write("coordinator", "start_withdrawn",
+                        {{"workflow", name.workflow},
+                         {"step", name.step},
+                         {"index", name.index},
+                         {"run", placed.run},
+                         {"target", target.report.name},
+                         {"reason", reason},
+                         {"sent", placed.start_sent}});
+    this->stop_run(target, name, placed.run);
+}
+
 start_order coordinator::make_start_order(const fleet_target& target, const task_name& name) const
 {
     const auto& placed = target.tasks.at(name);
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -76,6 +76,16 @@
     return this->report.capacity - this->used;
 }
 
+bool fleet_target::can_start(const resources& need) const
+{
+    if (this->runs_of_unknown_size > 0)
+        return false;
+    const auto unused = this->unused_resources();
+    return (need.processors_milli <= 0 || unused.processors_milli >= 0) &&
+           (need.memory_mb <= 0 || unused.memory_mb >= 0) &&
+           (need.accelerators <= 0 || unused.accelerators >= 0);
+}
+
 std::uint32_t fleet_target::count_fitting(const resources& room, const resources& need)
 {
     std::int64_t max_count = std::numeric_limits<std::uint32_t>::max();
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -72,6 +72,11 @@
     /// uses
     [[nodiscard]] resources unused_resources() const;
 
+    /// @return whether the runs here still fit the capacity as far as resources are concerned of
+    /// which @p need has some, so that a placed run with that need may start; its own resources
+    /// count as used
+    [[nodiscard]] bool can_start(const resources& need) const;
+
     /// @return how many tasks that need @p need fit into the free resources
     [[nodiscard]] std::uint32_t count_fitting(const resources& need) const
     {
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -59,6 +59,10 @@
     std::vector<target_report> reports;
     for (const auto& [name, current_target] : this->targets) {
         auto& report = reports.emplace_back(current_target->report);
+        for (auto& earlier : current_target->earlier_capacities) {
+            if (earlier.counts_until.count() == 0)
+                earlier.counts_until = boot_time() + this->capacity_allowance;
+        }
         if (const auto listed = this->listed_born_ms.find(name);
             listed != this->listed_born_ms.end())
             report.born_ms = listed->second;
@@ -67,6 +71,42 @@
         this->on_changed(reports);
 }
 
+void fake_targets::set_capacity(const std::string& name, const resources& capacity)
+{
+    auto& changed = *this->targets.at(name);
+    changed.earlier_capacities.push_back({changed.report.capacity});
+    changed.report.capacity = capacity;
+}
+
+void fake_targets::check_capacity(const target& destination, const task_name& started)
+{
+    resources used;
+    for (const auto& [task, run] : destination.running)
+        used += this->need_by_workflow[task.workflow];
+    // The list may show a different earlier value of each resource, so each counts by itself.
+    auto available = destination.report.capacity;
+    for (const auto& [capacity, counts_until] : destination.earlier_capacities) {
+        if (counts_until.count() != 0 && boot_time() >= counts_until)
+            continue;
+        available.processors_milli =
+            std::max(available.processors_milli, capacity.processors_milli);
+        available.memory_mb = std::max(available.memory_mb, capacity.memory_mb);
+        available.accelerators = std::max(available.accelerators, capacity.accelerators);
+    }
+    const auto& need = this->need_by_workflow[started.workflow];
+    const auto check = [&](const char* resource, std::int64_t needed, std::int64_t in_use,
+                           std::int64_t capacity) {
+        if (needed > 0 && in_use > capacity)
+            this->violations.push_back("start over the capacity: " + std::to_string(in_use) +
+                                       " of " + std::to_string(capacity) + " " + resource + ", " +
+                                       destination.report.name);
+    };
+    check("processors_milli", need.processors_milli, used.processors_milli,
+          available.processors_milli);
+    check("memory_mb", need.memory_mb, used.memory_mb, available.memory_mb);
+    check("accelerators", need.accelerators, used.accelerators, available.accelerators);
+}
+
 void fake_targets::restart(const std::string& name)
 {
     auto& destination = *this->targets.at(name);
@@ -148,11 +188,7 @@
             this->violations.push_back("started again after an acknowledged end: " +
                                        format_task(order.task));
         destination.running[order.task] = order.run;
-        resources used;
-        for (const auto& [task, run] : destination.running)
-            used += this->need_by_workflow[task.workflow];
-        if (used.processors_milli > destination.report.capacity.processors_milli)
-            this->violations.push_back("more processors reserved than the capacity: " + life.name);
+        this->check_capacity(destination, order.task);
         if (destination.task_duration.count() > 0 && !destination.is_stalled)
             this->call_later(destination.task_duration, [this, name = life.name, task = order.task,
                                                          run = order.run] {
@@ -179,8 +215,10 @@
                          [done] { done({.how = order_result::outcome::target_restarted}); });
         return;
     }
-    this->call_later(milliseconds(1), [this, name = life.name, task, run, done] {
+    this->call_later(milliseconds(1), [done] {
         done({.how = order_result::outcome::done, .clock_ms = boot_time().count()});
+    });
+    this->call_later(this->targets.at(life.name)->stop_delay, [this, name = life.name, task, run] {
         this->end(name, task, run, target_view::ending::stopped);
     });
 }
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -17,9 +17,8 @@
 
 /// Targets in memory and the list of them that the platform reports. For tests.
 ///
-/// Records each violation of an invariant: the tasks of a target need more processors than it has,
-/// a task runs on two targets, a task starts again after the coordinator acknowledged that it is
-/// done.
+/// Records each violation of an invariant: a start brings a target over its capacity, a task runs
+/// on two targets, a task starts again after the coordinator acknowledged that it is done.
 class fake_targets final : public target_orders, public target_directory {
 public:
     struct target {
@@ -32,6 +31,7 @@
         std::function<bool(const start_order&)> loses_response;
         int polls_to_lose = 0;        ///< number of polls that get no response
         milliseconds order_delay{1};  ///< delay of the response to a start order
+        milliseconds stop_delay{1};   ///< time that a run takes to end after a stop order
         bool fails_all_tasks = false; ///< every task fails when its time is over
         bool is_stalled = false;      ///< tasks make no progress and do not end
 
@@ -40,6 +40,13 @@
         std::map<task_name, resources> needs;
         std::vector<target_view::ended_task> ended;
         std::map<task_name, std::int64_t> highest_ended_run; ///< such a run cannot start again
+
+        /// A capacity that the target had and that may still be taken for its present one.
+        struct earlier_capacity {
+            resources capacity;
+            milliseconds counts_until{0}; ///< time since boot; 0: until the list is published
+        };
+        std::vector<earlier_capacity> earlier_capacities;
     };
 
     explicit fake_targets(event_loop& loop);
@@ -49,6 +56,10 @@
     /// Report the list of all targets to the listener.
     void publish_targets();
 
+    /// Change the capacity of a target. The list shows it once it is published; until then, and for
+    /// capacity_allowance after it, a start may still bring the target up to the earlier capacity.
+    void set_capacity(const std::string& name, const resources& capacity);
+
     /// Restart a target: same name, new born_ms, no tasks and no fencing token.
     void restart(const std::string& name);
 
@@ -76,6 +87,7 @@
     /// Start times that the platform's list shows for targets instead of their current ones.
     std::map<std::string, std::int64_t> listed_born_ms;
     std::map<std::string, resources> need_by_workflow; ///< of one task, for the capacity check
+    milliseconds capacity_allowance{0}; ///< time that a capacity counts after a newer one is listed
     std::vector<std::string> violations;
     std::function<void(const start_order&)> on_start;               ///< called for each start order
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
@@ -102,6 +114,8 @@
     [[nodiscard]] bool has_restarted(const target_life& life) const;
     [[nodiscard]] target_view make_view(target& source, std::int64_t acknowledged);
     void call_later(milliseconds wait, std::function<void()> action);
+    /// Record a violation if the start of @p started has brought the target over its capacity.
+    void check_capacity(const target& destination, const task_name& started);
 
     /// @return a progress value above all earlier ones, so that the task does not count as stalled
     [[nodiscard]] double next_percent()
