Start no member of a gang when the start of another is withdrawn

A start is withdrawn when its target cannot take it any more once the placement is stored: the capacity has shrunk (rule LIMIT), the ticket has expired, the target or its zone is silent. Only that member was withdrawn; the others of its gang were sent and ran for nothing until they gave up (rule GANG, "alone").

send_start_orders() examines all placements that were stored together, among them all members of a gang, and withdraws before it sends any start. withdraw_start() stops the other members as the loss of a member does.

Evidence, failing before and passing after: no_member_of_a_gang_starts_when_another_no_longer_fits (both orders of the members), no_member_of_a_gang_starts_when_the_target_of_another_is_silent (one start where none may be; this does not need a change of capacity), a_gang_is_stopped_when_a_start_without_answer_no_longer_fits. Ruled out: members of one gang in two batches of the placement log; they are placed within one call and a batch is closed from the loop.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -298,10 +298,17 @@
     [[nodiscard]] double expected_grant_rate(const workflow& owner, std::uint32_t step_index) const;
     /// @return whether the record of a new workflow would wait too long until the store has it
     [[nodiscard]] bool overloaded();
-    /// Sends the start orders of placements that are now in the store.
+    /// Sends the start orders of placements that are now in the store, but those that may not start
+    /// any more.
     void send_start_orders(const std::vector<placement_entry>& stored_placements);
+    /// @return the target of a placement whose start was not sent yet; null when the run is gone
+    [[nodiscard]] fleet_target* find_unsent_run(const placement_entry& entry);
+    /// @return why the start of a stored placement may not be sent, for the log; empty if it may
+    [[nodiscard]] std::string_view reason_to_withdraw(const fleet_target& target,
+                                                      const placement_entry& entry) const;
     /// Stops a run that may not start any more, although its placement was stored or its start was
-    /// sent; its task waits for a target again.
+    /// sent, and the other members of its gang; the tasks wait for targets again. Its workflow must
+    /// not have ended.
     /// @param reason for the log
     void withdraw_start(fleet_target& target, const task_name& task, std::string_view reason);
     /// @return how many of @p wanted tasks the team may start without exceeding its limit
--- a/src/libverbenalever/coordinator/coordinator_capacity_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_capacity_test.cpp
@@ -125,6 +125,73 @@
     this->expect_no_violation();
 }
 
+/// With the name of the target that shrinks.
+class coordinator_gang_capacity_test : public coordinator_capacity_test,
+                                       public testing::WithParamInterface<const char*> {};
+
+// The members of a gang that were started would wait in vain for one that was withdrawn.
+TEST_P(coordinator_gang_capacity_test, no_member_of_a_gang_starts_when_another_no_longer_fits)
+{
+    this->add_target("t1", 2);
+    this->add_target("t2", 2);
+    auto& first = this->elect("vm-1");
+    this->submit_with_slow_store(first, "gang", this->tasks(2, 2, true));
+    this->list_cores(GetParam(), 1);
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.start_count, 0);
+    this->store.commit_delay = milliseconds(1);
+    this->list_cores(GetParam(), 2);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("gang"), 2);
+    this->expect_no_violation();
+}
+
+INSTANTIATE_TEST_SUITE_P(shrinking, coordinator_gang_capacity_test, testing::Values("t1", "t2"));
+
+// The same when the target of a member stops answering while the placements are being stored.
+TEST_F(coordinator_capacity_test, no_member_of_a_gang_starts_when_the_target_of_another_is_silent)
+{
+    this->add_target("t1", 3);
+    auto& silent = this->add_target("t2", 3);
+    auto& first = this->elect("vm-1");
+    auto polled = this->tasks(2, 1); // polls of its targets show which of them is silent
+    polled.max_per_target = 1;
+    this->submit(first, "polled", {polled});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("polled"), 2);
+    this->targets.start_count = 0;
+    this->store.commit_delay = milliseconds(550);
+    this->submit(first, "gang", {this->tasks(2, 2, true)});
+    this->run_for(milliseconds(100));
+    silent.unresponsive = true;
+    this->run_for(milliseconds(1300));
+    EXPECT_EQ(this->targets.start_count, 0);
+    this->expect_no_violation();
+}
+
+// A member whose start got no answer and no longer fits: the members that have started are stopped
+// rather than left to wait for it.
+TEST_F(coordinator_capacity_test, a_gang_is_stopped_when_a_start_without_answer_no_longer_fits)
+{
+    auto& target = this->add_target("t1", 2);
+    this->add_target("t2", 2);
+    auto& first = this->elect("vm-1");
+    this->lose_next_start(target, milliseconds(200));
+    this->submit(first, "gang", {this->tasks(2, 2, true)});
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->start_lost);
+    ASSERT_EQ(this->targets.running("gang"), 1);
+    this->list_cores("t1", 1);
+    this->run_for(milliseconds(250));
+    EXPECT_EQ(this->targets.running("gang"), 0);
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.running("gang"), 0);
+    this->list_cores("t1", 2);
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.running("gang"), 2);
+    this->expect_no_violation();
+}
+
 // Capacity goes to nothing, grows beyond its first value and shrinks below what is in use.
 TEST_F(coordinator_capacity_test, starts_follow_the_listed_capacity_in_any_order_of_changes)
 {
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -70,43 +70,59 @@
     return answer == advice.end() || answer->second.valid_until > boot_time();
 }
 
+fleet_target* coordinator::find_unsent_run(const placement_entry& entry)
+{
+    auto* target = this->find_target(entry.target, entry.target_born_ms);
+    if (target == nullptr)
+        return nullptr;
+    const auto found = target->tasks.find(entry.task());
+    const bool unsent =
+        found != target->tasks.end() && found->second.run == entry.run && !found->second.start_sent;
+    return unsent ? target : nullptr;
+}
+
+std::string_view coordinator::reason_to_withdraw(const fleet_target& target,
+                                                 const placement_entry& entry) const
+{
+    const auto& placed = target.tasks.at(entry.task());
+    if (!this->ticket_valid(*placed.owner, entry.step, entry.target))
+        return "ticket";
+    if (!target.can_start(placed.need))
+        return "capacity";
+    const bool silent = !target.session->can_grant_lease() ||
+                        this->silent_zones.is_silent(target.report.availability_zone, boot_time());
+    return silent ? "silent" : "";
+}
+
 void coordinator::send_start_orders(const std::vector<placement_entry>& stored_placements)
 {
+    // Storing takes time, in which tickets expire, capacities shrink and targets stop answering.
+    // The members of a gang are stored together: none is sent before all have been examined.
     for (const auto& entry : stored_placements) {
-        auto* target = this->find_target(entry.target, entry.target_born_ms);
+        auto* target = this->find_unsent_run(entry);
         if (target == nullptr)
             continue;
-        const auto found = target->tasks.find(entry.task());
-        if (found == target->tasks.end() || found->second.run != entry.run ||
-            found->second.start_sent)
-            continue;
-        auto& owner = *found->second.owner;
+        const auto& owner = *target->tasks.at(entry.task()).owner;
         if (is_final(owner.state)) {
             this->stop_run(*target, entry.task(), entry.run);
             continue;
         }
-        if (!owner.record_stored) {
-            // A batch of placements may be written before the workflow's record.
-            owner.starts_after_record_stored.push_back(entry);
-            continue;
-        }
-        if (!this->ticket_valid(owner, entry.step, entry.target)) {
-            // The ticket expired while the store was slow; the task is scheduled again.
-            this->stop_run(*target, entry.task(), entry.run);
+        if (!owner.record_stored)
             continue;
-        }
-        if (!target->can_start(found->second.need)) {
-            // The target's capacity shrank while the placement was being stored.
-            this->withdraw_start(*target, entry.task(), "capacity");
+        if (const auto reason = this->reason_to_withdraw(*target, entry); !reason.empty())
+            this->withdraw_start(*target, entry.task(), reason);
+    }
+    for (const auto& entry : stored_placements) {
+        auto* target = this->find_unsent_run(entry);
+        if (target == nullptr)
             continue;
-        }
-        if (!target->session->can_grant_lease() ||
-            this->silent_zones.is_silent(target->report.availability_zone, boot_time())) {
-            // The target or its zone stopped answering while the placement was being stored.
-            this->stop_run(*target, entry.task(), entry.run);
+        auto& placed = target->tasks.at(entry.task());
+        if (!placed.owner->record_stored) {
+            // A batch of placements may be written before the workflow's record.
+            placed.owner->starts_after_record_stored.push_back(entry);
             continue;
         }
-        found->second.start_sent = true;
+        placed.start_sent = true;
         this->send_start_order(*target, entry.task());
         this->update_polling(*target);
     }
@@ -125,7 +141,11 @@
                          {"target", target.report.name},
                          {"reason", reason},
                          {"sent", placed.start_sent}});
+    auto& owner = *placed.owner;
     this->stop_run(target, name, placed.run);
+    // The other members would wait for this one in vain.
+    if (owner.record.spec.steps[name.step].gang)
+        this->stop_step(owner, name.step);
 }
 
 start_order coordinator::make_start_order(const fleet_target& target, const task_name& name) const
