Start nothing on a list of targets that is too old

The coordinator placed and started on the list that it had, however old: while the store refuses or delays reads and still commits, a shrink is never seen, and there was no bound.

The list now says as of when it was up to date (target_directory::up_to_date_at(): the time at which the last answered call was sent, since its answer may be as old as that). Nothing is placed, started or sent again while that is more than 3 s ago, which is how long the platform goes on counting a shrunk capacity once it can be listed. What was placed and could not be sent waits again; a start without an answer waits and is sent again when the list is back. target_list_too_old and target_list_recent frame the time.

Weighed: to compare what polls say. They carry the start time of a target and not its capacity. Stopping only targets whose registrations are old: the list tells changes only, and each target writes at every heartbeat, so that the age of the whole list says the same with one number.

What a store that hangs for longer than 3 s adds to the wait after it is not measured.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -195,6 +195,9 @@
                              milliseconds sent);
 
     // Orders (coordinator_targets.cpp).
+    /// @return whether the platform's list was read recently enough for starts: capacities that
+    /// have shrunk since are not known
+    [[nodiscard]] bool list_is_recent() const;
     /// Poll the target repeatedly while it has runs.
     void update_polling(fleet_target& target);
     /// Order a run to stop; a run whose start was not sent is only removed.
@@ -416,6 +419,7 @@
     bool loaded = false;         ///< all stored records have been read
     std::size_t loaded_keys = 0; ///< keys of the store read so far
     bool renewing_leases = true; ///< result of the last check whether task leases may be renewed
+    bool list_was_recent = true; ///< result of the last check of list_is_recent()
     milliseconds started_at{0};  ///< time since boot of start()
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
--- a/src/libverbenalever/coordinator/coordinator_capacity_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_capacity_test.cpp
@@ -285,5 +285,52 @@
     this->expect_no_violation();
 }
 
+// The store refuses to be read and still commits: a shrink could not be seen, so nothing is started
+// on a list that is too old. A short failure holds nothing up.
+TEST_F(coordinator_capacity_test, nothing_is_started_while_the_list_is_too_old)
+{
+    this->add_target("t1", 4);
+    this->add_target("t2", 4);
+    auto& first = this->elect("vm-1");
+    this->targets.list_stopped_at = boot_time();
+    this->run_for(milliseconds(2000));
+    this->submit(first, "early", {this->tasks(1, 2)});
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->targets.running("early"), 1);
+    // It is placed just before the list is too old, and its placement is stored after that.
+    this->store.commit_delay = milliseconds(700);
+    this->submit(first, "placed", {this->tasks(1, 2)});
+    this->run_for(milliseconds(1500));
+    this->store.commit_delay = milliseconds(1);
+    this->submit(first, "late", {this->tasks(1, 2)});
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.running("placed"), 0);
+    EXPECT_EQ(this->targets.running("late"), 0);
+    this->targets.list_stopped_at = milliseconds(0);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("placed"), 1);
+    EXPECT_EQ(this->targets.running("late"), 1);
+    EXPECT_EQ(this->targets.running("early"), 1);
+}
+
+// A start without an answer is not sent again on a list that is too old.
+TEST_F(coordinator_capacity_test, no_start_is_sent_again_while_the_list_is_too_old)
+{
+    auto& target = this->add_target("t1", 4);
+    auto& first = this->elect("vm-1");
+    this->targets.list_stopped_at = boot_time();
+    this->run_for(milliseconds(2850));
+    this->lose_next_start(target, milliseconds(200));
+    this->submit(first, "w", {this->tasks(1, 2)});
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->start_lost);
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.start_count, 1);
+    EXPECT_EQ(this->targets.running("w"), 0);
+    this->targets.list_stopped_at = milliseconds(0);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_faults_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_faults_test.cpp
@@ -55,6 +55,10 @@
         {
             return true;
         }
+        [[nodiscard]] milliseconds up_to_date_at() const override
+        {
+            return this->test.targets.up_to_date_at();
+        }
         coordinator_faults_test& test;
         timer first;
     };
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -164,7 +164,7 @@
                                         : this->find_candidates(owner, step_index, queue),
                              spec.need);
     std::uint32_t wanted = allowed;
-    if (this->election.is_lease_valid() && !this->chain.stalled()) {
+    if (this->election.is_lease_valid() && !this->chain.stalled() && this->list_is_recent()) {
         const auto assigned_targets = placer.place(wanted, spec.gang);
         wanted -= static_cast<std::uint32_t>(assigned_targets.size());
         this->place_tasks(owner, step_index, assigned_targets);
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -89,6 +89,8 @@
         return "ticket";
     if (!target.can_start(placed.need))
         return "capacity";
+    if (!this->list_is_recent())
+        return "list";
     const bool silent = !target.session->can_grant_lease() ||
                         this->silent_zones.is_silent(target.report.availability_zone, boot_time());
     return silent ? "silent" : "";
@@ -179,6 +181,7 @@
     auto& placed = target.tasks.at(name);
     if (placed.start_repeated || placed.started || placed.stopping || placed.owner == nullptr ||
         is_final(placed.owner->state) || !target.session->can_repeat_start() ||
+        !this->list_is_recent() ||
         this->silent_zones.is_silent(target.report.availability_zone, boot_time()))
         return; // resend_orders() sends it once the target answers, unless a poll shows the run
                 // first
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds renewal_grace{1500};
 /// A member that left this long ago, while the store was reachable, is no longer waited for.
 constexpr milliseconds departed_member_retention{10'000};
+/// Nothing is started on an older list of targets. The platform counts a capacity that has shrunk
+/// for this long after the target's next heartbeat, with which the list has it.
+constexpr milliseconds max_list_age{3000};
 /// Wait before an order without an answer is sent again.
 constexpr milliseconds resend_wait{150};
 
@@ -130,6 +133,12 @@
                             {{"reason", "store"},
                              {"unconfirmed_ms", this->election.time_since_confirmed().count()}});
     }
+    if (const bool recent = this->list_is_recent(); recent != this->list_was_recent) {
+        this->list_was_recent = recent;
+        this->env.log.write(
+            "coordinator", recent ? "target_list_recent" : "target_list_too_old",
+            {{"age_ms", (boot_time() - this->env.directory.up_to_date_at()).count()}});
+    }
     if (this->election.is_lease_valid())
         this->env.forget_departed_members(now - departed_member_retention);
     this->refuse_unsent_submissions();
@@ -177,6 +186,11 @@
         this->total_team_weight += team.weight;
 }
 
+bool coordinator::list_is_recent() const
+{
+    return boot_time() - this->env.directory.up_to_date_at() <= max_list_age;
+}
+
 bool coordinator::may_renew_leases() const
 {
     // While every member is connected here, none of them has been elected.
@@ -305,6 +319,7 @@
 {
     if (!target.session->reachable())
         return;
+    const bool recent = this->list_is_recent();
     std::vector<std::pair<task_name, std::int64_t>> stops;
     std::vector<task_name> starts;
     for (auto& [task, placed] : target.tasks) {
@@ -315,7 +330,7 @@
         const bool workflow_over = placed.owner == nullptr || is_final(placed.owner->state);
         if (placed.stopping || (workflow_over && !placed.started))
             stops.emplace_back(task, placed.run);
-        else if (!placed.started)
+        else if (!placed.started && recent)
             starts.push_back(task);
     }
     for (const auto& [task, run] : stops)
--- a/src/libverbenalever/coordinator/coordinator_wait_states.cpp
+++ b/src/libverbenalever/coordinator/coordinator_wait_states.cpp
@@ -16,7 +16,7 @@
     auto& step = owner.steps[number];
     using state = step_time_tracker::state;
     auto wait_state = state::queued;
-    if (!this->election.is_lease_valid() || this->chain.stalled())
+    if (!this->election.is_lease_valid() || this->chain.stalled() || !this->list_is_recent())
         wait_state = state::store_away;
     else if (step.open_questions > 0)
         wait_state = state::advice;
--- a/src/libverbenalever/ports/target_directory.h
+++ b/src/libverbenalever/ports/target_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "loop/clock.h"
 #include "ports/target_report.h"
 
 #include <functional>
@@ -23,6 +24,10 @@
     /// @return whether the list was read recently enough to conclude that a target that is
     ///         not in it no longer exists
     [[nodiscard]] virtual bool is_current() const = 0;
+
+    /// @return time since boot as of which the list that the listener was given last was up to
+    ///         date; 0 before the first one
+    [[nodiscard]] virtual milliseconds up_to_date_at() const = 0;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -56,6 +56,8 @@
 
 void fake_targets::publish_targets()
 {
+    if (this->list_stopped_at.count() != 0)
+        return;
     std::vector<target_report> reports;
     for (const auto& [name, current_target] : this->targets) {
         auto& report = reports.emplace_back(current_target->report);
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -79,6 +79,10 @@
     {
         return true;
     }
+    [[nodiscard]] milliseconds up_to_date_at() const override
+    {
+        return this->list_stopped_at.count() == 0 ? boot_time() : this->list_stopped_at;
+    }
 
     /// @return the number of running tasks of a workflow on all targets
     [[nodiscard]] std::size_t running(const std::string& workflow) const;
@@ -86,6 +90,9 @@
     std::map<std::string, std::unique_ptr<target>> targets;
     /// Start times that the platform's list shows for targets instead of their current ones.
     std::map<std::string, std::int64_t> listed_born_ms;
+    /// Time since boot from which the list cannot be read, and publish_targets() has no effect; 0:
+    /// it can.
+    milliseconds list_stopped_at{0};
     std::map<std::string, resources> need_by_workflow; ///< of one task, for the capacity check
     milliseconds capacity_allowance{0}; ///< time that a capacity counts after a newer one is listed
     std::vector<std::string> violations;
