Log when a target's capacity changes

With LIMIT a target's capacity may shrink and grow while it runs, and the log did not tell: a task that is not started for want of capacity, and a start that is withdrawn, could not be traced to it. target_capacity has the new and the former capacity of the target and what is used of it.

The rate is that of the changes: the list tells of a registration only when it differs.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -156,6 +156,8 @@
     /// Add, update and remove targets according to the platform's list.
     void apply_directory(const std::vector<target_report>& reports);
     void add_target(const target_report& report);
+    /// Log that the list shows another capacity of a target than before.
+    void log_capacity_change(const fleet_target& target, const resources& capacity) const;
     void remove_target(const std::string& name, std::string_view reason);
     /// Called every check_interval: remove targets that no longer exist, mark runs whose lease has
     /// expired as lost, resend unanswered orders and update the fleet's total capacity.
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -64,6 +64,8 @@
             known->second->in_directory = true;
             if (report.leaving && !known->second->report.leaving)
                 this->env.log.write("coordinator", "target_leaving", {{"target", report.name}});
+            if (report.capacity != known->second->report.capacity)
+                this->log_capacity_change(*known->second, report.capacity);
             known->second->update_report(report);
         }
         else {
@@ -74,6 +76,22 @@
     this->request_scheduling_pass();
 }
 
+void coordinator::log_capacity_change(const fleet_target& target, const resources& capacity) const
+{
+    const auto& former = target.report.capacity;
+    this->env.log.write("coordinator", "target_capacity",
+                        {{"target", target.report.name},
+                         {"processors_milli", capacity.processors_milli},
+                         {"processors_milli_before", former.processors_milli},
+                         {"processors_milli_used", target.used.processors_milli},
+                         {"memory_mb", capacity.memory_mb},
+                         {"memory_mb_before", former.memory_mb},
+                         {"memory_mb_used", target.used.memory_mb},
+                         {"accelerators", capacity.accelerators},
+                         {"accelerators_before", former.accelerators},
+                         {"accelerators_used", target.used.accelerators}});
+}
+
 void coordinator::add_target(const target_report& report)
 {
     auto added =
