Change capacities at random in the seeded fault test

The property of LIMIT is one over sequences: no order of shrinks, growth, starts, lost answers, stops and changes of coordinator may bring a start onto a target over the capacity that the list has shown.

The seeded test changes capacities (processors from none to half as much again as usual, memory from none to 700 MB, one in four changes) in a quarter of its steps, lists them up to 60 ms later, and stops the list for 400 ms now and then. Every other target takes 40 ms to stop a run. The changes are drawn from a sequence of their own; the other faults are drawn as before, for a given course of the run. The checks of the test are as they were, and capacity is checked against the list, strictly, from the moment it is listed.

--- a/src/libverbenalever/coordinator/coordinator_faults_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_faults_test.cpp
@@ -26,14 +26,20 @@
 constexpr milliseconds step_time{15}; ///< from one step of the test to the next
 constexpr int steps = 400;
 constexpr milliseconds store_outage{700};
+constexpr std::int64_t usual_processors = 4000; ///< thousandths of a processor
+constexpr int max_processors = 6;
+/// Longest time from a change of a target's capacity to its listing.
+constexpr int max_heartbeat_ms = 60;
+/// Longest time without a readable list. A start may be sent on a list that is 3 s old.
+constexpr milliseconds list_outage{400};
 /// Time without faults at the end: longer than a quarantine and a task lease.
 constexpr milliseconds fault_free_time{9000};
 
 /// Two processes that may coordinate, targets and a store, with random faults from one seed.
 ///
-/// No task may run twice at the same time or again after an acknowledged end, no target may get
-/// more than its capacity, and all accepted workflows must end. Meant mainly for runs with
-/// sanitizers.
+/// No task may run twice at the same time or again after an acknowledged end, no start may bring a
+/// target over the capacity that the list shows, which changes all the time, and all accepted
+/// workflows must end. Meant mainly for runs with sanitizers.
 class coordinator_faults_test : public testing::TestWithParam<int> {
 protected:
     /// The platform's list as one process sees it.
@@ -78,7 +84,9 @@
         coordinating_process one;
     };
 
-    coordinator_faults_test() : random(static_cast<unsigned>(GetParam()))
+    coordinator_faults_test()
+        : random(static_cast<unsigned>(GetParam())),
+          capacity_random(static_cast<unsigned>(GetParam()))
     {
         auto new_configuration = std::make_shared<fleet_configuration>();
         new_configuration->version = 1;
@@ -99,8 +107,11 @@
             for (const auto& [view, listener] : current_listeners)
                 listener(reports);
         });
-        for (int number = 0; number < fleet; ++number)
-            this->targets.add("t" + std::to_string(number), 4000).task_duration = milliseconds(30);
+        for (int number = 0; number < fleet; ++number) {
+            auto& added = this->targets.add("t" + std::to_string(number), usual_processors);
+            added.task_duration = milliseconds(30);
+            added.stop_delay = milliseconds(number % 2 == 0 ? 1 : 40);
+        }
     }
 
     int pick(int most)
@@ -187,6 +198,25 @@
                 id, [this, id](call_outcome) { this->cancelled.insert(id); });
     }
 
+    /// Changes the capacity of a target; the list shows it with the target's next heartbeat.
+    void change_capacity()
+    {
+        const auto name = "t" + std::to_string(this->pick_capacity(fleet));
+        auto capacity = this->targets.targets[name]->report.capacity;
+        if (this->pick_capacity(4) == 0)
+            capacity.memory_mb = 100 * this->pick_capacity(8);
+        else
+            capacity.processors_milli = 1000 * this->pick_capacity(max_processors + 1);
+        this->targets.set_capacity(name, capacity);
+        this->list_heartbeat.start_once(milliseconds(1 + this->pick_capacity(max_heartbeat_ms)));
+    }
+
+    /// Draws from a sequence of its own, so that the other faults of a seed stay as they are.
+    int pick_capacity(int most)
+    {
+        return std::uniform_int_distribution<int>(0, most - 1)(this->capacity_random);
+    }
+
     void inject_fault()
     {
         const auto name = "t" + std::to_string(this->pick(fleet));
@@ -243,10 +273,16 @@
     }
 
     std::mt19937 random;
+    std::mt19937 capacity_random;
     event_loop loop;
     timer store_recovery{this->loop, [this] { this->store.down = false; }};
     fake_store store{this->loop};
     fake_targets targets{this->loop};
+    timer list_heartbeat{this->loop, [this] { this->targets.publish_targets(); }};
+    timer list_recovery{this->loop, [this] {
+                            this->targets.list_stopped_at = milliseconds(0);
+                            this->targets.publish_targets();
+                        }};
     event_log log{"test"};
     std::shared_ptr<fleet_configuration> configuration;
     std::map<std::string, call_outcome> outcomes;
@@ -270,14 +306,24 @@
             this->submit();
         if (this->chance(0.3))
             this->inject_fault();
+        if (this->pick_capacity(4) == 0)
+            this->change_capacity();
+        if (this->pick_capacity(100) == 0 && !this->list_recovery.active()) {
+            this->targets.list_stopped_at = boot_time();
+            this->list_recovery.start_once(list_outage);
+        }
         this->run_for(step_time);
     }
     this->store.down = false;
+    this->run_for(list_outage);
     for (auto& [name, target] : this->targets.targets) {
         target->unresponsive = false;
         target->fails_all_tasks = false;
         target->loses_response = nullptr;
+        this->targets.set_capacity(name,
+                                   {.processors_milli = usual_processors, .memory_mb = 64'000});
     }
+    this->targets.publish_targets();
     this->run_for(fault_free_time);
     for (const auto& violation : this->targets.violations)
         ADD_FAILURE() << violation;
--- a/src/libverbenalever/coordinator/fleet_target_test.cpp
+++ b/src/libverbenalever/coordinator/fleet_target_test.cpp
@@ -2,6 +2,7 @@
 
 #include "coordinator/free_capacity_index.h"
 #include "coordinator/target_session.h"
+#include "coordinator/workflow.h"
 
 #include <gtest/gtest.h>
 
@@ -38,5 +39,43 @@
     EXPECT_FALSE(this->target.quarantined(milliseconds(20'000)));
 }
 
+// Capacity that has shrunk below what is in use: nothing counts as free, reserved or not, until
+// enough of it is given back or has grown again.
+TEST_F(fleet_target_test, nothing_is_free_while_more_is_used_than_the_capacity)
+{
+    const auto list = [this](const resources& capacity) {
+        auto report = this->target.report;
+        report.capacity = capacity;
+        this->target.update_report(report);
+    };
+    workflow owner;
+    const resources need{.processors_milli = 2000, .memory_mb = 100};
+    list({.processors_milli = 4000, .memory_mb = 300, .accelerators = 1});
+    this->target.add_run({"w", 0, 0, 0}, {.owner = &owner, .run = 1, .need = need});
+    this->target.reserved += need;
+    EXPECT_EQ(this->target.count_fitting(need), 0);
+    this->target.reserved -= need;
+    EXPECT_EQ(this->target.count_fitting(need), 1);
+
+    list({.processors_milli = 1000, .memory_mb = 300});
+    EXPECT_EQ(this->target.count_fitting(need), 0);
+    EXPECT_EQ(this->target.count_fitting({.processors_milli = 1}), 0);
+    EXPECT_FALSE(this->target.can_start(need));
+    EXPECT_TRUE(this->target.can_start({.memory_mb = 100}));
+    EXPECT_TRUE(this->free_targets.entries().empty());
+    list({.processors_milli = 8000, .memory_mb = 50});
+    EXPECT_EQ(this->target.count_fitting(need), 0);
+    EXPECT_FALSE(this->target.can_start(need));
+
+    list({.processors_milli = 2000, .memory_mb = 100});
+    EXPECT_TRUE(this->target.can_start(need));
+    list({.processors_milli = 1000, .memory_mb = 300});
+    this->target.remove_run({"w", 0, 0, 0});
+    EXPECT_EQ(this->target.count_fitting({.processors_milli = 1000}), 1);
+    list({.processors_milli = 8000, .memory_mb = 800});
+    EXPECT_EQ(this->target.count_fitting(need), 4);
+    EXPECT_EQ(this->free_targets.entries().size(), 1);
+}
+
 } // namespace
 } // namespace verbenalever
