--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -157,6 +157,8 @@
     /// Add, update and remove targets according to the platform's list.
     void apply_directory(const std::vector<target_report>& reports);
     void add_target(const target_report& report);
+    /// Log that the list shows another capacity of a target than before.
+    void log_capacity_change(const fleet_target& target, const resources& capacity) const;
     void remove_target(const std::string& name, std::string_view reason);
     /// Called every check_interval: remove targets that no longer exist, mark runs whose lease has
     /// expired as lost, resend unanswered orders and update the fleet's total capacity.
@@ -206,6 +208,9 @@
                              milliseconds sent);
 
     // Orders (coordinator_targets.cpp).
+    /// @return whether the platform's list was read recently enough for starts: capacities that
+    /// have shrunk since are not known
+    [[nodiscard]] bool list_is_recent() const;
     /// Poll the target repeatedly while it has runs.
     void update_polling(fleet_target& target);
     /// Order a run to stop; a run whose start was not sent is only removed.
@@ -309,8 +314,19 @@
     [[nodiscard]] double expected_grant_rate(const workflow& owner, std::uint32_t step_index) const;
     /// @return whether the record of a new workflow would wait too long until the store has it
     [[nodiscard]] bool overloaded();
-    /// Sends the start orders of placements that are now in the store.
+    /// Sends the start orders of placements that are now in the store, but those that may not start
+    /// any more.
     void send_start_orders(const std::vector<placement_entry>& stored_placements);
+    /// @return the target of a placement whose start was not sent yet; null when the run is gone
+    [[nodiscard]] fleet_target* find_unsent_run(const placement_entry& entry);
+    /// @return why the start of a stored placement may not be sent, for the log; empty if it may
+    [[nodiscard]] std::string_view reason_to_withdraw(const fleet_target& target,
+                                                      const placement_entry& entry) const;
+    /// Stops a run that may not start any more, although its placement was stored or its start was
+    /// sent, and the other members of its gang; the tasks wait for targets again. Its workflow must
+    /// not have ended.
+    /// @param reason for the log
+    void withdraw_start(fleet_target& target, const task_name& task, std::string_view reason);
     /// @return how many of @p wanted tasks the team may start without exceeding its limit
     [[nodiscard]] std::uint32_t tasks_within_team_limit(const workflow& owner,
                                                         const resources& need,
@@ -416,6 +432,7 @@
     bool loaded = false;         ///< all stored records have been read
     std::size_t loaded_keys = 0; ///< keys of the store read so far
     bool renewing_leases = true; ///< result of the last check whether task leases may be renewed
+    bool list_was_recent = true; ///< result of the last check of list_is_recent()
     milliseconds started_at{0};  ///< time since boot of start()
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds renewal_grace{1500};
 /// A member that left this long ago, while the store was reachable, is no longer waited for.
 constexpr milliseconds departed_member_retention{10'000};
+/// Nothing is started on an older list of targets. The platform counts a capacity that has shrunk
+/// for this long after the target's next heartbeat, with which the list has it.
+constexpr milliseconds max_list_age{3000};
 /// Wait before an order without an answer is sent again.
 constexpr milliseconds resend_wait{150};
 
@@ -61,6 +64,8 @@
             known->second->in_directory = true;
             if (report.leaving && !known->second->report.leaving)
                 this->env.log.write("coordinator", "target_leaving", {{"target", report.name}});
+            if (report.capacity != known->second->report.capacity)
+                this->log_capacity_change(*known->second, report.capacity);
             known->second->update_report(report);
         }
         else {
@@ -71,6 +76,22 @@
     this->request_scheduling_pass();
 }
 
+void coordinator::log_capacity_change(const fleet_target& target, const resources& capacity) const
+{
+    const auto& former = target.report.capacity;
+    this->env.log.write("coordinator", "target_capacity",
+                        {{"target", target.report.name},
+                         {"processors_milli", capacity.processors_milli},
+                         {"processors_milli_before", former.processors_milli},
+                         {"processors_milli_used", target.used.processors_milli},
+                         {"memory_mb", capacity.memory_mb},
+                         {"memory_mb_before", former.memory_mb},
+                         {"memory_mb_used", target.used.memory_mb},
+                         {"accelerators", capacity.accelerators},
+                         {"accelerators_before", former.accelerators},
+                         {"accelerators_used", target.used.accelerators}});
+}
+
 void coordinator::add_target(const target_report& report)
 {
     auto added =
@@ -138,6 +159,12 @@
                             {{"reason", "store"},
                              {"unconfirmed_ms", this->election.time_since_confirmed().count()}});
     }
+    if (const bool recent = this->list_is_recent(); recent != this->list_was_recent) {
+        this->list_was_recent = recent;
+        this->env.log.write(
+            "coordinator", recent ? "target_list_recent" : "target_list_too_old",
+            {{"age_ms", (boot_time() - this->env.directory.up_to_date_at()).count()}});
+    }
     if (this->election.is_lease_valid())
         this->env.forget_departed_members(now - departed_member_retention);
     this->refuse_unsent_submissions();
@@ -187,6 +214,11 @@
         this->total_team_weight += team.weight;
 }
 
+bool coordinator::list_is_recent() const
+{
+    return boot_time() - this->env.directory.up_to_date_at() <= max_list_age;
+}
+
 bool coordinator::may_renew_leases() const
 {
     // While every member is connected here, none of them has been elected.
@@ -314,6 +346,7 @@
 {
     if (!target.session->reachable())
         return;
+    const bool recent = this->list_is_recent();
     std::vector<std::pair<task_name, std::int64_t>> stops;
     std::vector<task_name> starts;
     for (auto& [task, placed] : target.tasks) {
@@ -324,13 +357,18 @@
         const bool workflow_over = placed.owner == nullptr || is_final(placed.owner->state);
         if (placed.stopping || (workflow_over && !placed.started))
             stops.emplace_back(task, placed.run);
-        else if (!placed.started)
+        else if (!placed.started && recent)
             starts.push_back(task);
     }
     for (const auto& [task, run] : stops)
         this->stop_run(target, task, run);
-    for (const auto& task : starts)
-        this->send_start_order(target, task);
+    for (const auto& task : starts) {
+        if (const auto found = target.tasks.find(task);
+            found != target.tasks.end() && !target.can_start(found->second.need))
+            this->withdraw_start(target, task, "capacity");
+        else
+            this->send_start_order(target, task);
+    }
 }
 
 } // namespace verbenalever
