Refuse registrations that name no target that can be used

What callers saw: reported was that other writers' odd entries ended or stopped the machines that read the list. Here they did neither, but odd registrations were used as targets. Cause: the decoder checked the types of the members it reads, not their values. Numbers above int64 were taken as negative. Orders went to 0.0.0.0, port 0, multicast addresses and, with a zero byte in the address, to another port; names with control characters went into header lines. The time and memory to read a value were bounded by the store only. Ruled out: nesting of 500,000 levels in any member ended no process before either, nor did follows_the_others_when_entries_are_odd find that the others were not read; ports out of range and 1e400 were refused before. A registration with wrong but possible values cannot be told from a right one.

--- a/src/libverbenalever/loop/endpoint.cpp
+++ b/src/libverbenalever/loop/endpoint.cpp
@@ -22,6 +22,9 @@
         std::from_chars(digits.data(), digits.data() + digits.size(), result.port);
     if (error != std::errc() || end != digits.data() + digits.size() || digits.empty())
         return malformed();
+    // inet_pton() would accept an address that is followed by a zero byte.
+    if (result.address.find('\0') != std::string::npos)
+        return malformed();
     if (in_addr parsed{}; inet_pton(AF_INET, result.address.c_str(), &parsed) != 1)
         return malformed();
     return result;
