Give the platform stand-in's advisor verdicts that do not vary

Cause: the advisor's verdicts came from Python's hash(), which is salted for each process, so some runs denied a job all six targets. Nothing in the entries' logs of the failed runs points to the product: no advice_missed, no start_refused, and a step whose six targets are free waits without a question only if all are denied.

The verdicts now depend on the names alone. The check is stricter: a start on a target that is denied is now a violation even if it comes with a ticket, or without one. A job that is not completed is explained in the case's message: granted, denied and unasked targets, its last starts and where it runs.

--- a/testsuite/harness/platform_entries.py
+++ b/testsuite/harness/platform_entries.py
@@ -115,7 +115,9 @@
                 else:
                     assert answer.status in (0, 200, 503, 504), (job, answer)
             time.sleep(0.1)
-        assert not left, f"not completed: {sorted(left)}"
+        explained = self.platform.do(
+            lambda: "\n".join(self.platform.fleet.explain(job) for job in sorted(left)[:5]))
+        assert not left, f"not completed: {sorted(left)}\n{explained}"
 
     def close(self):
         for process in self.processes.values():
--- a/testsuite/harness/platform_standin.py
+++ b/testsuite/harness/platform_standin.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import hashlib
 import json
 import threading
 import time
@@ -15,6 +16,8 @@
 STATUS_TEXT = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed",
                421: "Misdirected Request", 429: "Too Many Requests", 503: "Service Unavailable"}
 
+POLICY_SEED = 1
+
 
 class Store:
     """The key-value store, with the faults that the platform's store can show."""
@@ -173,8 +176,12 @@
         if body["deadlineMs"] < self.clock():
             return 409, {"clockMs": self.clock(), "reason": "late"}
         self.until = max(self.until, min(body["deadlineMs"], self.clock() + 6000))
-        if self.fleet.advised and body.get("ticket") != f"{self.name}:{task.rsplit('.', 1)[0]}":
-            return 409, {"clockMs": self.clock(), "reason": "ticket"}
+        if self.fleet.advised:
+            step_name = task.rsplit(".", 1)[0]
+            if not self.fleet.policy_allows(task.split(".")[0], self.name):
+                self.fleet.record_violation(f"{task} started on {self.name}, which is denied")
+            if body.get("ticket") != f"{self.name}:{step_name}":
+                return 409, {"clockMs": self.clock(), "reason": "ticket"}
         step = self.fleet.check_start(self, task, run)
         self.running[task] = {"run": run, "since": time.monotonic(), "begun": 0,
                               "gang": step.get("gang", False), "cpu": step["cpu"],
@@ -186,7 +193,10 @@
 
     async def handle(self, path, body):
         if path == "/verbenalever/run-start":
-            return self.start(body)
+            answer = self.start(body)
+            self.fleet.starts.setdefault(body["task"], []).append(
+                (self.name, body["run"], answer[1].get("reason", "started")))
+            return answer
         if body["fencingToken"] < self.fence:
             return 409, {"clockMs": self.clock(), "reason": "fence"}
         self.fence = body["fencingToken"]
@@ -219,6 +229,8 @@
         self.born = int(time.time() * 1000)
         self.violations, self.done, self.acknowledged, self.jobs = [], {}, set(), {}
         self.targets = {}
+        self.verdicts = {}  # step -> {target: granted}, as answered
+        self.starts = {}  # task -> [(target, run, "started" or the reason of the refusal)]
         self.store = None
         self.addresses = {}
 
@@ -254,12 +266,47 @@
                     self.record_violation(f"{task} started before the steps that it depends on")
         return step
 
+    def policy_allows(self, job, target):
+        """The queue's policy: six of ten targets, and always enough for the widest step.
+
+        It depends on the names only, so that each run and each question gets the same verdict.
+        """
+        def mark(name):
+            text = f"{POLICY_SEED}:{job}:{name}".encode()
+            return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+        if mark(target) % 10 < 6:
+            return True
+        widest = max(step["count"] for step in self.jobs[job]["steps"])
+        return target in sorted(self.targets, key=mark)[:widest]
+
     async def advise(self, body):
         await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
         job = body["step"].split(".")[0]
-        allowed = [w for w in body["workers"] if (hash((job, w)) % 10) < 7]
+        allowed = [w for w in body["workers"] if self.policy_allows(job, w)]
+        for target in body["workers"]:
+            self.verdicts.setdefault(body["step"], {})[target] = target in allowed
         return 200, {"granted": [[w, f"{w}:{body['step']}"] for w in allowed], "validMs": 2000}
 
+    def explain(self, job):
+        """Returns what the stand-ins know of a job, for the message of a failed case."""
+        lines = []
+        for number, step in enumerate(self.jobs[job]["steps"]):
+            name = f"{job}.0.{number}"
+            verdicts = self.verdicts.get(name, {})
+            granted = sorted(target for target, allowed in verdicts.items() if allowed)
+            denied = sorted(target for target, allowed in verdicts.items() if not allowed)
+            lines.append(f"{name}: {json.dumps(step)}, granted {granted}, denied {denied}, "
+                         f"not asked {sorted(set(self.targets) - set(verdicts))}")
+            for index in range(step["count"]):
+                task = f"{name}.{index}"
+                running = [target.name for target in self.targets.values()
+                           if task in target.running]
+                lines.append(f"  {task}: runs on {running}, done {task in self.done}, "
+                             f"acknowledged {task in self.acknowledged}, "
+                             f"last starts {self.starts.get(task, [])[-3:]}")
+        return "\n".join(lines)
+
 
 class Platform:
     """Serves a fleet on loopback addresses in its own thread."""
