Show no workflow at work as queued after a change of coordinator

Callers saw the state of a job go from "running" back to "queued" when its coordinator had changed, until a target answered the successor.

Cause: only the answers of targets and stored ends mark a workflow as started; its stored placements did not. A stored placement now does. Until the successor has reached the target it may have been placed and not started, which shows the job as running some hundred milliseconds early.

Not covered: a run that was lost, lapsed or stopped leaves no record, so after a later change of coordinator its job is still shown as queued until it starts again.

--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -125,6 +125,20 @@
     EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
 }
 
+// A successor showed a workflow at work as queued until its targets answered.
+TEST_F(coordinator_recovery_test, a_successor_shows_no_workflow_at_work_as_queued)
+{
+    this->targets.add("t1", 1000).task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "placed", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->state(first, "placed"), workflow_state::running);
+    this->targets.targets["t1"]->unresponsive = true;
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
+}
+
 // Until a target answers, a successor counts what its predecessor may have started there against
 // the team's limit. Cancelling the workflow in the meantime must not leave it counted for good.
 TEST_F(coordinator_recovery_test, a_workflow_cancelled_during_adoption_frees_its_teams_limit)
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -79,6 +79,8 @@
     auto& task = step.tasks[entry.index];
     if (task.current_phase == workflow_task::phase::done)
         return;
+    // Its start was most likely sent; callers must not see the workflow return to `queued`.
+    owner->has_started = true;
     const auto& need = owner->record.spec.steps[entry.step].need;
     if (task.current_phase == workflow_task::phase::waiting) {
         task.current_phase = workflow_task::phase::awaiting_target;
