Give the entries of the platform cases loopback addresses of their own

In 1 of 60 runs of platform-faults and platform-path, four at a time, an entry ended with "cannot listen on 127.0.0.1:41481" and the case failed with "not ready". The harness took ports that were free for a moment on 127.0.0.1; before the entry listened, another process had connected from that port. Entries now have an address each in the part of the loopback range that the other cases use, with fixed ports; it is locked for as long as the case runs, and no outgoing connection starts there.

--- a/testsuite/harness/platform_entries.py
+++ b/testsuite/harness/platform_entries.py
@@ -6,58 +6,50 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 
 from .client import call
+from .cluster import Subnet
 
 BUILD = pathlib.Path(os.environ.get("VERBENALEVER_BUILD", "build"))
 HOST, PREFIX, KEY = "desk.example", "/q/", "key-1"
 
 
-def free_ports(count):
-    """Returns ports that are free at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class Entries:
-    def __init__(self, platform, count):
+    def __init__(self, platform, count, build=BUILD):
         self.platform = platform
+        self.subnet = Subnet()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="verbenalever-platform-"))
         self.processes, self.addresses, self.keep_folder = {}, {}, True
+        self.started_at = {}
         for number in range(count):
             name = f"entry-{number}"
-            callers, ready, peers, metrics = free_ports(4)
-            self.addresses[name] = {"callers": f"127.0.0.1:{callers}",
-                                    "ready": f"127.0.0.1:{ready}",
-                                    "metrics": f"127.0.0.1:{metrics}"}
+            # Not a port of 127.0.0.1 that is free now: others may connect from it meanwhile.
+            host = self.subnet.address(1 + number // 200, 1 + number % 200)
+            self.addresses[name] = {"callers": f"{host}:7000", "ready": f"{host}:7001",
+                                    "peers": f"{host}:7002", "metrics": f"{host}:7003"}
             (self.folder / f"{name}.yaml").write_text(f"""
 vm: "{name}"
 availability_zone: "z1"
-callers: "127.0.0.1:{callers}"
-readiness: "127.0.0.1:{ready}"
-peers: "127.0.0.1:{peers}"
-metrics: "127.0.0.1:{metrics}"
+callers: "{self.addresses[name]['callers']}"
+readiness: "{self.addresses[name]['ready']}"
+peers: "{self.addresses[name]['peers']}"
+metrics: "{self.addresses[name]['metrics']}"
 store: "{platform.store_address}"
 advisor: "{platform.advice_address}"
 task_lease_limit: "6s"
 stop_grace: "6s"
 finished_rest: "120s"
 """)
-            self.start(name)
+            self.start(name, build)
 
-    def start(self, name):
+    def start(self, name, build=BUILD):
+        self.started_at[name] = time.monotonic()
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
-            [str(BUILD / "src/verbenaleverd/verbenaleverd"), "--platform",
+            [str(pathlib.Path(build) / "src/verbenaleverd/verbenaleverd"), "--platform",
              "--settings", str(self.folder / f"{name}.yaml")],
             stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
@@ -127,14 +119,14 @@
             shutil.rmtree(self.folder)
 
 
-def configure(platform, limit_cpu=0):
-    """Write the operators' first configuration."""
-    document = {"version": 3, "routes": [
+def configure(platform, limit_cpu=0, version=3, extra_keys=()):
+    """Write a version of the operators' configuration."""
+    document = {"version": version, "routes": [
         {"name": "r", "host": HOST, "prefix": PREFIX, "kind": "unsafe", "timeoutMs": 3000,
          "targetLatencyMs": 1000, "priority": 0, "service": "pool", "maxAttempts": 3,
          "stretch": 2.0, "advice": {"decideMs": 5.0, "eachMs": 0.2, "validMs": 2000},
          "public": False}],
         "services": [{"name": "pool"}], "limits": {},
-        "tenants": [{"name": "t", "apiKeys": [KEY], "weight": 1,
+        "tenants": [{"name": "t", "apiKeys": [KEY, *extra_keys], "weight": 1,
                      "maxCount": {"cpu": limit_cpu, "memMb": 0, "gpu": 0}}]}
     platform.do(lambda: platform.fleet.store.put("op/config", json.dumps(document).encode()))
