Name the task that a stop is sent for outside of its structured binding

What callers saw: nothing. Cause: the linter's compiler does not capture structured bindings in lambdas; g++ does. No change of behaviour.

--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -47,12 +47,14 @@
 {
     if (target.unresolved_starts.empty() || !target.session->reachable())
         return;
-    for (auto& [task, start] : target.unresolved_starts) {
+    for (auto& entry : target.unresolved_starts) {
+        auto& start = entry.second;
         if (start.stop_in_flight)
             continue;
         start.stop_in_flight = true;
         target.session->stop(
-            task, start.run, [this, &target, task, run = start.run](const order_result& result) {
+            entry.first, start.run,
+            [this, &target, task = entry.first, run = start.run](const order_result& result) {
                 const auto found = target.unresolved_starts.find(task);
                 if (found == target.unresolved_starts.end() || found->second.run != run)
                     return;
