Do not acknowledge ends to a target that may have restarted unnoticed

Tasks ran twice, the second time after an acknowledged end, when a target crashed and came back under the same name while calls were late.

Cause: each poll carried the last acknowledged number for as long as the session lasted. A poll does not name the life of the target that it is meant for. One that was sent to a target that had restarted, and carried out late, made it forget ends of its new life that nobody had read; the coordinator then missed these runs ("run_lost", "not_there") and started their tasks again.

A number is now sent until a poll with it is answered, and not while the target is silent. A lower number than before has no effect on a target. The new test fails before this change (3 acknowledgements to a silent target, allowed is the one in flight) and passes after it.

--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -153,13 +153,24 @@
     const auto timeout =
         wait + (this->polling_urgent && wait_for_end ? urgent_answer_timeout : answer_timeout);
     const auto sent = boot_time();
-    this->orders.poll(this->life, this->issue_authority(), this->acknowledged_up_to, wait, timeout,
-                      [this, alive = this->alive, sent](target_view view) {
-                          if (*alive)
-                              this->apply_poll_result(view, sent);
+    const auto acknowledged = this->due_acknowledgement();
+    this->orders.poll(this->life, this->issue_authority(), acknowledged, wait, timeout,
+                      [this, alive = this->alive, sent, acknowledged](target_view view) {
+                          if (!*alive)
+                              return;
+                          if (view.result.how == order_result::outcome::done)
+                              this->confirmed_up_to = std::max(this->confirmed_up_to, acknowledged);
+                          this->apply_poll_result(view, sent);
                       });
 }
 
+std::int64_t target_session::due_acknowledgement() const
+{
+    return this->missed_answers == 0 && this->acknowledged_up_to > this->confirmed_up_to
+               ? this->acknowledged_up_to
+               : 0;
+}
+
 void target_session::apply_poll_result(const target_view& view, milliseconds sent)
 {
     this->poll_in_progress = false;
@@ -180,7 +191,7 @@
         return;
     if (this->waiting_for_stored_end)
         this->schedule_poll(max_store_wait);
-    else if (this->polling_wanted)
+    else if (this->polling_wanted || this->due_acknowledgement() != 0)
         this->schedule_poll(milliseconds(0));
 }
 
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -109,6 +109,11 @@
     /// Send a start order once.
     void send_start(const start_order& order, const order_authority& authority,
                     milliseconds timeout, target_orders::order_callback done);
+    /// @return number for the next poll to acknowledge, 0 if none. Poll requests do not name a life
+    /// of the target and may be executed late: one that a restarted target executes makes it forget
+    /// ends of its new life. So each number is sent until a poll with it is answered, and none
+    /// while the target may have restarted unnoticed.
+    [[nodiscard]] std::int64_t due_acknowledgement() const;
     void schedule_poll(milliseconds wait);
     void poll();
     void apply_poll_result(const target_view& view, milliseconds sent);
@@ -126,6 +131,7 @@
     milliseconds clock_at{0};  ///< time since boot
     milliseconds lease_expires_at{0};
     std::int64_t acknowledged_up_to = 0;
+    std::int64_t confirmed_up_to = 0; ///< highest number in a poll that was answered
     bool polling_wanted = false;
     bool polling_urgent = false;
     bool poll_in_progress = false;
--- a/src/libverbenalever/coordinator/target_session_test.cpp
+++ b/src/libverbenalever/coordinator/target_session_test.cpp
@@ -6,6 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace verbenalever {
 namespace {
 
@@ -55,6 +58,33 @@
     EXPECT_TRUE(this->session->reachable());
 }
 
+// A late poll told a target that had restarted under its name to forget ends of its new life: these
+// tasks ran twice. Until a target answers it may have restarted, so nothing is acknowledged there.
+TEST_F(target_session_test, a_target_that_missed_an_answer_gets_no_acknowledgement_until_it_answers)
+{
+    std::vector<std::int64_t> acknowledged;
+    this->targets.on_poll = [&acknowledged](std::int64_t number) {
+        acknowledged.push_back(number);
+    };
+    this->session->start_polling();
+    this->run_for(milliseconds(100));
+    this->session->acknowledge_ends(7, true);
+    this->run_for(milliseconds(100));
+    ASSERT_EQ(acknowledged.back(), 7);
+    auto& target = *this->targets.targets["t1"];
+    target.unresponsive = true;
+    acknowledged.clear();
+    this->session->acknowledge_ends(8, true);
+    this->run_for(milliseconds(3000));
+    ASSERT_FALSE(this->session->reachable());
+    ASSERT_GT(acknowledged.size(), 1);
+    EXPECT_LE(std::ranges::count_if(acknowledged, [](auto number) { return number > 0; }), 1);
+    target.unresponsive = false;
+    acknowledged.clear();
+    this->run_for(milliseconds(2500));
+    EXPECT_EQ(std::ranges::count(acknowledged, 8), 1);
+}
+
 // A target that was idle for long may have a slow clock: its next lease ends later than its length
 // suggests, and tasks started elsewhere before that would run twice.
 TEST_F(target_session_test, a_lease_ends_later_when_the_targets_clock_was_read_long_ago)
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -243,6 +243,8 @@
 {
     auto& destination = *this->targets.at(life.name);
     ++this->poll_count;
+    if (this->on_poll)
+        this->on_poll(acknowledged);
     if (destination.unresponsive || destination.polls_to_lose > 0) {
         destination.polls_to_lose -= destination.polls_to_lose > 0 ? 1 : 0;
         this->call_later(timeout, [done] { done({}); });
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -79,6 +79,8 @@
     std::vector<std::string> violations;
     std::function<void(const start_order&)> on_start;               ///< called for each start order
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
+    /// Called for each poll with the number up to which it acknowledges ends.
+    std::function<void(std::int64_t)> on_poll;
     /// Called for each start order with the target that it is sent to.
     std::function<void(const target&)> on_start_at;
     /// Search all targets for a second run of each started task; slow on large fleets.
