--- /dev/null
+++ b/testsuite/platform-soak/run.py
@@ -0,0 +1,484 @@
+"""Faults and planned work drawn from a seed, in series and overlapping, around real entry daemons.
+
+Checked from what callers and the stand-ins of the platform see: no task runs twice, no target gets
+more than its capacity, each accepted job ends and its state never goes back, no request that was
+read is cut off around a planned stop, no process ends by itself.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+from harness.platform_entries import BUILD, HOST, KEY, PREFIX, Entries, configure
+from harness.platform_standin import Fleet, Platform
+
+GRACE_S = 6.0  # stop_grace in the entries' settings
+LATE_IN_GRACE_S = GRACE_S * 5 / 6  # requests may be cut off after this part of the grace time
+READ_S = 0.5  # a request that was sent this long ago has been read
+CONTACT_S = 5.0  # after an unplanned disruption of an entry its requests may be cut off
+SETTLE_S = 60.0  # time for all jobs to end once all faults have ended
+RANK = {"queued": 0, "running": 1, "completed": 2, "failed": 2, "cancelled": 2}
+
+
+class Job:
+    def __init__(self, body):
+        self.body = body
+        self.answers = set()  # statuses of all submissions
+        self.cancelled = False  # a cancel was sent
+        self.state, self.state_at = "queued", 0.0
+        self.lock = threading.Lock()
+
+    @property
+    def accepted(self):
+        return 200 in self.answers
+
+
+class Soak:
+    def __init__(self, options, build=BUILD):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.fleet = Fleet(work_s=0.3)
+        self.fleet.disturbed = True
+        self.fleet.late_after_restart = options.late_after_restart
+        self.fleet.random = random.Random(options.seed + 1)
+        self.platform = Platform(self.fleet, targets=options.targets)
+        self.version = 3
+        configure(self.platform)
+        self.entries = Entries(self.platform, options.entries, build)
+        self.names = sorted(self.entries.processes)
+        self.jobs, self.problems = {}, []
+        self.went_back = set()  # jobs whose state was seen to go back
+        self.terminated = {}  # entry -> time of its last SIGTERM
+        self.disturbed_until = {}  # entry -> end of its last unplanned disruption
+        self.down = set()  # entries that are being stopped, are away, or are frozen
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.settling = threading.Event()
+        self.counts = {}
+        self.began = time.monotonic()
+        self.workers = []
+
+    def note(self, what):
+        with self.lock:
+            self.counts[what] = self.counts.get(what, 0) + 1
+
+    def problem(self, text):
+        with self.lock:
+            self.problems.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    def log(self, text):
+        if self.options.verbose:
+            print(f"{time.monotonic() - self.began:7.2f} {text}", flush=True)
+
+    def build_of(self, _):
+        return BUILD
+
+    # Callers
+
+    def make_job(self, rng, number):
+        job = f"{number:016x}"
+        first = {"count": rng.randint(1, 3), "cpu": rng.choice([500, 1000, 2000]), "memMb": 100,
+                 "estimatedMs": 300, "gang": rng.random() < 0.25}
+        steps = [first]
+        if rng.random() < 0.4:
+            steps.append({"count": rng.randint(1, 2), "cpu": 500, "estimatedMs": 200, "after": [0]})
+        body = {"spec": "x", "steps": steps}
+        task = f"{job}.0.0.0"
+        draw = rng.random()
+
+        def register():
+            self.fleet.jobs[job] = body
+            self.fleet.work_by_job[job] = rng.choice([0.05, 0.1, 0.3, 1.0])
+            if draw < 0.01:
+                self.fleet.failing.add(task)
+            elif draw < 0.015:
+                self.fleet.always_failing.add(task)
+            elif draw < 0.025 and self.options.deadly:
+                self.fleet.deadly.add(task)
+        self.platform.do(register)
+        self.jobs[job] = Job(body)
+        return job
+
+    def caller(self, number):
+        rng = random.Random(self.options.seed * 1000 + number)
+        serial = number << 32
+        connection = Connection(self, rng)
+        own = []
+        pending = None  # a job whose acceptance is not known yet
+        while not self.stopping.is_set():
+            if pending is None and not self.settling.is_set() and rng.random() < 0.1:
+                serial += 1
+                pending = self.make_job(rng, serial)
+            if pending is not None:
+                job = self.jobs[pending]
+                status, _ = connection.call("POST", pending, job.body)
+                job.answers.add(status)
+                if status == 200:
+                    own.append(pending)
+                    pending = None
+                elif status in (429, 503) and job.answers <= {429, 503} and rng.random() < 0.2:
+                    pending = None  # refused for good
+                elif status not in (0, 429, 503, 504):
+                    self.problem(f"submission of {pending} answered {status}")
+                    pending = None
+            elif own and rng.random() < 0.03:
+                job = rng.choice(own[-20:])
+                self.jobs[job].cancelled = True
+                status, _ = connection.call("DELETE", job)
+                if status not in (0, 200, 410, 429, 503, 504):
+                    self.problem(f"cancelling of {job} answered {status}")
+            elif own:
+                self.read_state(connection, rng.choice(own[-30:]))
+            time.sleep(rng.uniform(0.01, 0.08))
+
+    def read_state(self, connection, name):
+        job = self.jobs[name]
+        sent = time.monotonic()
+        status, body = connection.call("GET", name)
+        if status == 410:
+            self.problem(f"{name} was accepted and is answered 410")
+            return None
+        if status != 200:
+            if status not in (0, 429, 503, 504):
+                self.problem(f"state of {name} answered {status}")
+            return None
+        state = json.loads(body)["state"]
+        with job.lock:
+            before = job.state
+            if sent > job.state_at and name not in self.went_back and (
+                    RANK[state] < RANK[before] or (RANK[before] == 2 and state != before)):
+                self.went_back.add(name)
+                self.problem(f"state of {name} went from {before} to {state}")
+            if RANK[state] > RANK[before]:
+                job.state, job.state_at = state, time.monotonic()
+        return state
+
+    def record_cut(self, entry, sent, what):
+        """A connection ended without an answer."""
+        now = time.monotonic()
+        self.note("cut")
+        if now - sent < READ_S or now < self.disturbed_until.get(entry, 0) + CONTACT_S:
+            return
+        terminated = self.terminated.get(entry, 0)
+        if now - terminated > GRACE_S + 1:
+            self.problem(f"{entry} cut off {what} without a cause")
+        elif now - terminated < LATE_IN_GRACE_S:
+            self.problem(f"{entry} cut off {what} {now - terminated:.2f} s after SIGTERM, "
+                         f"{now - sent:.2f} s after it was sent")
+
+    # Faults
+
+    def spawn(self, action, *arguments):
+        worker = threading.Thread(target=self.guard, args=(action, *arguments), daemon=True)
+        self.workers.append(worker)
+        worker.start()
+
+    def guard(self, action, *arguments):
+        try:
+            action(*arguments)
+        except Exception as error:  # a fault of the case must fail it
+            self.problem(f"{action.__name__}: {error!r}")
+
+    def take(self, name):
+        with self.lock:
+            if name in self.down:
+                return False
+            self.down.add(name)
+            return True
+
+    def give(self, name):
+        with self.lock:
+            self.down.discard(name)
+
+    def terminate(self, name, pause):
+        if not self.take(name):
+            return
+        self.log(f"TERM {name}")
+        process = self.entries.processes[name]
+        self.terminated[name] = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        try:
+            code = process.wait(GRACE_S)
+            if code != 0:
+                self.problem(f"{name} ended with {code} after SIGTERM")
+        except Exception:
+            self.disturbed_until[name] = time.monotonic()
+            self.problem(f"{name} did not end within its grace time")
+            process.kill()
+            process.wait()
+        time.sleep(pause)
+        self.entries.start(name, self.build_of(name))
+        self.give(name)
+
+    def kill(self, name, pause):
+        if not self.take(name):
+            return
+        self.log(f"KILL {name}")
+        self.disturbed_until[name] = time.monotonic() + pause
+        process = self.entries.processes[name]
+        process.kill()
+        process.wait()
+        time.sleep(pause)
+        self.entries.start(name, self.build_of(name))
+        self.disturbed_until[name] = time.monotonic()
+        self.give(name)
+
+    def freeze(self, name, pause):
+        if not self.take(name):
+            return
+        self.log(f"STOP {name} {pause:.1f}")
+        self.disturbed_until[name] = time.monotonic() + pause
+        process = self.entries.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(pause)
+        process.send_signal(signal.SIGCONT)
+        self.disturbed_until[name] = time.monotonic()
+        self.give(name)
+
+    def hang_up(self, name):
+        if not self.take(name):
+            return
+        self.log(f"HUP {name}")
+        # A process that was just started has the default action for the signal.
+        if time.monotonic() - self.entries.started_at[name] > 1:
+            self.entries.processes[name].send_signal(signal.SIGHUP)
+        self.give(name)
+
+    def reconfigure(self, rng):
+        with self.lock:
+            self.version += rng.randint(1, 4)
+            version = self.version
+        self.log(f"configuration {version}")
+        configure(self.platform, version=version,
+                  extra_keys=[f"key-x{version}"] if rng.random() < 0.5 else [])
+
+    def set_store(self, attribute, value, pause):
+        self.log(f"store {attribute} {value} {pause:.1f}")
+        store = self.fleet.store
+        self.platform.do(lambda: setattr(store, attribute, value))
+        if pause:
+            time.sleep(pause)
+            self.platform.do(lambda: setattr(store, attribute, type(value)()))
+
+    def set_order_faults(self, share, pause):
+        self.log(f"orders lost and late {share:.2f} {pause:.1f}")
+        self.platform.do(lambda: setattr(self.fleet, "order_faults", share))
+        time.sleep(pause)
+        self.platform.do(lambda: setattr(self.fleet, "order_faults", 0.0))
+
+    def disturb_target(self, how, name, pause):
+        self.log(f"{how} {name} {pause:.1f}")
+        target = self.fleet.targets[name]
+        if how == "resize":
+            self.platform.do(lambda: target.resize(2000 if target.cpu == 4000 else 4000))
+        else:
+            self.platform.do(lambda: getattr(target, how)(pause))
+
+    def inject(self, rng):
+        """Start one fault; others may still go on."""
+        name = rng.choice(self.names)
+        target = rng.choice(sorted(self.fleet.targets))
+        kinds = {
+            "terminate": (4, lambda: self.spawn(self.terminate, name, rng.uniform(0, 1))),
+            "kill": (3, lambda: self.spawn(self.kill, name, rng.uniform(0, 2))),
+            "freeze": (3, lambda: self.spawn(self.freeze, name, rng.uniform(0.5, 4))),
+            "hang_up": (2, lambda: self.spawn(self.hang_up, name)),
+            "roll": (1, lambda: self.spawn(self.roll, rng.uniform(0, 0.5))),
+            "reconfigure": (3, lambda: self.spawn(self.reconfigure, random.Random(rng.random()))),
+            "store_refuses": (2, lambda: self.spawn(self.set_store, "refusing", True,
+                                                    rng.uniform(0.3, 3))),
+            "store_loses": (2, lambda: self.spawn(self.set_store, "answers_to_lose",
+                                                  rng.randint(1, 3), 0)),
+            "store_slow": (2, lambda: self.spawn(self.set_store, "answer_delay_s",
+                                                 rng.uniform(0.05, 0.6), rng.uniform(0.5, 2))),
+            "orders": (3, lambda: self.spawn(self.set_order_faults, rng.uniform(0.05, 0.3),
+                                             rng.uniform(0.5, 3))),
+            "crash": (3, lambda: self.spawn(self.disturb_target, "crash", target,
+                                            rng.uniform(0.2, 3))),
+            "cut_off": (3, lambda: self.spawn(self.disturb_target, "cut_off", target,
+                                              rng.uniform(0.5, 8))),
+        }
+        if self.options.shrink:
+            kinds["resize"] = (3, lambda: self.spawn(self.disturb_target, "resize", target, 0))
+        if self.options.faults:
+            kinds = {kind: kinds[kind] for kind in self.options.faults.split(",")}
+        kind = rng.choices(list(kinds), [weight for weight, _ in kinds.values()])[0]
+        self.note(kind)
+        kinds[kind][1]()
+
+    def roll(self, pause):
+        for name in self.names:
+            self.terminate(name, pause)
+
+    def watch_processes(self):
+        while not self.stopping.is_set():
+            for name in self.names:
+                with self.lock:
+                    code = None if name in self.down else self.entries.processes[name].poll()
+                if code is not None:
+                    self.problem(f"{name} ended by itself with {code}")
+                    self.kill(name, 0)
+            time.sleep(0.05)
+
+    # The run
+
+    def run(self):
+        self.entries.wait_ready()
+        callers = [threading.Thread(target=self.guard, args=(self.caller, number + 1), daemon=True)
+                   for number in range(self.options.callers)]
+        watcher = threading.Thread(target=self.guard, args=(self.watch_processes,), daemon=True)
+        self.began = time.monotonic()
+        for thread in [*callers, watcher]:
+            thread.start()
+        self.play()
+        self.settling.set()
+        for worker in list(self.workers):
+            worker.join(60)
+        self.settle()
+        self.stopping.set()
+        for thread in [*callers, watcher]:
+            thread.join(10)
+        self.check()
+
+    def play(self):
+        """Inject faults until the time is over."""
+        end = self.began + self.options.seconds
+        while (left := end - time.monotonic()) > 0:
+            # Series with pauses: faults come alone and overlap.
+            wait = self.random.expovariate(self.options.pace) if self.random.random() < 0.8 else 4.0
+            time.sleep(min(left, wait))
+            if time.monotonic() < end:
+                self.inject(self.random)
+
+    def open_jobs(self):
+        return [name for name, job in list(self.jobs.items())
+                if job.accepted and RANK[job.state] < 2]
+
+    def settle(self):
+        self.log("settling")
+        connection = Connection(self, random.Random(0))
+        end = time.monotonic() + SETTLE_S
+        while (left := self.open_jobs()) and time.monotonic() < end:
+            for name in left:
+                self.read_state(connection, name)
+            time.sleep(0.1)
+        for name in self.open_jobs()[:5]:
+            self.problem(f"{name} has not ended: {self.jobs[name].state}\n" +
+                         self.platform.do(lambda n=name: self.fleet.explain(n)))
+
+    def check(self):
+        fleet = self.fleet
+        started = {task.split(".")[0] for task, rows in fleet.starts.items()
+                   if any(how == "started" for _, _, how in rows)}
+        ends = {}
+        for name, job in self.jobs.items():
+            tasks = [f"{name}.0.{number}.{index}"
+                     for number, step in enumerate(job.body["steps"])
+                     for index in range(step["count"])]
+            if job.accepted:
+                ends[job.state] = ends.get(job.state, 0) + 1
+            if job.answers and job.answers <= {429, 503} and name in started:
+                self.problem(f"{name} was refused and ran")
+            if job.state == "completed":
+                missing = [task for task in tasks if task not in fleet.done]
+                gangs = {number for number, step in enumerate(job.body["steps"])
+                         if step.get("gang")}
+                missing = [task for task in missing if int(task.split(".")[2]) not in gangs]
+                if missing:
+                    self.problem(f"{name} is shown as completed without the end of {missing}")
+            if job.state == "cancelled" and not job.cancelled:
+                self.problem(f"{name} is cancelled without cause")
+            if job.state == "failed" and not any(
+                    task in fleet.always_failing or task in fleet.deadly for task in tasks):
+                self.problem(f"{name} failed without cause")
+        for task, count in fleet.deadly_starts.items():
+            if count > 5:
+                self.problem(f"{task} was started {count} times and ended each target")
+        self.problems += [f"target: {text}" for text in fleet.violations]
+        print(f"seed {self.options.seed}: {len(self.jobs)} jobs, ended {ends}, "
+              f"faults and cuts {dict(sorted(self.counts.items()))}", flush=True)
+        assert ends.get("completed", 0) > 0, "no job was completed"
+        assert not self.problems, "\n".join([f"{len(self.problems)} problems", *self.problems[:12]])
+
+
+class Connection:
+    """A caller's connection, used until its entry closes it; then another entry is chosen."""
+
+    def __init__(self, soak, rng):
+        self.soak, self.rng = soak, rng
+        self.entry, self.connection = None, None
+
+    def call(self, method, job, body=None, timeout=4.0):
+        if self.connection is None:
+            # An entry is used for as long as it accepts connections, also while it drains.
+            if self.entry is None or self.rng.random() < 0.2:
+                self.entry = self.rng.choice(self.soak.names)
+            host, port = self.soak.entries.addresses[self.entry]["callers"].split(":")
+            self.connection = http.client.HTTPConnection(host, int(port), timeout=timeout + 1)
+        headers = {"Host": HOST, "Authorization": "Bearer " + KEY,
+                   "Time-Remaining": str(int(timeout * 1000))}
+        sent = time.monotonic()
+        try:
+            self.connection.request(method, PREFIX + job, headers=headers,
+                                    body=None if body is None else json.dumps(body))
+        except OSError:
+            self.drop()
+            return 0, b""
+        sent = time.monotonic()
+        try:
+            response = self.connection.getresponse()
+            answer = response.status, response.read()
+            if response.will_close:
+                self.connection.close()
+                self.connection = None
+            return answer
+        except TimeoutError:
+            self.soak.note("timeout")
+        except (OSError, http.client.HTTPException):
+            self.soak.record_cut(self.entry, sent, f"{method} {job}")
+        self.drop()
+        return 0, b""
+
+    def drop(self):
+        self.connection.close()
+        self.connection, self.entry = None, None
+
+
+def parse_options():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int,
+                        default=int(os.environ.get("VERBENALEVER_SOAK_SEED", "1")))
+    parser.add_argument("--seconds", type=float,
+                        default=float(os.environ.get("VERBENALEVER_SOAK_SECONDS", "60")))
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--targets", type=int, default=8)
+    parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--deadly", action="store_true",
+                        help="some tasks crash each target that starts them")
+    parser.add_argument("--late-after-restart", action="store_true",
+                        help="a target may carry out late what its life before was sent")
+    parser.add_argument("--shrink", action="store_true",
+                        help="the capacity of targets shrinks and grows")
+    parser.add_argument("--faults", default="", help="only these kinds, separated by commas")
+    parser.add_argument("--pace", type=float, default=1.2, help="faults a second")
+    parser.add_argument("--verbose", action="store_true", help="print each fault")
+    return parser.parse_args()
+
+
+def main():
+    soak = Soak(parse_options())
+    try:
+        soak.run()
+        soak.entries.keep_folder = False
+    finally:
+        soak.entries.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
