Start nothing before the operators' configuration is known

Cause: without a configuration there is no queue to ask the advisor for, no team with a limit, no zone that is taken out, and a failed task counts as its last attempt; the workflows loaded meanwhile also keep a priority and an objective of 0. The scheduling pass took the missing definitions for "no restriction".

A coordinator now loads its workflows once it has a configuration; until then calls wait as they do during loading.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -59,7 +59,9 @@
     this->started_at = boot_time();
     this->env.directory.start(
         [this](const std::vector<target_report>& reports) { this->apply_directory(reports); });
-    this->load_page(this->record_prefix(), {});
+    // Without a configuration the queues, limits and zones of what is loaded are not known.
+    if (this->configuration->version != 0)
+        this->load_page(this->record_prefix(), {});
     this->check_timer.start_repeating(check_interval);
     this->cleanup_timer.start_repeating(cleanup_interval);
     this->load_log_timer.start_repeating(load_log_interval);
@@ -67,7 +69,10 @@
 
 void coordinator::apply_configuration(std::shared_ptr<const fleet_configuration> configuration)
 {
+    const bool first = this->configuration->version == 0 && configuration->version != 0;
     this->configuration = std::move(configuration);
+    if (first)
+        this->load_page(this->record_prefix(), {});
     this->request_scheduling_pass();
 }
 
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -139,6 +139,31 @@
     EXPECT_EQ(this->state(second, "placed"), workflow_state::running);
 }
 
+// A process that was elected before it had read the operators' configuration started tasks without
+// the advisor's leave and beyond their team's limit.
+TEST_F(coordinator_recovery_test, a_coordinator_without_a_configuration_starts_nothing)
+{
+    this->configuration->teams[0].limit = {.processors_milli = 2000};
+    this->targets.add("t1", 4000).task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "limited", {this->tasks(4, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("limited"), 2);
+    this->kill(first);
+    const auto configuration =
+        std::exchange(this->configuration, std::make_shared<fleet_configuration>());
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.start_count, 2);
+    second.active_coordinator->apply_configuration(configuration);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.start_count, 2);
+    EXPECT_EQ(this->state(second, "limited"), workflow_state::running);
+    this->targets.end_all("t1", target_view::ending::done);
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.start_count, 4);
+}
+
 // Until a target answers, a successor counts what its predecessor may have started there against
 // the team's limit. Cancelling the workflow in the meantime must not leave it counted for good.
 TEST_F(coordinator_recovery_test, a_workflow_cancelled_during_adoption_frees_its_teams_limit)
