Give up tasks that crash the targets that start them

Cause: a run that goes with its target is in no list of ends, and only listed failures counted as attempts. A task that takes its target down 10 ms after its start was requeued when the target's new life was seen, and started on the next one, every 3.5 s without end, beside other work.

Change: each crash is stored in the progress log by run, with how strongly it implicates the task (crash_history). A suspect starts on a target without other recent starts, which is kept so until it has run for half a second. Two confirmed crashes as a suspect, one of them as the only one, fail the workflow. Nothing is counted for drains, cuts, and targets lost with their zone or the targets of one label; a target that returns after its runs were given up counts when its new life is seen. Builds before read the new values as ends without effect.

Not bounded yet: what many workflows of one queue and team may cost at a time.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -7,6 +7,7 @@
 #include "coordinator/progress_log.h"
 #include "coordinator/record_log.h"
 #include "coordinator/run_length_model.h"
+#include "coordinator/target_loss_log.h"
 #include "coordinator/team_usage_tracker.h"
 #include "coordinator/workflow.h"
 #include "coordinator/zone_silence_detector.h"
@@ -180,6 +181,65 @@
     /// expired; once no target is awaited, remove the placements that earlier coordinators stored.
     void update_adoption();
 
+    // Crashes of targets (coordinator_crashes.cpp).
+    /// A run that was on a target when it crashed.
+    struct implicated_run {
+        task_name task;
+        std::int64_t run = 0;
+        crash_evidence evidence = crash_evidence::bystander;
+    };
+    /// The runs of a life of a target of which it is not known how it ended.
+    struct lost_life {
+        std::int64_t born_ms = 0;
+        milliseconds lost_at{0}; ///< time since boot at which the runs were given up
+        std::vector<implicated_run> runs;
+    };
+    /// @return the started runs of a target, with the evidence against each if it has crashed
+    [[nodiscard]] std::vector<implicated_run> assess_crash(const fleet_target& target) const;
+    /// Keep the evidence against runs that are given up until it is known whether their target has
+    /// crashed or was cut off.
+    void remember_lost_life(const fleet_target& target, const std::vector<implicated_run>& runs);
+    /// Called when a target is seen: when its life is a new one, the life before has crashed.
+    void resolve_lost_life(const std::string& target, std::int64_t born_ms);
+    void record_target_loss(const fleet_target& target);
+    /// @return whether the target was lost together with its zone, or with nearly all targets that
+    /// share a label with it, such as that of their rack
+    [[nodiscard]] bool lost_with_its_group(const std::string& target) const;
+    /// Count the crash of a target against the runs that were on it, unless its group was lost.
+    void count_crash(const std::string& target, const std::vector<implicated_run>& runs);
+    /// Store the crash under one run; fail the workflow when its task causes the crashes.
+    void count_crashed_run(workflow& owner, const implicated_run& implicated,
+                           const std::string& target);
+    /// @return whether the task, or its gang, may crash targets
+    [[nodiscard]] bool is_suspect(const workflow& owner, std::uint32_t step_index,
+                                  std::uint32_t index) const;
+    /// @return whether no run has started on the target shortly before
+    [[nodiscard]] static bool is_quiet(const fleet_target& target, milliseconds now);
+    /// @param may_share whether other runs may have started there shortly before
+    /// @return those that are allowed now, by the number of their runs
+    [[nodiscard]] static std::vector<step_candidate>
+    candidates_for_suspects(const std::vector<step_candidate>& candidates, bool may_share);
+    /// Place waiting suspects of a step that is no gang, each apart from other starts.
+    /// @param candidates those that become isolated are removed
+    /// @return how many of the @p allowed tasks need no other target: suspects that are placed or
+    /// wait, and all tasks of the step while one of them is the only suspect of a crash
+    std::uint32_t place_suspects(workflow& owner, std::uint32_t step_index,
+                                 std::vector<step_candidate>& candidates, std::uint32_t allowed);
+    /// Remove candidates on which a run was started shortly before, unless the gang that may crash
+    /// targets has waited long for others.
+    static void keep_quiet_candidates(workflow_step& step, std::vector<step_candidate>& candidates);
+    /// Count a crash, or keep the evidence until the target is seen, for runs that earlier
+    /// coordinators placed.
+    void count_inherited_crashes(const std::string& target, std::int64_t born_ms,
+                                 const std::vector<placement_entry>& placements,
+                                 bool target_restarted);
+    /// Called when the target has answered a poll.
+    void record_answer(const fleet_target& target);
+    /// Keep a target free of other starts while a suspect starts there.
+    static void isolate(fleet_target& target, bool until_end);
+    /// Called when a start is confirmed.
+    static void update_isolation(fleet_target& target, const placed_run& placed);
+
     // Results of polls (coordinator_polls.cpp).
     void apply_poll_result(fleet_target& target, const target_view& view, milliseconds sent);
     void apply_running_task(fleet_target& target, const target_view::running_task& row);
@@ -342,8 +402,10 @@
     void handle_advice_answer(const std::string& id, std::uint32_t step_index,
                               const advice_question& question, const advice_answer& answer);
     /// Assigns waiting tasks to @p targets and stores the placements; starts are sent after that.
+    /// @param suspects whether to assign tasks that may crash targets, or others; a gang is
+    ///                 assigned whole
     void place_tasks(workflow& owner, std::uint32_t step_index,
-                     const std::vector<fleet_target*>& targets);
+                     const std::vector<fleet_target*>& targets, bool suspects);
     void send_start_order(fleet_target& target, const task_name& task);
     /// Sends a start order that was not answered once more, at once: the order or its answer may be
     /// lost, and urgent work cannot wait for the next poll of the target.
@@ -420,6 +482,8 @@
     std::vector<target_report> latest_reports;         ///< the platform's list as last read
     team_usage_tracker usage_by_team;
     zone_silence_detector silent_zones;
+    target_loss_log target_losses;
+    std::map<std::string, lost_life> lost_lives; ///< by target name
     /// Time since boot at which scheduling of the current step began.
     milliseconds evaluation_time{0};
     int preemptions_left = 0;           ///< steps that may still preempt in this pass
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -26,6 +26,7 @@
 {
     const auto coordinator_alive = this->alive;
     this->silent_zones.record_answer(target.report.availability_zone, boot_time());
+    this->record_answer(target);
     bool any_new_end = false;
     for (const auto& end : view.ended)
         any_new_end = this->apply_run_end(target, end) || any_new_end;
@@ -65,6 +66,7 @@
     if (!placed.started) {
         placed.started = true;
         placed.started_at = boot_time();
+        update_isolation(target, placed);
         // Its start was not confirmed when the workflow ended, so that it was not stopped then.
         const bool workflow_over = placed.owner == nullptr || is_final(placed.owner->state);
         if (workflow_over && !placed.stopping) {
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -160,14 +160,19 @@
         queue != nullptr && queue->needs_advice &&
         (step.open_questions > 0 || this->evaluation_time < step.next_question_at);
     this->release_reservation(step);
-    const step_placer placer(cannot_ask ? this->find_allowed_candidates(owner, step_index, queue)
-                                        : this->find_candidates(owner, step_index, queue),
-                             spec.need);
+    auto candidates = cannot_ask ? this->find_allowed_candidates(owner, step_index, queue)
+                                 : this->find_candidates(owner, step_index, queue);
     std::uint32_t wanted = allowed;
-    if (this->election.is_lease_valid() && !this->chain.stalled()) {
+    const bool may_place = this->election.is_lease_valid() && !this->chain.stalled();
+    if (may_place && spec.gang && this->is_suspect(owner, step_index, 0))
+        keep_quiet_candidates(step, candidates);
+    else if (may_place && !spec.gang)
+        wanted -= this->place_suspects(owner, step_index, candidates, wanted);
+    const step_placer placer(std::move(candidates), spec.need);
+    if (may_place) {
         const auto assigned_targets = placer.place(wanted, spec.gang);
         wanted -= static_cast<std::uint32_t>(assigned_targets.size());
-        this->place_tasks(owner, step_index, assigned_targets);
+        this->place_tasks(owner, step_index, assigned_targets, false);
     }
     if (wanted == 0 || queue == nullptr || cannot_ask)
         return !cannot_ask;
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 void coordinator::place_tasks(workflow& owner, std::uint32_t step_index,
-                              const std::vector<fleet_target*>& assigned)
+                              const std::vector<fleet_target*>& assigned, bool suspects)
 {
     if (assigned.empty())
         return;
@@ -29,10 +29,12 @@
     for (const auto& task : step.tasks)
         gang_run = std::max(gang_run, task.run);
     ++gang_run;
+    const bool suspect_gang = spec.gang && this->is_suspect(owner, step_index, 0);
     std::uint32_t index = 0;
     for (auto* target : assigned) {
         while (index < step.tasks.size() &&
-               step.tasks[index].current_phase != workflow_task::phase::waiting)
+               (step.tasks[index].current_phase != workflow_task::phase::waiting ||
+                (!spec.gang && this->is_suspect(owner, step_index, index) != suspects)))
             ++index;
         if (index == step.tasks.size()) {
             // waiting_count exceeds the number of tasks in phase waiting.
@@ -55,8 +57,16 @@
         this->usage_by_team.add_run(owner.record.team, spec.need, owner.urgent());
         const auto batch = this->placements.add({owner.record.id, 0, step_index, index, task.run,
                                                  target->report.name, target->report.born_ms});
-        target->add_run(name,
-                        {.owner = &owner, .run = task.run, .need = spec.need, .batch = batch});
+        const bool suspect = spec.gang ? suspect_gang : suspects;
+        target->add_run(name, {.owner = &owner,
+                               .run = task.run,
+                               .need = spec.need,
+                               .batch = batch,
+                               .suspect = suspect});
+        if (suspect) {
+            step.suspects_wait_since = milliseconds(0);
+            isolate(*target, task.crashes.crashes_late());
+        }
     }
     if (step.waiting_count == 0)
         this->remove_from_ready(owner, step_index);
@@ -170,6 +180,7 @@
     if (result.how == order_result::outcome::done) {
         placed.started = true;
         placed.started_at = boot_time();
+        update_isolation(target, placed);
         if (!placed.stopping)
             placed.order_confirmed_at = boot_time();
         if (placed.owner != nullptr) {
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -6,6 +6,7 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace verbenalever {
 
@@ -14,6 +15,20 @@
 /// Wait before a page that could not be read is requested again.
 constexpr milliseconds retry_wait{200};
 
+std::optional<crash_evidence> crash_evidence_of(const progress_entry& entry)
+{
+    using ending = progress_entry::ending;
+    if (entry.how == static_cast<int>(ending::crashed_bystander))
+        return crash_evidence::bystander;
+    if (entry.how == static_cast<int>(ending::crashed_unconfirmed))
+        return crash_evidence::unconfirmed;
+    if (entry.how == static_cast<int>(ending::crashed_suspect))
+        return crash_evidence::suspect;
+    if (entry.how == static_cast<int>(ending::crashed_sole_suspect))
+        return crash_evidence::sole_suspect;
+    return std::nullopt;
+}
+
 } // namespace
 
 void coordinator::load_page(const std::string& prefix, const std::string& after)
@@ -147,6 +162,10 @@
         if (std::ranges::find(failed, entry.run) == failed.end())
             failed.push_back(entry.run);
     }
+    if (const auto evidence = crash_evidence_of(entry)) {
+        step.crashes_seen = true;
+        task.crashes.add({.run = entry.run, .evidence = *evidence, .target = {}});
+    }
     if (entry.how != static_cast<int>(progress_entry::ending::done))
         return true;
     // The tasks of a gang end together: the end of one completes all.
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds departed_member_retention{10'000};
 /// Wait before an order without an answer is sent again.
 constexpr milliseconds resend_wait{150};
+/// Reason for the removal of a target that began a new life.
+constexpr std::string_view reborn = "reborn";
 
 bool has_urgent_runs(const fleet_target& target)
 {
@@ -56,7 +58,7 @@
             continue;
         }
         if (found != this->targets.end() && found->second->report.born_ms != report.born_ms)
-            this->remove_target(report.name, "reborn");
+            this->remove_target(report.name, reborn);
         if (const auto known = this->targets.find(report.name); known != this->targets.end()) {
             known->second->in_directory = true;
             if (report.leaving && !known->second->report.leaving)
@@ -76,6 +78,7 @@
     auto added =
         std::make_unique<fleet_target>(report, ++this->last_registration, this->free_targets);
     auto& target = *added;
+    target.added_at = boot_time();
     target.session = std::make_unique<target_session>(
         this->env.loop, this->env.orders,
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
@@ -96,10 +99,13 @@
                         {{"target", target.report.name}, {"tasks", target.tasks.size()}});
                     if (reachable)
                         this->request_scheduling_pass();
-                    else
+                    else {
+                        this->record_target_loss(target);
                         this->silent_zones.record_missed_answer(target.report.availability_zone);
+                    }
                 }});
     this->targets[report.name] = std::move(added);
+    this->resolve_lost_life(report.name, report.born_ms);
     target.session->start_polling();
 }
 
@@ -114,10 +120,16 @@
                          {"reason", reason},
                          {"born_ms", target.report.born_ms},
                          {"tasks", target.tasks.size()}});
+    const auto runs = this->assess_crash(target);
+    if (reason == reborn && !target.report.leaving)
+        this->record_target_loss(target);
+    this->remember_lost_life(target, runs);
     while (!target.tasks.empty()) {
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
     }
+    if (reason == reborn)
+        this->resolve_lost_life(name, target.report.born_ms + 1);
     this->targets.erase(name);
 }
 
@@ -136,7 +148,7 @@
     std::vector<std::pair<std::string, std::string_view>> targets_to_remove;
     for (auto& [name, target] : this->targets) {
         if (target->restarted) {
-            targets_to_remove.emplace_back(name, "reborn");
+            targets_to_remove.emplace_back(name, reborn);
             continue;
         }
         const bool unreachable = !target->session->reachable() || !target->session->polled();
@@ -186,6 +198,7 @@
 
 void coordinator::mark_all_runs_lost(fleet_target& target, std::string_view reason)
 {
+    this->remember_lost_life(target, this->assess_crash(target));
     this->env.log.write(
         "coordinator", "runs_lapsed",
         {{"target", target.report.name},
@@ -206,8 +219,16 @@
     // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
     const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
     std::vector<awaited_placement> expired_entries;
+    struct lost_placements {
+        std::string target;
+        std::int64_t born_ms = 0;
+        std::vector<placement_entry> placements;
+        bool target_restarted = false;
+    };
+    std::vector<lost_placements> lost;
     for (auto& [name, entries] : this->awaited_placements) {
         const auto found = this->targets.find(name);
+        lost_placements lost_here{.target = name};
         std::erase_if(entries, [&](const awaited_placement& entry) {
             const bool target_restarted =
                 found != this->targets.end() &&
@@ -215,10 +236,17 @@
             if (elapsed < limit && !target_restarted)
                 return false;
             expired_entries.push_back(entry);
+            lost_here.born_ms = entry.placement.target_born_ms;
+            lost_here.placements.push_back(entry.placement);
+            lost_here.target_restarted = target_restarted;
             return true;
         });
+        if (!lost_here.placements.empty())
+            lost.push_back(std::move(lost_here));
     }
     std::erase_if(this->awaited_placements, [](const auto& known) { return known.second.empty(); });
+    for (const auto& [target, born_ms, placed, restarted] : lost)
+        this->count_inherited_crashes(target, born_ms, placed, restarted);
     this->resolve_inherited_placements(expired_entries);
     if (!this->awaited_placements.empty() || this->inherited_placement_keys.empty())
         return;
--- /dev/null
+++ b/src/libverbenalever/coordinator/crash_history.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+
+/// How strongly the crash of a target implicates a run that was on it.
+enum class crash_evidence : std::uint8_t {
+    bystander = 0,    ///< other runs were started after it, shortly before the crash
+    unconfirmed = 1,  ///< its start was sent; the target may have been down already
+    suspect = 2,      ///< one of several workflows that may have caused the crash
+    sole_suspect = 3, ///< no other workflow had been started there shortly before
+};
+
+/// The crashes of targets under the runs of one task.
+class crash_history {
+public:
+    struct crash {
+        std::int64_t run = 0;
+        crash_evidence evidence = crash_evidence::bystander;
+        std::string target; ///< empty when an earlier coordinator saw the crash
+    };
+
+    /// Add a crash under a run. A run counts once; the strongest evidence is kept.
+    /// @return whether this changed anything
+    bool add(const crash& added);
+
+    /// @return whether the task must start apart from other starts, so that another crash shows
+    /// whether the task causes it
+    [[nodiscard]] bool is_suspect() const;
+
+    /// @return whether nothing else may start beside the task for as long as it runs: targets
+    /// crashed under it repeatedly, but not soon after its start
+    [[nodiscard]] bool crashes_late() const;
+
+    /// @return whether a crash had the task as its only suspect
+    [[nodiscard]] bool is_prime_suspect() const;
+
+    /// @return whether the task causes the crashes, as far as can be known
+    [[nodiscard]] bool is_culprit() const;
+
+    /// @return all crashes, by run
+    [[nodiscard]] const std::vector<crash>& crashes() const
+    {
+        return this->entries;
+    }
+
+private:
+    [[nodiscard]] std::size_t count(crash_evidence at_least) const;
+
+    std::vector<crash> entries; ///< sorted by run
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/fleet_target.cpp
+++ b/src/libverbenalever/coordinator/fleet_target.cpp
@@ -56,6 +56,8 @@
     if (found == this->tasks.end())
         return;
     this->used -= found->second.need;
+    if (found->second.suspect)
+        this->isolated_until = milliseconds(0);
     if (found->second.owner == nullptr)
         --this->runs_of_unknown_size;
     this->tasks.erase(found);
@@ -148,7 +150,7 @@
     return this->in_directory && !this->restarted && !this->report.leaving &&
            this->session->polled() && this->session->reachable() &&
            now >= this->start_backoff_until && now >= this->stall_backoff_until &&
-           !this->quarantined(now);
+           !this->isolated(now) && !this->quarantined(now);
 }
 
 bool fleet_target::quarantined(milliseconds now) const
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -30,6 +30,7 @@
     bool start_repeated = false; ///< sent again at once because the first order was not answered
     bool started = false;        ///< the target has confirmed the start
     bool stopping = false;       ///< a stop was ordered
+    bool suspect = false;        ///< its task may crash targets, see crash_history
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
@@ -109,6 +110,12 @@
     /// @return whether no new work is placed here because of repeated failures without a success
     [[nodiscard]] bool quarantined(milliseconds now) const;
 
+    /// @return whether nothing else starts here, so that a crash would show its cause
+    [[nodiscard]] bool isolated(milliseconds now) const
+    {
+        return now < this->isolated_until;
+    }
+
     /// @return whether new work may be placed here now
     [[nodiscard]] bool usable(milliseconds now) const;
 
@@ -129,6 +136,8 @@
     resources reserved; ///< for gangs whose tickets are renewed or for which other runs stop
     /// gang_order() of each gang whose unanswered question to the advisor names this target.
     std::multiset<int> gang_claims;
+    milliseconds added_at{0};            ///< time since boot
+    milliseconds isolated_until{0};      ///< time since boot; set while a suspect starts here
     milliseconds start_backoff_until{0}; ///< time since boot; set when the target refuses a start
     std::uint32_t runs_of_unknown_size = 0; ///< runs whose needed resources are not known
 
--- a/src/libverbenalever/coordinator/progress_entry.h
+++ b/src/libverbenalever/coordinator/progress_entry.h
@@ -9,7 +9,16 @@
 
 /// The result of one ended run, as stored.
 struct progress_entry {
-    enum class ending : int { done = 0, failed = 1, other = 2 };
+    enum class ending : int {
+        done = 0,
+        failed = 1,
+        other = 2, ///< unknown values, which later builds may store, are treated like this one
+        // The run went with its target; see crash_evidence.
+        crashed_bystander = 3,
+        crashed_unconfirmed = 4,
+        crashed_suspect = 5,
+        crashed_sole_suspect = 6,
+    };
 
     std::string workflow;
     std::uint32_t step = 0;
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -199,6 +199,8 @@
         return;
     }
     this->apply_clock(result);
+    if (result.how != order_result::outcome::target_restarted)
+        this->answered_at = boot_time();
     const bool back = this->missed_answers > 0;
     this->missed_answers = 0;
     const auto session_alive = this->alive;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -91,6 +91,12 @@
         return this->missed_answers == 0;
     }
 
+    /// @return time since boot of this life's last answer
+    [[nodiscard]] milliseconds last_answer_at() const
+    {
+        return this->answered_at;
+    }
+
     /// @return time since boot at which the leases of all runs on the target have expired unless
     /// they are renewed
     [[nodiscard]] milliseconds lease_expiry() const
@@ -122,8 +128,9 @@
     milliseconds lease;
     callbacks notify;
 
-    std::int64_t clock_ms = 0; ///< the target's clock at clock_at; 0: unknown
-    milliseconds clock_at{0};  ///< time since boot
+    std::int64_t clock_ms = 0;   ///< the target's clock at clock_at; 0: unknown
+    milliseconds clock_at{0};    ///< time since boot
+    milliseconds answered_at{0}; ///< time since boot
     milliseconds lease_expires_at{0};
     std::int64_t acknowledged_up_to = 0;
     bool polling_wanted = false;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordinator/crash_history.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/step_time_tracker.h"
 #include "loop/clock.h"
@@ -29,6 +30,7 @@
     std::int64_t run = 0; ///< number of the current run, or of the last one
     /// Numbers of the failed runs; each counts once, even if its end is listed again.
     std::vector<std::int64_t> failed_runs;
+    crash_history crashes; ///< of targets under its runs
     std::string checkpoint;
     std::int64_t checkpoint_run = 0; ///< run that reported the checkpoint
     fleet_target* target = nullptr;  ///< while phase::placed
@@ -81,6 +83,9 @@
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
     /// Estimated time from the start of the step to the end of the workflow.
     milliseconds time_to_workflow_end{0};
+    bool crashes_seen = false; ///< a target has crashed under a task of the step
+    /// Time since boot since when suspects of crashes wait for a target; 0: none waits.
+    milliseconds suspects_wait_since{0};
     milliseconds next_preemption_at{0}; ///< time since boot before which the step preempts no runs
     step_time_tracker time_tracker;
 };
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -81,6 +81,21 @@
     this->publish_targets();
 }
 
+void fake_targets::crash(const std::string& name, milliseconds downtime)
+{
+    auto& destination = *this->targets.at(name);
+    if (destination.unresponsive)
+        return;
+    ++this->crash_count;
+    destination.running.clear();
+    destination.unresponsive = true;
+    this->answer_polls(name);
+    this->call_later(downtime, [this, name] {
+        this->targets.at(name)->unresponsive = false;
+        this->restart(name);
+    });
+}
+
 bool fake_targets::has_restarted(const target_life& life) const
 {
     return this->targets.at(life.name)->report.born_ms != life.born_ms;
@@ -161,6 +176,9 @@
                           fails ? target_view::ending::failed : target_view::ending::done);
             });
     }
+    if (result.how == order_result::outcome::done && this->crashes_on && this->crashes_on(order))
+        this->call_later(milliseconds(10),
+                         [this, name = life.name] { this->crash(name, this->crash_downtime); });
     if (destination.loses_response && destination.loses_response(order))
         this->call_later(timeout, [done] { done({}); });
     else
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -52,6 +52,10 @@
     /// Restart a target: same name, new born_ms, no tasks and no fencing token.
     void restart(const std::string& name);
 
+    /// Crash a target: its tasks are gone, and it does not respond until it is restarted after
+    /// @p downtime.
+    void crash(const std::string& name, milliseconds downtime);
+
     /// End all running tasks of target @p name.
     void end_all(const std::string& name, target_view::ending how);
 
@@ -81,6 +85,10 @@
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
     /// Called for each start order with the target that it is sent to.
     std::function<void(const target&)> on_start_at;
+    /// Selects the start orders that crash their target just after it has started the task.
+    std::function<bool(const start_order&)> crashes_on;
+    milliseconds crash_downtime{600};
+    int crash_count = 0; ///< crashes so far
     /// Search all targets for a second run of each started task; slow on large fleets.
     bool detect_duplicate_runs = true;
     int poll_count = 0;
