Let a task wait until the next life of its target refuses its start

Cause: a target that restarts under its name may execute a start that was meant for its former life: neither the name nor the fence, the term being the same, refuses it. The coordinator took the end of the former life for the end of the run, and started the task elsewhere at once. Ruled out: queues with advice on the users' platform, whose tickets end with a life of the target. Change: runs whose start was not confirmed are stopped in the new life, which must confirm that before their tasks wait for a target again; at most for 2.5 s, by when no copy of the start is on its way. Conclusion: closed for starts that were not confirmed.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -190,6 +190,13 @@
     static void collect_unresolved_starts(fleet_target& target);
     /// Keep the unresolved starts of a target that is removed until it returns.
     void keep_unresolved_starts(const fleet_target& target);
+    /// Let the tasks of the unresolved starts of a target that began a new life wait until the new
+    /// life has confirmed that it refuses them, at most for held_task_wait: it may execute them.
+    void hold_tasks_of_unresolved_starts(const std::string& target);
+    /// Let a held task wait for a target again.
+    void release_held_task(const task_name& task, unresolved_start& start);
+    /// Release the held tasks of targets that did not return in time.
+    void release_overdue_tasks(milliseconds now);
     void restore_unresolved_starts(fleet_target& target);
     /// Order the target to stop the unresolved starts, so that it refuses them.
     void stop_unresolved_starts(fleet_target& target);
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -194,5 +194,25 @@
     EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
 }
 
+// A target restarts under its name while a start is unanswered; its next life executes it.
+TEST_F(coordinator_late_orders_test, a_start_that_the_next_life_executes_does_not_run_twice)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->hold_first_start();
+    target.unresponsive = true;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.restart("t1"); // publishes the list too
+    this->run_for(milliseconds(150));
+    target.unresponsive = false;
+    this->deliver_held_start();
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -5,6 +5,8 @@
 #include "coordinator/target_session.h"
 #include "timeline/event_log.h"
 
+#include <utility>
+
 namespace verbenalever {
 
 namespace {
@@ -12,6 +14,9 @@
 /// How long the unresolved starts of a target that does not return are remembered. Orders are
 /// executed seconds late at the most.
 constexpr milliseconds removed_starts_retention{60'000};
+/// Longest wait of a task whose start the next life of its target may execute: longer than the
+/// start and its repetitions may be on their way, also through relays.
+constexpr milliseconds held_task_wait{2500};
 
 } // namespace
 
@@ -19,7 +24,7 @@
 {
     for (const auto& [task, placed] : target.tasks) {
         if (placed.start_sent && !placed.started)
-            target.unresolved_starts[task] = {.run = placed.run};
+            target.unresolved_starts[task] = {.run = placed.run, .need = placed.need};
     }
 }
 
@@ -39,10 +44,68 @@
     if (kept == this->removed_unresolved_starts.end())
         return;
     for (const auto& [task, start] : kept->second.starts)
-        target.unresolved_starts[task] = {.run = start.run};
+        target.unresolved_starts[task] = {
+            .run = start.run, .holds_task = start.holds_task, .need = start.need};
     this->removed_unresolved_starts.erase(kept);
 }
 
+void coordinator::hold_tasks_of_unresolved_starts(const std::string& target)
+{
+    const auto kept = this->removed_unresolved_starts.find(target);
+    if (kept == this->removed_unresolved_starts.end())
+        return;
+    for (auto& [name, start] : kept->second.starts) {
+        auto* owner = this->find_workflow(name.workflow);
+        if (owner == nullptr || is_final(owner->state))
+            continue;
+        auto& step = owner->steps[name.step];
+        auto& task = step.tasks[name.index];
+        if (task.current_phase != workflow_task::phase::waiting || task.run != start.run)
+            continue;
+        task.current_phase = workflow_task::phase::awaiting_target;
+        task.awaited_target_count = 1;
+        --step.waiting_count;
+        start.holds_task = true;
+        this->usage_by_team.add_possible_run(owner->record.team, start.need);
+        // A gang starts only when all its tasks wait.
+        if (step.waiting_count == 0 || owner->record.spec.steps[name.step].gang)
+            this->remove_from_ready(*owner, name.step);
+    }
+}
+
+void coordinator::release_held_task(const task_name& name, unresolved_start& start)
+{
+    auto* owner = this->find_workflow(name.workflow);
+    if (!std::exchange(start.holds_task, false) || owner == nullptr)
+        return;
+    auto& step = owner->steps[name.step];
+    auto& task = step.tasks[name.index];
+    if (task.current_phase != workflow_task::phase::awaiting_target ||
+        --task.awaited_target_count > 0)
+        return;
+    task.current_phase = workflow_task::phase::waiting;
+    ++step.waiting_count;
+    this->usage_by_team.remove_possible_run(owner->record.team, start.need);
+    this->add_ready_steps(*owner);
+    this->request_scheduling_pass();
+}
+
+void coordinator::release_overdue_tasks(milliseconds now)
+{
+    for (auto& [name, kept] : this->removed_unresolved_starts) {
+        for (auto& [task, start] : kept.starts) {
+            if (start.holds_task && kept.removed_at + held_task_wait < now)
+                this->release_held_task(task, start);
+        }
+    }
+    for (auto& [name, target] : this->targets) {
+        for (auto& [task, start] : target->unresolved_starts) {
+            if (start.holds_task && target->added_at + held_task_wait < now)
+                this->release_held_task(task, start);
+        }
+    }
+}
+
 void coordinator::stop_unresolved_starts(fleet_target& target)
 {
     if (target.unresolved_starts.empty() || !target.session->reachable())
@@ -67,6 +130,7 @@
                                      {"index", task.index},
                                      {"run", run},
                                      {"target", target.report.name}});
+                this->release_held_task(task, found->second);
                 target.unresolved_starts.erase(found);
                 if (target.unresolved_starts.empty())
                     this->request_scheduling_pass();
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -157,8 +157,10 @@
         const auto task = target.tasks.begin()->first;
         this->mark_run_lost(target, task, reason);
     }
-    if (reason == reborn)
+    if (reason == reborn) {
+        this->hold_tasks_of_unresolved_starts(name);
         this->resolve_lost_life(name, target.report.born_ms + 1);
+    }
     this->targets.erase(name);
 }
 
@@ -206,6 +208,7 @@
     // The registration of a new life may have been read before the end of the last one was noticed.
     if (!targets_to_remove.empty())
         this->apply_directory(std::vector(this->latest_reports));
+    this->release_overdue_tasks(now);
     this->update_adoption();
     this->usage_by_team.decay_urgent_peaks();
     this->update_fleet_capacity();
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -45,6 +45,8 @@
 struct unresolved_start {
     std::int64_t run = 0;
     bool stop_in_flight = false; ///< a stop order for it was not answered yet
+    bool holds_task = false;     ///< its task must not start again before it is stopped
+    resources need;              ///< of the task
 };
 
 /// An ended run that the target reports until it is acknowledged.
