--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -133,6 +133,13 @@
     }
 
 private:
+    /// How long a coordinator that cannot reach the store renews the leases of tasks: a little
+    /// longer than its own lease, after which another coordinator may have been elected. One task
+    /// lease later nothing that it has started runs any more. It does not resign: while no process
+    /// can reach the store none can be elected, and otherwise its first write or order fails and
+    /// shows the successor.
+    static constexpr milliseconds renewal_grace{1500};
+
     /// Order of the ready steps: priority, rank (see rank_of()), due time of the workflow in
     /// milliseconds since boot, workflow id, step index.
     using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
@@ -168,6 +175,8 @@
     void mark_all_runs_lost(fleet_target& target, std::string_view reason);
     /// @return whether no other coordinator can have been elected yet, as far as is known
     [[nodiscard]] bool may_renew_leases() const;
+
+    // What earlier coordinators placed (coordinator_adoption.cpp).
     /// Called when a target has answered a poll: the tasks that earlier
     /// coordinators placed there no longer wait for that answer.
     void end_wait_for_poll(const std::string& target_name);
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_adoption.cpp
@@ -0,0 +1,98 @@
+// Decides when what earlier coordinators placed on targets can no longer run there.
+
+#include "coordination/commit_chain.h"
+#include "coordinator/coordinator.h"
+#include "timeline/event_log.h"
+
+namespace verbenalever {
+
+void coordinator::update_adoption()
+{
+    if (!this->loaded)
+        return;
+    const auto elapsed = boot_time() - this->started_at;
+    // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
+    // A target that was restarted is waited for too: until it is polled, and earlier terms are
+    // fenced off, it may execute a start of an earlier term.
+    const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
+    std::vector<awaited_placement> expired_entries;
+    struct lost_placements {
+        std::string target;
+        std::int64_t born_ms = 0;
+        std::vector<placement_entry> placements;
+        bool target_restarted = false;
+    };
+    std::vector<lost_placements> lost;
+    for (auto& [name, entries] : this->awaited_placements) {
+        const auto found = this->targets.find(name);
+        lost_placements lost_here{.target = name};
+        std::erase_if(entries, [&](const awaited_placement& entry) {
+            if (elapsed < limit)
+                return false;
+            expired_entries.push_back(entry);
+            lost_here.born_ms = entry.placement.target_born_ms;
+            lost_here.placements.push_back(entry.placement);
+            lost_here.target_restarted =
+                found != this->targets.end() &&
+                found->second->report.born_ms > entry.placement.target_born_ms;
+            return true;
+        });
+        if (!lost_here.placements.empty())
+            lost.push_back(std::move(lost_here));
+    }
+    std::erase_if(this->awaited_placements, [](const auto& known) { return known.second.empty(); });
+    for (const auto& [target, born_ms, placed, restarted] : lost)
+        this->count_inherited_crashes(target, born_ms, placed, restarted);
+    this->resolve_inherited_placements(expired_entries);
+    if (!this->awaited_placements.empty() || this->inherited_placement_keys.empty())
+        return;
+    this->env.log.write("coordinator", "adopted", {{"ms", elapsed.count()}, {"term", this->term}});
+    // The runs that were adopted are in this term's log by now.
+    for (const auto& key : this->inherited_placement_keys) {
+        this->chain.put(key, [] { return std::nullopt; }, false, {});
+    }
+    this->inherited_placement_keys.clear();
+}
+
+void coordinator::end_wait_for_poll(const std::string& target_name)
+{
+    const auto found = this->awaited_placements.find(target_name);
+    if (found == this->awaited_placements.end())
+        return;
+    const auto entries = std::move(found->second);
+    this->awaited_placements.erase(found);
+    const auto born_ms = this->targets.at(target_name)->report.born_ms;
+    std::vector<placement_entry> in_former_life;
+    for (const auto& [placement, need] : entries) {
+        if (placement.target_born_ms < born_ms)
+            in_former_life.push_back(placement);
+    }
+    if (!in_former_life.empty())
+        this->count_inherited_crashes(target_name, in_former_life.front().target_born_ms,
+                                      in_former_life, true);
+    this->resolve_inherited_placements(entries);
+}
+
+void coordinator::resolve_inherited_placements(const std::vector<awaited_placement>& entries)
+{
+    if (entries.empty())
+        return;
+    for (const auto& [placement, need] : entries) {
+        auto* owner = this->find_workflow(placement.workflow);
+        if (owner == nullptr)
+            continue;
+        auto& step = owner->steps[placement.step];
+        auto& task = step.tasks[placement.index];
+        if (task.current_phase != workflow_task::phase::awaiting_target ||
+            --task.awaited_target_count > 0)
+            continue;
+        task.current_phase = workflow_task::phase::waiting;
+        ++step.waiting_count;
+        // Also when the workflow has been cancelled or has failed since.
+        this->usage_by_team.remove_possible_run(owner->record.team, need);
+        this->add_ready_steps(*owner);
+    }
+    this->request_scheduling_pass();
+}
+
+} // namespace verbenalever
