Fit the case of odd entries to the stand-in's targets, which have start times of their own

The case grants all targets through the policy, so that the stand-in checks grants as elsewhere. Conclusion: closed.

--- a/testsuite/platform-odd-entries/run.py
+++ b/testsuite/platform-odd-entries/run.py
@@ -57,9 +57,8 @@
 class GrantingFleet(Fleet):
     """Its advisor grants each target, so that which targets are used depends on their entries only."""
 
-    async def advise(self, body):
-        granted = [[worker, f"{worker}:{body['step']}"] for worker in body["workers"]]
-        return 200, {"granted": granted, "validMs": 2000}
+    def policy_allows(self, job, target):
+        return True
 
 
 class CountedTarget(Target):
@@ -94,7 +93,7 @@
     platform = Platform(GrantingFleet(work_s=0.3))
     fleet, store, trap = platform.fleet, platform.fleet.store, Trap()
     address = platform.run(platform._serve(lambda m, p, q, b: trap.handle(p)))
-    odd, possible = odd_values(address, fleet.born)
+    odd, possible = odd_values(address, fleet.targets["i-0"].born)
     later = json.dumps({**json.loads(possible), "born": LARGE}).encode()
     for number, value in enumerate(odd):
         platform.do(lambda k=f"servers/a-{number}", v=value: store.put(k, v))
