Do not take the answer of a target's next life for a start in the former one

Cause: a target restarted unnoticed; its next life executed and confirmed a start, since the answer to a start does not name a life. The run counted as confirmed, so that it was neither stopped nor held when the restart was noticed, and started elsewhere at once. Evidence: the log of that run: start at 5328.5, target_answers 5328.74 (the next life), target_dropped "reborn" 5329.79, second run until 5330.41. a_start_that_the_next_life_confirms_does_not_run_twice failed before ("runs on two targets") and passes now. Ruled out: an acknowledgement of the former life (the end was of the new one). Change: only a run that a poll has shown, which names the life, counts as confirmed there.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -194,8 +194,8 @@
     void update_adoption();
 
     // Starts that may be executed late (coordinator_late_starts.cpp).
-    /// Remember the starts on the target that were sent and not confirmed, before their runs are
-    /// given up.
+    /// Remember the starts on the target that were sent and that no poll has shown, before their
+    /// runs are given up.
     static void collect_unresolved_starts(fleet_target& target);
     /// Keep the unresolved starts of a target that is removed until it returns.
     void keep_unresolved_starts(const fleet_target& target);
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -214,5 +214,27 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// A target restarts unnoticed; its next life executes and confirms a start, which must not run
+// twice when the restart is noticed.
+TEST_F(coordinator_late_orders_test, a_start_that_the_next_life_confirms_does_not_run_twice)
+{
+    this->targets.add("t1", 1000).task_duration = milliseconds(0);
+    this->targets.executes_starts_for_former_lives = true;
+    auto& first = this->elect("vm-1");
+    this->targets.listed_born_ms["t1"] = 1;
+    this->targets.restart("t1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.publish_targets();
+    this->run_for(milliseconds(300)); // a poll shows the restart, and the former life is dropped
+    this->targets.listed_born_ms.clear();
+    this->targets.publish_targets();
+    this->run_for(milliseconds(500));
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -23,7 +23,8 @@
 void coordinator::collect_unresolved_starts(fleet_target& target)
 {
     for (const auto& [task, placed] : target.tasks) {
-        if (placed.start_sent && !placed.started)
+        // The next life of the target may have answered the start.
+        if (placed.start_sent && !placed.listed)
             target.unresolved_starts[task] = {.run = placed.run, .need = placed.need};
     }
 }
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -65,6 +65,7 @@
             this->stop_run(target, reported.task, reported.run);
         return;
     }
+    placed.listed = true;
     if (!placed.started) {
         placed.started = true;
         placed.started_at = boot_time();
@@ -125,6 +126,7 @@
     placed_run placed{.run = reported.run,
                       .start_sent = true,
                       .started = true,
+                      .listed = true,
                       .order_confirmed_at = boot_time(),
                       .last_order_at = boot_time(),
                       .started_at = boot_time(),
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -29,6 +29,7 @@
     bool start_sent = false;     ///< by this coordinator or an earlier one
     bool start_repeated = false; ///< sent again at once because the first order was not answered
     bool started = false;        ///< the target has confirmed the start
+    bool listed = false;         ///< a poll has shown it in this life of the target
     bool stopping = false;       ///< a stop was ordered
     bool suspect = false;        ///< its task may crash targets, see crash_history
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -180,7 +180,7 @@
         return;
     }
     order_result result{.how = order_result::outcome::done, .clock_ms = boot_time().count()};
-    if (this->has_restarted(life))
+    if (this->has_restarted(life) && !this->executes_starts_for_former_lives)
         result.how = order_result::outcome::target_restarted;
     else if (authority.fencing_token < destination.highest_fencing_token)
         result.how = order_result::outcome::fenced;
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -100,6 +100,7 @@
     std::map<std::string, resources> need_by_workflow; ///< of one task, for the capacity check
     milliseconds capacity_allowance{0}; ///< time that a capacity counts after a newer one is listed
     std::vector<std::string> violations;
+    bool executes_starts_for_former_lives = false; ///< as a target does that knows only its name
     std::size_t listed_ends_limit = 0; ///< most ends that one view lists, oldest first; 0: all
     std::function<void(const start_order&)> on_start;               ///< called for each start order
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
