Review case 1: large jobs that come at once stop the whole system

Their records go into one value of the store that is longer than valueBytes. The store rejects the write, and the coordinator repeats it for ever while it renews its lease. Ten ordinary jobs accepted before never go on: LOST.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -15,6 +15,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -32,6 +33,7 @@
           "finish_s": 14, "gangMs": 3000}
 HEARTBEAT_S = 1.5
 STORE_ANSWER_S = 0.004
+VALUE_BYTES = 1048576
 SETTLE_S = 4.0
 LOST = object()  # a call is not answered; its connection stays open
 
@@ -157,6 +159,9 @@
             return 400, {}
         if any(put.get("lease", 0) and put["lease"] not in self.leases for put in puts):
             return 404, {}
+        if any(len(base64.b64decode(put["value"])) > VALUE_BYTES for put in puts):
+            self.world.record("value_too_large", daemon=daemon, puts=len(puts))
+            return 400, {}
         if any(key.startswith(("op/", "servers/")) for key in [p["key"] for p in puts] + deletes):
             return 403, {}
         self.revision += 1
@@ -416,7 +421,7 @@
         if self.writer is None:
             name, port = self.daemon.front.rsplit(":", 1)
             self.reader, self.writer = await asyncio.open_connection(name, int(port))
-        raw = json.dumps(body).encode() if body is not None else b""
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode() if body else b""
         self.writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: {host or self.world.host}\r\n"
             f"Authorization: Bearer {key or self.world.key}\r\nTime-Remaining: {left_ms}\r\n"
@@ -552,8 +557,8 @@
 
     async def submit(self, job, steps, daemons=None, tries=5, spec="x"):
         """Submit as a client does: the same id again, at another daemon, until there is an answer."""
-        body = {"spec": spec, "steps": steps}
-        self.jobs[job] = body
+        self.jobs[job] = body = {"spec": spec, "steps": steps}
+        body = json.dumps(body).encode()
         choice = daemons or self.daemons
         for number in range(tries):
             connection = Connection(self, choice[number % len(choice)])
@@ -601,6 +606,7 @@
 
     async def run():
         world = World(case, **shape)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.start()
             breaches = await scenario(world)
@@ -613,7 +619,7 @@
 
     try:
         code, breaches = asyncio.run(asyncio.wait_for(run(), 115))
-    except (Unusable, OSError, asyncio.TimeoutError) as problem:
+    except (Unusable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as problem:
         print(f"the case could not run: {problem!r}", file=sys.stderr)
         sys.exit(UNUSABLE)
     print("\n".join(breaches) or "the rule held")
