--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -237,7 +237,7 @@
     def __init__(self, world, name, zone, rack, cpu, mem_mb):
         self.world, self.name, self.zone, self.rack = world, name, zone, rack
         self.capacity = {"cpu": cpu, "memMb": mem_mb, "gpu": 0}
-        self.state, self.gate, self.up = "ready", Gate(), False
+        self.state, self.gate, self.up, self.kind = "ready", Gate(), False, "a"
         self.seq = 0
 
     async def start(self):
@@ -272,7 +272,7 @@
         self.world.store.put(f"servers/{self.name}", {
             "service": self.world.service, "address": self.address, "zone": self.zone,
             "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
-            "capacity": self.capacity, "labels": ["a", self.rack], "born": self.born,
+            "capacity": self.capacity, "labels": [self.kind, self.rack], "born": self.born,
             "clockMs": self.clock(), "seq": self.seq})
 
     def tick(self):
@@ -613,11 +613,11 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case, scenario, **shape):
+def play(case, scenario, world_class=World, **shape):
     """Run a case; scenario(world) returns a list of breaches, as text."""
 
     async def run():
-        world = World(case, **shape)
+        world = world_class(case, **shape)
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.start()
