Count an answer of a member from the sending of the heartbeat that it answers

Cause: a coordinator that wakes reads heartbeats that have waited in its sockets. member_hub took the time of reading for the time at which the member was there, so that all members counted as connected for 1.05 s, and a coordinator that had been replaced 2.7 s before renewed the leases of its zone. Its successor waits 1.5 s and one lease from its own election, which these leases outlast.

Evidence: a play with logs has leases_not_renewed at 10.0, leases_renewed_again at 10.2 and leases_not_renewed at 11.2 while unconfirmed_ms grows from 4,009 to 5,209; the successor was elected at 7.2. Ruled out: the store's confirmation, by unconfirmed_ms. leases_renewed_again now says who confirmed the term.

Why it works: heartbeats carry the time of their sending and the newest such time received on the connection. A member that answers a heartbeat had not been elected when it was sent; leases are renewed for renewal_grace after that, which a successor waits for. What waits to be read is old by the time in it. The fields are at the end of the message and optional: builds before ignore them, and their own heartbeats prove nothing, so that next to such a member leases are renewed with the store's word only.

--- a/src/libverbenalever/coordination/member_hub.cpp
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -58,7 +58,6 @@
     auto& entry = this->connections.at(number);
     const bool first_greeting = entry.vm.empty();
     entry.vm = greeting->vm;
-    entry.heard_at = boot_time();
     this->members[greeting->vm] = number;
     this->disconnected.erase(greeting->vm);
     if (first_greeting)
@@ -96,13 +95,14 @@
     std::erase_if(this->disconnected, [when](const auto& entry) { return entry.second < when; });
 }
 
-bool member_hub::all_members_connected() const
+bool member_hub::all_members_answered_within(milliseconds span) const
 {
-    // After a pause of this process, connections that have ended meanwhile still look open.
-    const auto silent_since = boot_time() - peer_channel::silence_limit;
+    // After a pause of this process, connections that have ended meanwhile still look open, and
+    // heartbeats that were sent before they ended are still unread.
+    const auto earliest = boot_time() - span;
     return this->disconnected.empty() && !this->members.empty() &&
            std::ranges::all_of(this->members, [&](const auto& member) {
-               return this->connections.at(member.second).heard_at >= silent_since;
+               return this->connections.at(member.second).channel->answered_at() >= earliest;
            });
 }
 
--- a/src/libverbenalever/coordination/member_hub.h
+++ b/src/libverbenalever/coordination/member_hub.h
@@ -50,10 +50,10 @@
     /// Stop counting VMs that disconnected before @p when (time since boot) as disconnected.
     void forget_disconnected(milliseconds when);
 
-    /// @return whether at least one member is connected, all of them have been heard within
-    /// peer_channel::silence_limit, and no VM is disconnected, other than those removed by
+    /// @return whether at least one member is connected, each has answered a heartbeat that was
+    /// sent to it within @p span, and no VM is disconnected, other than those removed by
     /// forget_disconnected()
-    [[nodiscard]] bool all_members_connected() const;
+    [[nodiscard]] bool all_members_answered_within(milliseconds span) const;
 
     [[nodiscard]] std::size_t size() const
     {
@@ -66,8 +66,7 @@
 private:
     struct connection {
         std::unique_ptr<peer_channel> channel;
-        std::string vm;           ///< empty until its first greeting
-        milliseconds heard_at{0}; ///< time since boot of the last greeting
+        std::string vm; ///< empty until its first greeting
     };
 
     void accept(std::unique_ptr<frame_connection> new_connection);
--- a/src/libverbenalever/coordination/peer_channel.cpp
+++ b/src/libverbenalever/coordination/peer_channel.cpp
@@ -3,6 +3,8 @@
 #include "membership/message_codec.h"
 #include "wire/frame_connection.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
@@ -25,7 +27,7 @@
                                        this->close_channel();
                                    });
     this->heartbeat_timer.start_repeating(heartbeat_interval);
-    this->send_notification(peer_topic::heartbeat, {});
+    this->send_heartbeat();
 }
 
 peer_channel::~peer_channel()
@@ -58,6 +60,15 @@
                 std::move(payload)});
 }
 
+void peer_channel::send_heartbeat()
+{
+    this->send({.kind = static_cast<int>(peer_message::form::notification),
+                .topic = static_cast<int>(peer_topic::heartbeat),
+                .payload = this->heartbeat_payload ? this->heartbeat_payload() : std::string(),
+                .sent_ms = boot_time().count(),
+                .echoed_ms = this->peer_sent_ms});
+}
+
 std::size_t peer_channel::unsent() const
 {
     return this->connection->unsent();
@@ -85,6 +96,10 @@
         }
         return;
     }
+    this->peer_sent_ms = std::max(this->peer_sent_ms, message->sent_ms);
+    // A time that this process has not reached yet was not sent by it.
+    if (const milliseconds echoed(message->echoed_ms); echoed.count() > 0 && echoed <= boot_time())
+        this->newest_answered = std::max(this->newest_answered, echoed);
     const auto topic = static_cast<peer_topic>(message->topic);
     if (message->kind == static_cast<int>(peer_message::form::notification)) {
         this->on_message(topic, message->payload, {});
@@ -115,8 +130,7 @@
         this->close_channel();
         return;
     }
-    this->send_notification(peer_topic::heartbeat,
-                            this->heartbeat_payload ? this->heartbeat_payload() : std::string());
+    this->send_heartbeat();
 }
 
 void peer_channel::expire_calls()
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -63,6 +63,14 @@
         return this->peer_heard;
     }
 
+    /// @return time since boot at which the newest heartbeat was sent that the peer has answered.
+    /// Unlike the time at which a message is read, it does not depend on how long the answer waited
+    /// to be read. milliseconds::min(): none was answered, or the peer's build does not answer them
+    [[nodiscard]] milliseconds answered_at() const
+    {
+        return this->newest_answered;
+    }
+
     /// @return whether the peer, its host or an error closed the connection, rather than this
     /// object because nothing was received for silence_limit
     [[nodiscard]] bool closed_by_peer() const
@@ -80,6 +88,7 @@
     };
 
     void send(const peer_message& message);
+    void send_heartbeat();
     void receive(std::string_view frame);
     void send_reply(std::uint64_t call, int topic, std::string payload);
     void on_heartbeat_timer();
@@ -95,6 +104,8 @@
     monotonic_time last_heartbeat_tick;
     /// Set after a stall of this process, in which it could not receive.
     monotonic_time silence_ignored_until;
+    milliseconds newest_answered = milliseconds::min(); ///< see answered_at()
+    std::int64_t peer_sent_ms = 0;                      ///< greatest peer_message::sent_ms received
     std::uint64_t last_call = 0;
     std::map<std::uint64_t, open_call> calls;
     bool peer_heard = false;
--- a/src/libverbenalever/coordination/peer_message.h
+++ b/src/libverbenalever/coordination/peer_message.h
@@ -30,8 +30,13 @@
     std::uint64_t call = 0; ///< number of the call, also in its reply; 0 in notifications
     int topic = 0;          ///< a peer_topic
     std::string payload;
+    /// In a heartbeat: when it was sent, in milliseconds on a clock of the sender; 0 in other
+    /// messages and from builds without this field.
+    std::int64_t sent_ms = 0;
+    /// In a heartbeat: the greatest sent_ms that the sender has received on this connection.
+    std::int64_t echoed_ms = 0;
 
-    MSGPACK_DEFINE(kind, call, topic, payload)
+    MSGPACK_DEFINE(kind, call, topic, payload, sent_ms, echoed_ms)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -82,9 +82,10 @@
         milliseconds task_lease{0}; ///< a task stops when its lease was not renewed this long
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0}; ///< how long records of ended workflows stay in the store
-        /// @return whether every recently seen member is still connected to this process, so that
-        /// none of them can have been elected instead
-        std::function<bool()> all_members_connected;
+        /// @return whether every recently seen member is connected to this process and has
+        /// answered a heartbeat that was sent to it within the given time, so that none of them had
+        /// been elected instead before that
+        std::function<bool(milliseconds)> all_members_answered_within;
         /// Stop counting members whose connection closed before this time since boot as
         /// disconnected.
         std::function<void(milliseconds)> forget_departed_members;
@@ -173,6 +174,8 @@
     void check_targets();
     /// Mark all runs of a target whose lease has expired as lost.
     void mark_all_runs_lost(fleet_target& target, std::string_view reason);
+    /// @return whether the store has confirmed this term within renewal_grace
+    [[nodiscard]] bool confirmed_by_store() const;
     /// @return whether no other coordinator can have been elected yet, as far as is known
     [[nodiscard]] bool may_renew_leases() const;
 
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -164,9 +164,10 @@
     const auto now = boot_time();
     if (const bool renewing = this->may_renew_leases(); renewing != this->renewing_leases) {
         this->renewing_leases = renewing;
-        this->env.log.write("coordinator", renewing ? "leases_renewed_again" : "leases_not_renewed",
-                            {{"reason", "store"},
-                             {"unconfirmed_ms", this->election.time_since_confirmed().count()}});
+        this->env.log.write(
+            "coordinator", renewing ? "leases_renewed_again" : "leases_not_renewed",
+            {{"reason", renewing && !this->confirmed_by_store() ? "members" : "store"},
+             {"unconfirmed_ms", this->election.time_since_confirmed().count()}});
     }
     if (const bool recent = this->list_is_recent(); recent != this->list_was_recent) {
         this->list_was_recent = recent;
@@ -229,11 +230,17 @@
     return boot_time() - this->env.directory.up_to_date_at() <= max_list_age;
 }
 
+bool coordinator::confirmed_by_store() const
+{
+    return this->election.time_since_confirmed() < renewal_grace;
+}
+
 bool coordinator::may_renew_leases() const
 {
-    // While every member is connected here, none of them has been elected.
-    return this->election.time_since_confirmed() < renewal_grace ||
-           (this->env.all_members_connected && this->env.all_members_connected());
+    // A member that answers a heartbeat had not been elected when the heartbeat was sent. A
+    // successor waits for leases that were renewed until renewal_grace after its election.
+    return this->confirmed_by_store() || (this->env.all_members_answered_within &&
+                                          this->env.all_members_answered_within(renewal_grace));
 }
 
 void coordinator::mark_all_runs_lost(fleet_target& target, std::string_view reason)
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -255,7 +255,8 @@
             .task_lease = this->own_settings.task_lease,
             .longest_task_lease = this->own_settings.longest_task_lease,
             .ended_retention = this->own_settings.ended_retention,
-            .all_members_connected = [this] { return this->hub.all_members_connected(); },
+            .all_members_answered_within =
+                [this](milliseconds span) { return this->hub.all_members_answered_within(span); },
             .forget_departed_members =
                 [this](milliseconds when) { this->hub.forget_disconnected(when); },
             .on_fleet_size = [this](std::size_t targets) { this->orders.set_fleet_size(targets); }},
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -33,20 +33,20 @@
 void coordinating_process::start_coordinator(std::int64_t term, commit_chain& chain)
 {
     this->active_coordinator = std::make_unique<coordinator>(
-        coordinator::environment{
-            .loop = this->loop,
-            .store = this->store,
-            .orders = this->targets,
-            .directory = this->directory,
-            .log = this->log,
-            .metrics = this->metrics,
-            .prefix = "v/",
-            .task_lease = this->task_lease,
-            .longest_task_lease = this->task_lease,
-            .ended_retention = milliseconds(60'000),
-            .all_members_connected = [this] { return this->all_members_connected; },
-            .forget_departed_members = [](milliseconds) {},
-            .on_fleet_size = [](std::size_t) {}},
+        coordinator::environment{.loop = this->loop,
+                                 .store = this->store,
+                                 .orders = this->targets,
+                                 .directory = this->directory,
+                                 .log = this->log,
+                                 .metrics = this->metrics,
+                                 .prefix = "v/",
+                                 .task_lease = this->task_lease,
+                                 .longest_task_lease = this->task_lease,
+                                 .ended_retention = milliseconds(60'000),
+                                 .all_members_answered_within =
+                                     [this](milliseconds) { return this->all_members_connected; },
+                                 .forget_departed_members = [](milliseconds) {},
+                                 .on_fleet_size = [](std::size_t) {}},
         this->election, chain, term, this->configuration);
     if (this->before_start)
         this->before_start(*this->active_coordinator);
