Do not refuse a submission of which an earlier record may be stored

Cause: a workflow that is cancelled while its first record is on its way has two records. refuse_unsent_submissions() withdraws the second, the end, from the unsent batch, takes the workflow for one that was never sent, and forgets it. The chain sends the first one again until the store has it.

Tests before: a_submission_cancelled_while_it_is_stored_is_not_refused, outcome refused where none may be known, and the successor has the workflow as open; a_submission_stored_after_its_coordinator_is_gone_was_not_refused; an_end_is_not_withdrawn_while_an_earlier_record_may_be_stored. Ruled out: a transaction that is stored after a rejection; none was rejected.

Why it works: record_log counts the records of a workflow that were sent and not confirmed, and withdraws a workflow only if there is none and none is stored. A submission that may be stored stays known. Cancels that wait for a submission that is refused get "unknown", and their entry asks again.

--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -130,6 +130,7 @@
     for (const auto& id : refused) {
         auto& candidate = *this->find_workflow(id);
         const auto waiters = candidate.replies_after_record_stored;
+        const auto cancels = candidate.replies_after_end_stored;
         // Its tasks may have been placed, but no start is sent before the record is stored.
         this->stop_workflow(candidate);
         for (auto& step : candidate.steps)
@@ -139,6 +140,9 @@
         this->workflows.erase(id);
         for (const auto number : waiters)
             this->send_reply(number, call_outcome::refused);
+        // Whether another attempt of the submission was accepted elsewhere is not known here.
+        for (const auto number : cancels)
+            this->send_reply(number, call_outcome::unknown);
     }
 }
 
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -302,6 +302,60 @@
     EXPECT_EQ(this->targets.start_count, 1);
 }
 
+// A submission was answered as refused and a successor ran it: its caller had cancelled it while
+// its record was on the way to the store, and the record of the cancel was taken for its only one.
+TEST_F(coordinator_recovery_test, a_submission_cancelled_while_it_is_stored_is_not_refused)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    first.all_members_connected = true;
+    this->submit(first, "earlier", {this->tasks(1, 1)});
+    this->run_for(milliseconds(300));
+    this->store.down = true;
+    this->submit(first, "other", {this->tasks(1, 1)});
+    this->submit(first, "cancelled", {this->tasks(2, 1)});
+    this->run_for(milliseconds(300));
+    bool cancel_acknowledged = false;
+    first.active_coordinator->cancel("cancelled", [&](call_outcome outcome) {
+        cancel_acknowledged = outcome == call_outcome::accepted;
+    });
+    this->run_for(milliseconds(1000));
+    EXPECT_FALSE(this->outcomes.contains("cancelled"));
+    EXPECT_FALSE(cancel_acknowledged);
+    this->store.down = false;
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->outcomes["cancelled"], call_outcome::accepted);
+    EXPECT_TRUE(cancel_acknowledged);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->state(second, "cancelled"), workflow_state::cancelled);
+    EXPECT_EQ(this->state(second, "other"), workflow_state::completed);
+    EXPECT_EQ(this->targets.start_count, 2);
+}
+
+// The same, when the coordinator is replaced before the store is back.
+TEST_F(coordinator_recovery_test, a_submission_stored_after_its_coordinator_is_gone_was_not_refused)
+{
+    this->targets.add("t1", 8000);
+    auto& first = this->elect("vm-1");
+    first.all_members_connected = true;
+    this->store.transactions_to_delay = 100;
+    this->submit(first, "other", {this->tasks(1, 1)});
+    this->submit(first, "cancelled", {this->tasks(2, 1)});
+    this->run_for(milliseconds(300));
+    first.active_coordinator->cancel("cancelled", [](call_outcome) {});
+    this->run_for(milliseconds(1000));
+    const bool refused = this->outcomes.contains("cancelled") &&
+                         this->outcomes["cancelled"] == call_outcome::refused;
+    this->store.transactions_to_delay = 0;
+    this->store.apply_delayed_transactions();
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(500));
+    EXPECT_FALSE(refused && this->targets.start_count > 1);
+}
+
 // A reservation on a target that was restarted since must not be released on the restarted target,
 // which holds none: the target would count as having more free resources than it has.
 TEST_F(coordinator_recovery_test, a_reservation_is_not_released_on_a_target_restarted_since)
--- a/src/libverbenalever/coordinator/record_log.cpp
+++ b/src/libverbenalever/coordinator/record_log.cpp
@@ -54,8 +54,10 @@
     std::vector<workflow_record> records;
     for (const auto& [id, callbacks] : from.unstored) {
         this->unsent.erase(id);
-        if (const auto* record = this->record_of(id))
+        if (const auto* record = this->record_of(id)) {
             records.push_back(*record);
+            ++this->unconfirmed[id];
+        }
     }
     return pack_message(records);
 }
@@ -76,7 +78,8 @@
 bool record_log::withdraw(const std::string& id)
 {
     const auto found = this->unsent.find(id);
-    if (found == this->unsent.end())
+    if (found == this->unsent.end() || this->unconfirmed.contains(id) ||
+        this->locations.contains(id))
         return false;
     found->second->unstored.erase(id);
     this->unsent.erase(found);
@@ -89,6 +92,9 @@
     // One more than the records, so that the key is not deleted before all are counted.
     written->current_records = 1;
     for (const auto& [id, callbacks] : stored) {
+        if (const auto sent = this->unconfirmed.find(id);
+            sent != this->unconfirmed.end() && --sent->second == 0)
+            this->unconfirmed.erase(sent);
         if (this->record_of(id) != nullptr)
             this->move_record(id, written);
     }
--- a/src/libverbenalever/coordinator/record_log.h
+++ b/src/libverbenalever/coordinator/record_log.h
@@ -41,8 +41,9 @@
     /// @param stored called when it is in the store; may be empty
     void store(const std::string& id, callback stored);
 
-    /// Remove a workflow from a batch that was not sent yet.
-    /// @return false when no unsent batch contains it
+    /// Remove a workflow of which no record was ever sent from its batch.
+    /// @return false when no unsent batch contains it, or when the store may have an earlier record
+    /// of it: one that was sent and not confirmed may still be stored
     bool withdraw(const std::string& id);
 
     /// Remove the stored record of an ended workflow. While another key still holds an outdated
@@ -90,6 +91,8 @@
     record_source record_of;
     std::unordered_map<std::string, location> locations; ///< of the stored records, by workflow id
     std::unordered_map<std::string, std::shared_ptr<batch>> unsent; ///< by workflow id
+    /// Number of records of each workflow that were sent and are not confirmed, by workflow id.
+    std::unordered_map<std::string, std::size_t> unconfirmed;
     std::shared_ptr<batch> open_batch; ///< takes records until it is full or sent; null: none
     std::int64_t last_batch_number = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/libverbenalever/coordinator/record_log_test.cpp
+++ b/src/libverbenalever/coordinator/record_log_test.cpp
@@ -115,6 +115,21 @@
     EXPECT_FALSE(this->stored_states().at("w/7-1").contains("a"));
 }
 
+// A submission was refused whose record was stored: only its later record, the end, was withdrawn.
+TEST_F(record_log_test, an_end_is_not_withdrawn_while_an_earlier_record_may_be_stored)
+{
+    this->store.down = true;
+    this->store_record("a");
+    this->run_for(milliseconds(50));
+    this->store_record("a", workflow_state::cancelled);
+    EXPECT_FALSE(this->records->withdraw("a"));
+    this->store.down = false;
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->stored_states().at("w/7-2").at("a"), workflow_state::cancelled);
+    this->store_record("a", workflow_state::cancelled);
+    EXPECT_FALSE(this->records->withdraw("a"));
+}
+
 // The end of "a" must not be removed while an older key says that "a" is still open.
 TEST_F(record_log_test, an_end_outlives_all_outdated_records_of_its_workflow)
 {
