Give back the room kept for a step that is not scheduled any more

Cause: room that is kept for a gang while its tickets are renewed was given back by the next scheduling of its step or by the end of its workflow only. When the end of an earlier run, believed lost, completes the step, it leaves the list of ready steps and is not scheduled again.

Test before: room_for_a_run_that_is_not_needed_any_more_is_given_back, 0 of 6 tasks of the second step run; its load line has 8 of 8 targets usable, no runs, wait_processors 1. Ruled out: silent targets, by that line; the advisor, which answers.

Why it works: whatever takes a step out of the list of ready steps gives its room back, with a line reservation_released. A change of a step's rank moves it within the list now, where it was taken out and put back, so that it keeps its room.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -469,7 +469,10 @@
     void resend_orders(fleet_target& target, milliseconds now);
     /// Adds those steps of the workflow that can be scheduled to ready_steps.
     void add_ready_steps(workflow& owner);
+    /// Removes the step from ready_steps, and releases the capacity that is reserved for it.
     void remove_from_ready(workflow& owner, std::uint32_t step_index);
+    /// Moves a step of ready_steps to the place that its present rank gives it.
+    void update_rank(workflow& owner, std::uint32_t step_index);
 
     // Measurement of how steps spend their time (coordinator_wait_states.cpp).
     /// Record in the step's time_tracker what the step waits for.
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -78,7 +78,8 @@
                         if (is_allowed(name))
                             answer.granted.push_back({name, "ticket"});
                     }
-                    const milliseconds answer_time(300 + std::ssize(question.targets));
+                    const auto answer_time =
+                        this->advisor_time + milliseconds(std::ssize(question.targets));
                     this->timers.push_back(std::make_unique<timer>(
                         this->loop, [answer, done = std::move(done)] { done(answer); }));
                     this->timers.back()->start_once(answer_time);
@@ -91,6 +92,7 @@
     }
 
     static constexpr milliseconds ticket_life{400};
+    milliseconds advisor_time{300}; ///< time to an answer, for a question without targets
     std::vector<asked_question> questions;
     std::vector<std::unique_ptr<timer>> timers;
 };
@@ -250,5 +252,42 @@
     EXPECT_EQ(this->targets.running("gang"), 10);
 }
 
+// A workflow waited for good beside empty targets: room that was kept for the next run of a gang
+// was not given back when an earlier run, believed lost, turned out to be done.
+TEST_F(coordinator_gangs_test, room_for_a_run_that_is_not_needed_any_more_is_given_back)
+{
+    this->add_targets(8, 1);
+    for (auto& [name, target] : this->targets.targets)
+        target->report.availability_zone = "zone of " + name; // no zone counts as cut off
+    this->advisor_time = milliseconds(3000);
+    this->configuration->queues.back().advice_base_ms = 3000;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 6, [](const auto&) { return true; });
+    auto next = this->tasks(6, 1, true);
+    next.after = {0};
+    this->submit(first, "gang", {this->tasks(4, 1, true), next}, "advised");
+    this->run_for(milliseconds(3500));
+    ASSERT_EQ(this->targets.running("gang"), 4);
+    std::vector<std::string> cut;
+    for (const auto& [name, target] : this->targets.targets) {
+        if (target->running.empty())
+            continue;
+        cut.push_back(name);
+        target->unresponsive = true;
+    }
+    // The runs end while their targets are cut off, and the coordinator gives them up.
+    for (const auto& name : cut)
+        this->targets.end_all(name, target_view::ending::done);
+    const auto asked_before = this->questions.size();
+    for (int round = 0; round < 100 && this->questions.size() == asked_before; ++round)
+        this->run_for(milliseconds(50));
+    ASSERT_GT(this->questions.size(), asked_before);
+    for (const auto& name : cut)
+        this->targets.targets.at(name)->unresponsive = false;
+    for (int round = 0; round < 80 && this->targets.running("gang") < 6; ++round)
+        this->run_for(milliseconds(100));
+    EXPECT_EQ(this->targets.running("gang"), 6);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -4,6 +4,7 @@
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
+#include "timeline/event_log.h"
 
 #include <algorithm>
 
@@ -82,6 +83,22 @@
                                 : step_time_tracker::state::idle,
                             boot_time());
     this->ready_steps.erase(this->ready_key_of(owner, step_index));
+    // Nothing else gives the capacity back once the step is not scheduled any more.
+    if (!step.reserved.empty()) {
+        this->env.log.write("coordinator", "reservation_released",
+                            {{"workflow", owner.record.id},
+                             {"step", step_index},
+                             {"targets", step.reserved.size()},
+                             {"reason", "not_ready"}});
+        this->release_reservation(step);
+    }
+}
+
+void coordinator::update_rank(workflow& owner, std::uint32_t step_index)
+{
+    this->ready_steps.erase(this->ready_key_of(owner, step_index));
+    owner.steps[step_index].rank = this->rank_of(owner, step_index);
+    this->ready_steps.insert(this->ready_key_of(owner, step_index));
 }
 
 void coordinator::run_scheduling_pass()
@@ -104,10 +121,8 @@
         steps_left -= this->schedule_step(*owner, step_index) ? 1 : 0;
     }
     for (const auto& [owner, step_index] : reranked) {
-        if (!owner->steps[step_index].in_ready_list)
-            continue;
-        this->remove_from_ready(*owner, step_index);
-        this->add_ready_steps(*owner);
+        if (owner->steps[step_index].in_ready_list)
+            this->update_rank(*owner, step_index);
     }
     const auto now = boot_time();
     this->earliest_next_pass = now + (now - pass_started_at) * pass_pause_factor;
