Keep no room for a gang that the advisor's answer has just placed

What callers saw: nothing so far; capacity that nobody used until the gang's workflow had ended.

Cause: room was kept after the question had been sent. When the answer comes within that call, it schedules the step, and room is then kept for a step that has been placed.

Ruled out: nothing else keeps room.

Why it works: room is kept before the question is sent, and given back when no VM takes it; scheduling the step gives it back first. The same in preempt_for_gang(): a step that one of several answers has placed keeps no room and stops no runs.

--- a/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
@@ -42,7 +42,7 @@
         !this->ask_advisor(owner, step_index, queue, without_duplicates(chosen), true))
         return true;
     // An answer that came within the call has scheduled the step already.
-    if (!tickets_valid && step.open_questions == 0)
+    if (!tickets_valid && (step.open_questions == 0 || !step.in_ready_list))
         return true;
     this->reserve(step, owner.record.spec.steps[step_index].need, chosen);
     for (const auto& plan : plans) {
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -80,6 +80,10 @@
                     }
                     const auto answer_time =
                         this->advisor_time + milliseconds(std::ssize(question.targets));
+                    if (this->answers_within_call) {
+                        done(answer);
+                        return;
+                    }
                     this->timers.push_back(std::make_unique<timer>(
                         this->loop, [answer, done = std::move(done)] { done(answer); }));
                     this->timers.back()->start_once(answer_time);
@@ -92,7 +96,8 @@
     }
 
     static constexpr milliseconds ticket_life{400};
-    milliseconds advisor_time{300}; ///< time to an answer, for a question without targets
+    milliseconds advisor_time{300};   ///< time to an answer, for a question without targets
+    bool answers_within_call = false; ///< the advisor answers before the question has been sent
     std::vector<asked_question> questions;
     std::vector<std::unique_ptr<timer>> timers;
 };
@@ -289,5 +294,29 @@
     EXPECT_EQ(this->targets.running("gang"), 6);
 }
 
+// Room was kept for a step that had just been placed, when the advisor's answer came within the
+// call.
+TEST_F(coordinator_gangs_test, no_room_is_kept_for_a_gang_whose_answer_came_within_the_call)
+{
+    this->add_targets(4, 2);
+    this->answers_within_call = true;
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 6, [](const auto&) { return true; });
+    this->submit(first, "filling", {this->tasks(4, 2)}, "slow");
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("filling"), 4);
+    auto gang = this->tasks(4, 1, true);
+    gang.max_per_target = 1;
+    this->submit(first, "gang", {gang}, "advised");
+    this->run_for(ticket_life + milliseconds(300));
+    for (int number = 0; number < 4; ++number)
+        this->targets.end_all("t" + std::to_string(1000 + number), target_view::ending::done);
+    this->run_for(milliseconds(500));
+    ASSERT_EQ(this->targets.running("gang"), 4);
+    this->submit(first, "other", {this->tasks(4, 1)}, "slow");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("other"), 4);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -203,9 +203,11 @@
         // Targets that were allowed before are reserved while their tickets are renewed.
         if (const auto renewed_targets = placer.place_with_renewal(wanted);
             !renewed_targets.empty()) {
-            if (this->ask_advisor(owner, step_index, *queue, without_duplicates(renewed_targets),
-                                  true))
-                this->reserve(step, spec.need, renewed_targets);
+            // Reserved before the call: an answer that comes within it schedules the step.
+            this->reserve(step, spec.need, renewed_targets);
+            if (!this->ask_advisor(owner, step_index, *queue, without_duplicates(renewed_targets),
+                                   true))
+                this->release_reservation(step);
             return true;
         }
         if (this->preempt_for_gang(owner, step_index, *queue, wanted))
