Give back the room kept for a gang whose team has reached its limit

What callers saw: nothing so far; capacity that other teams could not use while a gang waited for its own team's limit.

Cause: place_or_ask_advisor() passes such a step over before it gives its room back.

Evidence, test before: a_gang_at_the_limit_of_its_team_keeps_no_room, 1 of 3 tasks of another team run. Ruled out: the limit itself, which is of the first team.

Why it works: the room is given back before the step is passed over; it is kept again once the gang may start.

--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -318,5 +318,40 @@
     EXPECT_EQ(this->targets.running("other"), 4);
 }
 
+// A gang that had reached its team's limit kept the room that it could not use.
+TEST_F(coordinator_gangs_test, a_gang_at_the_limit_of_its_team_keeps_no_room)
+{
+    this->configuration->teams.front().limit.processors_milli = 4000;
+    this->configuration->teams.push_back({.name = "others", .keys = {}, .weight = 1, .limit = {}});
+    this->add_targets(4, 2);
+    auto& first = this->elect("vm-1");
+    this->add_advisor(first, 6, [](const auto&) { return true; });
+    const auto submit_for_others = [&](const std::string& id, std::uint32_t count) {
+        const auto spec = this->tasks(count, 2);
+        this->targets.need_by_workflow[id] = spec.need;
+        first.active_coordinator->submit({id, "slow", "others", {.payload = "p", .steps = {spec}}},
+                                         [](call_outcome) {});
+    };
+    submit_for_others("filling", 4);
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("filling"), 4);
+    this->submit(first, "gang", {this->tasks(4, 1, true)}, "advised");
+    this->run_for(milliseconds(304) + ticket_life + milliseconds(100));
+    this->questions.clear();
+    for (int number = 0; number < 4; ++number)
+        this->targets.end_all("t" + std::to_string(1000 + number), target_view::ending::done);
+    for (int round = 0; round < 100 && this->questions.empty(); ++round)
+        this->run_for(milliseconds(5));
+    ASSERT_FALSE(this->questions.empty());
+    // The gang renews its tickets; meanwhile other work of its team takes a part of the limit.
+    this->submit(first, "urgent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(600));
+    ASSERT_EQ(this->targets.running("urgent"), 1);
+    ASSERT_EQ(this->targets.running("gang"), 0);
+    submit_for_others("other", 3);
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("other"), 3);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -164,6 +164,7 @@
         this->usage_by_team.reserve_for_urgent(owner.record.team, spec.need,
                                                step.waiting_count - allowed);
     if (allowed == 0 || (spec.gang && allowed < step.waiting_count)) {
+        this->release_reservation(step);
         this->preempt_for_team_limit(owner, step_index);
         return false;
     }
