Store the cancel of an unknown workflow before answering it

Cause: cancel() answered "no such workflow" (410) for any that this process did not know. A coordinator that was replaced while it was paused does not know what its successor has accepted; a submission that waits at another entry, or is some milliseconds behind, is not known yet either. It was accepted later and ran.

Evidence: the soak now cancels jobs while they are submitted and checks what a cancel promises. Ruled out: lost stops and runs taken over, which would come after a 200 too; none did.

Why it works: the cancel is stored as a cancelled workflow without a queue, and answered then. The fenced write proves that no other process had been elected; a submission that comes later, at this coordinator or a successor, finds the cancel and is accepted as cancelled. 10,000 are kept at most, as long as other ended workflows.

A cancel of an unknown workflow costs a share of one store write, and waits for it.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -16,6 +16,8 @@
 /// A submission whose record would wait longer than this to be stored is refused: its caller waits
 /// three seconds, which must cover the way to this process and back too.
 constexpr milliseconds max_record_wait{1500};
+/// Bounds the memory that callers can use by cancelling workflows that do not exist.
+constexpr std::size_t max_remembered_cancels = 10'000;
 /// How often ended workflows are removed whose retention time is over.
 constexpr milliseconds cleanup_interval{10'000};
 /// How often the load is logged, for finding the cause of long waits.
@@ -88,7 +90,8 @@
             });
         return;
     }
-    if (auto* existing = this->find_workflow(submission.id)) {
+    auto* existing = this->find_workflow(submission.id);
+    if (existing != nullptr && existing->record.submitted()) {
         if (existing->record_stored)
             this->send_reply(reply_id, call_outcome::accepted);
         else
@@ -100,6 +103,10 @@
         this->send_reply(reply_id, call_outcome::refused);
         return;
     }
+    if (existing != nullptr) {
+        this->accept_cancelled(*existing, std::move(submission), *queue, reply_id);
+        return;
+    }
     workflow_record record{.id = std::move(submission.id),
                            .queue = std::move(submission.queue),
                            .pool = queue->pool,
@@ -143,7 +150,7 @@
         return;
     }
     const auto* existing = this->find_workflow(id);
-    if (existing == nullptr) {
+    if (existing == nullptr || !existing->record.submitted()) {
         // While the store has not confirmed this term, a newer coordinator may have accepted it.
         reply(this->election.is_lease_valid() ? call_outcome::not_found : call_outcome::refused,
               workflow_state::queued);
@@ -170,11 +177,18 @@
     }
     auto* existing = this->find_workflow(id);
     if (existing == nullptr) {
-        this->send_reply(reply_id, call_outcome::not_found);
-        return;
+        // Its submission may be on its way, or another coordinator may have accepted it: only a
+        // write to the store shows that this process still coordinates.
+        if (this->remembered_cancels >= max_remembered_cancels) {
+            this->env.metrics.add("cancels_refused");
+            this->send_reply(reply_id, call_outcome::refused);
+            return;
+        }
+        existing = &this->remember_cancel(id);
     }
     if (existing->end_stored) {
-        this->send_reply(reply_id, call_outcome::accepted);
+        this->send_reply(reply_id, existing->record.submitted() ? call_outcome::accepted
+                                                                : call_outcome::not_found);
         return;
     }
     if (!is_final(existing->state)) {
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -108,14 +108,17 @@
     void apply_configuration(std::shared_ptr<const fleet_configuration> configuration);
 
     /// Accepts a workflow and replies once its record is stored. Submitting a known id again
-    /// starts nothing new and gets the reply of the first submission. Before the store has been
-    /// read the call is deferred, as are status() and cancel().
+    /// starts nothing new and gets the reply of the first submission; one that was cancelled before
+    /// its submission arrived is accepted as cancelled. Before the store has been read the call is
+    /// deferred, as are status() and cancel().
     void submit(workflow_submission submission, std::function<void(call_outcome)> reply);
 
     /// Replies with the state of a workflow.
     void status(const std::string& id, std::function<void(call_outcome, workflow_state)> reply);
 
-    /// Ends a workflow, stops its tasks and replies once the end is stored.
+    /// Ends a workflow, stops its tasks and replies once the end is stored. The cancel of an
+    /// unknown workflow is stored too, so that a submission that is still on its way never runs;
+    /// the reply is `not_found` then, or `refused` when too many such cancels are stored.
     void cancel(const std::string& id, std::function<void(call_outcome)> reply);
 
     /// @return number of stored workflows of the queue of which no task has started
@@ -316,6 +319,8 @@
     /// Stop all runs of a step.
     void stop_step(workflow& owner, std::uint32_t step_index);
     void end_workflow(workflow& owner, workflow_state state);
+    /// Called when the store has the end of a workflow.
+    void handle_end_stored(const std::string& id);
     void stop_workflow(workflow& owner);
 
     // Scheduling (coordinator_scheduling.cpp, _candidates.cpp, _advice.cpp, _starts.cpp,
@@ -491,6 +496,12 @@
     /// While the store does not answer, refuse the workflows whose records were not sent to it.
     void refuse_unsent_submissions();
     workflow& add_workflow(workflow_record record);
+    /// Adds an unknown workflow as cancelled and stores it. @return the workflow
+    workflow& remember_cancel(const std::string& id);
+    /// Handles the submission of a workflow that was cancelled before it arrived.
+    /// @param reply_id reply to send once the workflow is stored with its queue
+    void accept_cancelled(workflow& owner, workflow_submission submission,
+                          const queue_definition& queue, std::uint64_t reply_id);
     /// @param done called when the record is stored
     void store_record(workflow& owner, std::function<void()> done);
     /// Delete the records of workflows that ended longer ago than environment::ended_retention.
@@ -555,6 +566,7 @@
     /// Replies not sent yet, by reply id.
     std::map<std::uint64_t, std::function<void(call_outcome)>> pending_replies;
     std::uint64_t last_reply_id = 0;
+    std::size_t remembered_cancels = 0;      ///< workflows that were cancelled and not submitted
     std::uint64_t last_registration = 0;     ///< registration_id of the fleet_target added last
     std::unique_ptr<timer> load_retry_timer; ///< retries a page of records that could not be read
     timer scheduling_timer;
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -114,6 +114,35 @@
     });
 }
 
+workflow& coordinator::remember_cancel(const std::string& id)
+{
+    const auto now = wall_microseconds() / 1000;
+    auto& added = this->add_workflow({.id = id,
+                                      .accepted_ms = now,
+                                      .term = this->term,
+                                      .state = static_cast<int>(workflow_state::cancelled),
+                                      .ended_ms = now});
+    ++this->remembered_cancels;
+    this->env.metrics.add("cancels_before_submission");
+    this->env.log.write("coordinator", "cancel_remembered", {{"workflow", id}});
+    this->store_record(added, [this, id] { this->handle_end_stored(id); });
+    return added;
+}
+
+void coordinator::accept_cancelled(workflow& owner, workflow_submission submission,
+                                   const queue_definition& queue, std::uint64_t reply_id)
+{
+    this->env.log.write("coordinator", "submission_after_cancel",
+                        {{"workflow", owner.record.id}, {"queue", submission.queue}});
+    owner.record.queue = std::move(submission.queue);
+    owner.record.pool = queue.pool;
+    owner.record.team = std::move(submission.team);
+    owner.record_stored = false;
+    owner.replies_after_record_stored.push_back(reply_id);
+    --this->remembered_cancels;
+    this->store_record(owner, [] {});
+}
+
 void coordinator::refuse_unsent_submissions()
 {
     if (!this->chain.stalled())
@@ -156,8 +185,12 @@
             expired.push_back(id);
     }
     for (const auto& id : expired) {
-        if (this->records.try_remove(id))
-            this->workflows.erase(id);
+        if (!this->records.try_remove(id))
+            continue;
+        if (const auto found = this->workflows.find(id); found != this->workflows.end()) {
+            this->remembered_cancels -= found->second->record.submitted() ? 0 : 1;
+            this->workflows.erase(found);
+        }
     }
 }
 
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -304,22 +304,28 @@
     owner.record.spec = {};
     this->env.metrics.add(state == workflow_state::completed ? "workflows_completed"
                                                              : "workflows_not_completed");
-    this->store_record(owner, [this, id = owner.record.id] {
-        auto* stored_workflow = this->find_workflow(id);
-        if (stored_workflow == nullptr)
-            return;
-        stored_workflow->end_stored = true;
+    this->store_record(owner, [this, id = owner.record.id] { this->handle_end_stored(id); });
+}
+
+void coordinator::handle_end_stored(const std::string& id)
+{
+    auto* stored_workflow = this->find_workflow(id);
+    if (stored_workflow == nullptr)
+        return;
+    stored_workflow->end_stored = true;
+    if (stored_workflow->record.submitted())
         this->log_workflow_end(*stored_workflow);
-        this->progress.remove_workflow(id);
-        const auto ends = std::move(stored_workflow->actions_after_end_stored);
-        stored_workflow->actions_after_end_stored.clear();
-        for (const auto& record : ends)
-            record();
-        const auto waiters = std::move(stored_workflow->replies_after_end_stored);
-        stored_workflow->replies_after_end_stored.clear();
-        for (const auto number : waiters)
-            this->send_reply(number, call_outcome::accepted);
-    });
+    this->progress.remove_workflow(id);
+    const auto ends = std::move(stored_workflow->actions_after_end_stored);
+    stored_workflow->actions_after_end_stored.clear();
+    for (const auto& record : ends)
+        record();
+    const auto outcome =
+        stored_workflow->record.submitted() ? call_outcome::accepted : call_outcome::not_found;
+    const auto waiters = std::move(stored_workflow->replies_after_end_stored);
+    stored_workflow->replies_after_end_stored.clear();
+    for (const auto number : waiters)
+        this->send_reply(number, outcome);
 }
 
 void coordinator::stop_workflow(workflow& owner)
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -119,9 +119,11 @@
     std::vector<std::string> outdated;
     for (auto& record : *records_of_key) {
         const auto* known = this->find_workflow(record.id);
-        // An ended workflow never becomes open again, so the record of its end is the newest.
-        const bool newer =
-            known == nullptr || (is_final(record.stored_state()) && !is_final(known->state));
+        // An ended workflow never becomes open again, so the record of its end is the newest. One
+        // that was cancelled before it was submitted got its queue later.
+        const bool newer = known == nullptr ||
+                           (is_final(record.stored_state()) && !is_final(known->state)) ||
+                           (record.submitted() && !known->record.submitted());
         (newer ? current : outdated).push_back(record.id);
         if (!newer)
             continue;
@@ -188,6 +190,7 @@
     this->loaded = true;
     std::size_t unfinished = 0;
     for (auto& [id, entry] : this->workflows) {
+        this->remembered_cancels += entry->record.submitted() ? 0 : 1;
         if (is_final(entry->state))
             continue;
         ++unfinished;
--- a/src/libverbenalever/workflows/workflow_record.h
+++ b/src/libverbenalever/workflows/workflow_record.h
@@ -10,10 +10,11 @@
 
 namespace verbenalever {
 
-/// A workflow as stored. The record of an ended one has no specification.
+/// A workflow as stored. The record of an ended one has no specification. A cancel of a workflow
+/// that is not known is stored as a cancelled workflow without a queue.
 struct workflow_record {
-    std::string id; ///< chosen by the caller
-    std::string queue;
+    std::string id;    ///< chosen by the caller
+    std::string queue; ///< empty: it was cancelled and has not been submitted
     std::string pool;
     std::string team;
     std::int64_t accepted_ms = 0; ///< wall clock of the coordinator, since the Unix epoch
@@ -27,6 +28,11 @@
         return static_cast<workflow_state>(this->state);
     }
 
+    [[nodiscard]] bool submitted() const
+    {
+        return !this->queue.empty();
+    }
+
     MSGPACK_DEFINE(id, queue, pool, team, accepted_ms, term, state, ended_ms, spec)
 };
 
--- a/testsuite/harness/platform_standin.py
+++ b/testsuite/harness/platform_standin.py
@@ -240,6 +240,8 @@
             if body.get("ticket") != f"{self.name}:{step_name}":
                 return 409, {"clockMs": self.clock(), "reason": "ticket"}
         step = self.fleet.check_start(self, task, run)
+        arrived = body.get("arrived", time.monotonic())
+        self.fleet.orders_of_starts.setdefault(task, []).append(arrived)
         self.running[task] = {"run": run, "since": time.monotonic(), "begun": 0,
                               "gang": step.get("gang", False), "cpu": step["cpu"],
                               "work_s": self.fleet.work_time(task)}
@@ -255,6 +257,7 @@
     async def receive(self, path, body):
         """Handle a call as a link with faults passes it on: at once, late, or without an answer."""
         born, faults = self.born, self.fleet.order_faults
+        body["arrived"] = time.monotonic()  # an order may be carried out later
         may_be_late = self.has_listed or self.fleet.late_after_restart
         if faults and may_be_late and self.fleet.random.random() < faults:
             await asyncio.sleep(self.fleet.random.uniform(0.1, 2.0))
@@ -316,6 +319,7 @@
         self.violations, self.done, self.acknowledged, self.jobs = [], {}, set(), {}
         self.targets = {}
         self.verdicts = {}  # step -> {target: granted}, as answered
+        self.orders_of_starts = {}  # task -> times at which the orders of its starts arrived
         self.starts = {}  # task -> [(target, run, "started" or the reason of the refusal)]
         self.store = None
         self.addresses = {}
--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -1,8 +1,9 @@
 """Faults and planned work drawn from a seed, in series and overlapping, around real entry daemons.
 
 Checked from what callers and the stand-ins of the platform see: no task runs twice, no target gets
-more than its capacity, each accepted job ends and its state never goes back, no request that was
-read is cut off around a planned stop, no process ends by itself.
+more than its capacity, each accepted job ends and its state never goes back, nothing of a job
+starts or runs on after its cancel was acknowledged, no request that was read is cut off around a
+planned stop, no process ends by itself.
 """
 
 import argparse
@@ -22,6 +23,7 @@
 LATE_IN_GRACE_S = GRACE_S * 5 / 6  # requests may be cut off after this part of the grace time
 READ_S = 0.5  # a request that was sent this long ago has been read
 CONTACT_S = 5.0  # after an unplanned disruption of an entry its requests may be cut off
+CANCEL_S = 3.0  # nothing of a job may start later than this after its cancel was acknowledged
 SETTLE_S = 60.0  # time for all jobs to end once all faults have ended
 RANK = {"queued": 0, "running": 1, "completed": 2, "failed": 2, "cancelled": 2}
 
@@ -31,6 +33,7 @@
         self.body = body
         self.answers = set()  # statuses of all submissions
         self.cancelled = False  # a cancel was sent
+        self.cancel_answers = []  # (time, status) of each answer that acknowledges a cancel
         self.state, self.state_at = "queued", 0.0
         self.lock = threading.Lock()
 
@@ -81,20 +84,27 @@
 
     # Callers
 
-    def make_job(self, rng, number):
+    def make_job(self, rng, number, lasts):
+        """Draw a job and register it at the stand-ins.
+
+        A job that lasts has further steps, so that what goes on after its cancel shows."""
         job = f"{number:016x}"
         first = {"count": rng.randint(1, 3), "cpu": rng.choice([500, 1000, 2000]), "memMb": 100,
                  "estimatedMs": 300, "gang": rng.random() < 0.25}
         steps = [first]
         if rng.random() < 0.4:
             steps.append({"count": rng.randint(1, 2), "cpu": 500, "estimatedMs": 200, "after": [0]})
+        if lasts:
+            first["gang"] = False
+            steps = [first, *({"count": 1, "cpu": 500, "estimatedMs": 1200, "after": [before]}
+                              for before in range(4))]
         body = {"spec": "x", "steps": steps}
         task = f"{job}.0.0.0"
         draw = rng.random()
 
         def register():
             self.fleet.jobs[job] = body
-            self.fleet.work_by_job[job] = rng.choice([0.05, 0.1, 0.3, 1.0])
+            self.fleet.work_by_job[job] = 1.2 if lasts else rng.choice([0.05, 0.1, 0.3, 1.0])
             if draw < 0.01:
                 self.fleet.failing.add(task)
             elif draw < 0.015:
@@ -108,13 +118,18 @@
     def caller(self, number):
         rng = random.Random(self.options.seed * 1000 + number)
         serial = number << 32
+        early = random.Random(self.options.seed * 1000 + number + 500)
         connection = Connection(self, rng)
-        own = []
+        own, leaves = [], False
         pending = None  # a job whose acceptance is not known yet
         while not self.stopping.is_set():
             if pending is None and not self.settling.is_set() and rng.random() < 0.1:
                 serial += 1
-                pending = self.make_job(rng, serial)
+                cancels = early.random() < self.options.early_cancels
+                leaves = cancels and early.random() < 0.5  # does not ask for the outcome
+                pending = self.make_job(rng, serial, lasts=cancels)
+                if cancels:
+                    self.spawn(self.cancel_early, pending, random.Random(early.random()))
             if pending is not None:
                 job = self.jobs[pending]
                 status, _ = connection.call("POST", pending, job.body)
@@ -122,25 +137,53 @@
                 if status == 200:
                     own.append(pending)
                     pending = None
+                elif leaves and job.cancel_answers:
+                    pending = None
                 elif status in (429, 503) and job.answers <= {429, 503} and rng.random() < 0.2:
                     pending = None  # refused for good
                 elif status not in (0, 429, 503, 504):
                     self.problem(f"submission of {pending} answered {status}")
                     pending = None
             elif own and rng.random() < 0.03:
-                job = rng.choice(own[-20:])
-                self.jobs[job].cancelled = True
-                status, _ = connection.call("DELETE", job)
-                if status not in (0, 200, 410, 429, 503, 504):
-                    self.problem(f"cancelling of {job} answered {status}")
+                self.cancel(connection, rng.choice(own[-20:]))
             elif own:
                 self.read_state(connection, rng.choice(own[-30:]))
             time.sleep(rng.uniform(0.01, 0.08))
 
+    def cancel(self, connection, name):
+        """Returns whether the cancel was acknowledged."""
+        self.jobs[name].cancelled = True
+        status, _ = connection.call("DELETE", name)
+        if status in (200, 410):
+            self.jobs[name].cancel_answers.append((time.monotonic(), status))
+            return True
+        if status not in (0, 429, 503, 504):
+            self.problem(f"cancelling of {name} answered {status}")
+        return False
+
+    def cancel_early(self, name, rng):
+        """Cancel a job whose submission may have no answer yet, at any entry, until that is
+        acknowledged."""
+        self.note("early_cancel")
+        self.jobs[name].cancelled = True
+        time.sleep(rng.choice([0.005, 0.05, 0.3, 2.0]) * rng.uniform(0.5, 1.5))
+        connection = Connection(self, rng)
+        end = time.monotonic() + SETTLE_S
+        while not self.cancel(connection, name):
+            if time.monotonic() > end:
+                self.problem(f"the cancel of {name} was not acknowledged")
+                return
+            if connection.connection is not None:
+                connection.drop()
+            time.sleep(0.1)
+
     def read_state(self, connection, name):
         job = self.jobs[name]
         sent = time.monotonic()
         status, body = connection.call("GET", name)
+        if status == 410 and job.cancelled:
+            job.state = "cancelled"  # the cancel may have been stored without the submission
+            return job.state
         if status == 410:
             self.problem(f"{name} was accepted and is answered 410")
             return None
@@ -372,8 +415,34 @@
             self.problem(f"{name} has not ended: {self.jobs[name].state}\n" +
                          self.platform.do(lambda n=name: self.fleet.explain(n)))
 
+    def check_cancels(self):
+        """Nothing of a job starts later than CANCEL_S after its cancel was acknowledged, or runs
+        now."""
+        counts = {"starts": 0, "runs": 0}
+        running = self.platform.do(lambda: {
+            task for target in self.fleet.targets.values() for task in target.running})
+        for name, job in self.jobs.items():
+            if not job.cancel_answers:
+                continue
+            acknowledged_at, status = min(job.cancel_answers)
+            text = f"its cancel was answered {status} at {acknowledged_at - self.began:.2f} s"
+            for task, arrivals in self.fleet.orders_of_starts.items():
+                if task.split(".")[0] != name:
+                    continue
+                late = [at for at in arrivals if at > acknowledged_at + CANCEL_S]
+                counts["starts"] += len(late)
+                if late:
+                    self.problem(f"{task} started {late[-1] - acknowledged_at:.2f} s late: {text}")
+                if task in running:
+                    counts["runs"] += 1
+                    self.problem(f"{task} runs on: {text}")
+        for what, count in counts.items():
+            if count:
+                self.counts[f"cancelled_{what}"] = count
+
     def check(self):
         fleet = self.fleet
+        self.check_cancels()
         started = {task.split(".")[0] for task, rows in fleet.starts.items()
                    if any(how == "started" for _, _, how in rows)}
         ends = {}
@@ -465,6 +534,8 @@
                         help="a target may carry out late what its life before was sent")
     parser.add_argument("--shrink", action="store_true",
                         help="the capacity of targets shrinks and grows")
+    parser.add_argument("--early-cancels", type=float, default=0.15,
+                        help="share of jobs that are cancelled while they are submitted")
     parser.add_argument("--faults", default="", help="only these kinds, separated by commas")
     parser.add_argument("--pace", type=float, default=1.2, help="faults a second")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
