Close batches of records, placements and ends by their bytes

Cause: record_log bounds a value by the number of its records. Five of these records make one that the store rejects; the chain takes that for a lost answer and sends the transaction again, for ever, and keeps its lease meanwhile. placement_log and progress_log had no bound at all.

Evidence, test before: large_records_that_are_stored_together_do_not_fill_one_value, a value over 1 MB.

Why it works: a batch takes no further entry once it has 256 KB (records) or 512 KB (placements, ends); with a last record of the largest size, 262,144 bytes, it stays below 1 MB.

Open: a write that the store would never take for another reason still holds up all others.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenalever {
 
@@ -40,6 +41,7 @@
     std::vector<callback> done;
     milliseconds first_sent{0};
     milliseconds last_sent{0};
+    bool stall_logged = false;
 };
 
 commit_chain::commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
@@ -193,9 +195,11 @@
         this->finish_transaction(result.revision);
         return;
     case store_result::outcome::rejected:
+        this->log_stall("rejected");
         this->schedule_resend(rejection_wait);
         return;
     case store_result::outcome::unknown:
+        this->log_stall("unknown");
         this->timeout = std::min(longest_timeout, this->timeout * 2);
         this->schedule_resend(milliseconds(0));
         return;
@@ -214,6 +218,22 @@
     this->on_fence_lost();
 }
 
+void commit_chain::log_stall(std::string_view answer)
+{
+    if (!this->stalled() || std::exchange(this->in_flight->stall_logged, true))
+        return;
+    const auto& writes = this->in_flight->change.writes;
+    const auto largest =
+        std::ranges::max_element(writes, {}, [](const auto& write) { return write.value.size(); });
+    this->log.write("coordination", "transaction_stalled",
+                    {{"answer", answer},
+                     {"since_ms", (boot_time() - this->in_flight->first_sent).count()},
+                     {"writes", writes.size()},
+                     {"deletes", this->in_flight->change.deletes.size()},
+                     {"largest_key", largest->key},
+                     {"largest_bytes", largest->value.size()}});
+}
+
 void commit_chain::finish_transaction(std::int64_t revision)
 {
     const auto attempt_duration = boot_time() - this->in_flight->last_sent;
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace verbenalever {
@@ -106,6 +107,8 @@
     void handle_result(const store_result& result);
     void finish_transaction(std::int64_t revision);
     void schedule_resend(milliseconds wait);
+    /// Log once that the transaction in flight has had no useful answer for too long.
+    void log_stall(std::string_view answer);
 
     metadata_store& store;
     const event_log& log;
--- a/src/libverbenalever/coordinator/placement_log.cpp
+++ b/src/libverbenalever/coordinator/placement_log.cpp
@@ -7,6 +7,16 @@
 
 namespace verbenalever {
 
+namespace {
+
+/// A batch takes no further entry once it has this many bytes, well below the largest value that
+/// the store accepts, 1 MB. A gang that is divided by it starts in two parts.
+constexpr std::size_t bytes_per_batch = 512 << 10;
+/// Upper bound for the size of an entry without its texts.
+constexpr std::size_t entry_overhead = 48;
+
+} // namespace
+
 placement_log::placement_log(commit_chain& chain, std::string prefix, std::int64_t term,
                              std::function<void(const std::vector<placement_entry>&)> on_stored)
     : chain(chain), prefix(std::move(prefix)), term(term), on_stored(std::move(on_stored))
@@ -25,15 +35,15 @@
 
 std::int64_t placement_log::add(placement_entry entry)
 {
-    if (!this->batch_unsent) {
-        this->batch_unsent = true;
+    if (!this->batch_open) {
+        this->batch_open = true;
         const auto batch_number = ++this->last_batch;
         this->chain.put(
             this->batch_key(batch_number),
             [this, alive = this->alive, batch_number]() -> std::optional<std::string> {
                 if (!*alive)
                     return std::nullopt;
-                this->batch_unsent = false;
+                this->batch_open = this->batch_open && batch_number != this->last_batch;
                 return pack_message(this->batches[batch_number].entries);
             },
             true,
@@ -43,8 +53,11 @@
             });
     }
     auto& current = this->batches[this->last_batch];
+    current.bytes += entry_overhead + entry.workflow.size() + entry.target.size();
     current.entries.push_back(std::move(entry));
     ++current.open_runs;
+    if (current.bytes >= bytes_per_batch)
+        this->batch_open = false;
     return this->last_batch;
 }
 
--- a/src/libverbenalever/coordinator/placement_log.h
+++ b/src/libverbenalever/coordinator/placement_log.h
@@ -39,7 +39,7 @@
 /// coordinator that cannot reach a target reads here which tasks may still be running on it.
 ///
 /// All placements of one transaction share one key: the log costs the store one write and one
-/// deletion for each batch, however many tasks start.
+/// deletion for each batch, however many tasks start, unless they would exceed the size of a value.
 class placement_log {
 public:
     /// @param prefix    prefix of the log's keys
@@ -67,6 +67,7 @@
     struct batch {
         std::vector<placement_entry> entries; ///< empty once they are stored
         std::size_t open_runs = 0;            ///< runs that may still be on their target
+        std::size_t bytes = 0;                ///< approximate size of the entries when stored
         bool stored = false;
     };
 
@@ -80,8 +81,8 @@
     std::function<void(const std::vector<placement_entry>&)> on_stored;
     std::map<std::int64_t, batch> batches;
     std::int64_t last_batch = 0;
-    /// Whether the last batch was not sent yet, so that placements can be added to it.
-    bool batch_unsent = false;
+    /// Whether the last batch was not sent yet and has room, so that placements can be added to it.
+    bool batch_open = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libverbenalever/coordinator/progress_log.cpp
+++ b/src/libverbenalever/coordinator/progress_log.cpp
@@ -14,6 +14,11 @@
 /// A key is compacted when less than one in this many of its entries is needed: a successor reads
 /// at most this many times the needed entries.
 constexpr std::size_t compaction_factor = 4;
+/// A key takes no further entry once it has this many bytes, well below the largest value that the
+/// store accepts, 1 MB.
+constexpr std::size_t bytes_per_key = 512 << 10;
+/// Upper bound for the size of an entry without its texts.
+constexpr std::size_t entry_overhead = 40;
 
 } // namespace
 
@@ -35,7 +40,8 @@
         [this, alive = this->alive, key]() -> std::optional<std::string> {
             if (!*alive)
                 return std::nullopt;
-            this->unsent_key.clear();
+            if (this->unsent_key == key)
+                this->unsent_key.clear();
             return this->serialize(this->batches[key]);
         },
         true,
@@ -58,6 +64,7 @@
 {
     ++to.written;
     ++to.needed;
+    to.bytes += entry_overhead + entry.workflow.size() + entry.checkpoint.size();
     auto& entries = to.entries[entry.workflow];
     if (entries.empty())
         this->keys_by_workflow[entry.workflow].push_back(key);
@@ -66,7 +73,7 @@
 
 void progress_log::add(progress_entry entry, callback stored)
 {
-    if (this->unsent_key.empty())
+    if (this->unsent_key.empty() || this->batches[this->unsent_key].bytes >= bytes_per_key)
         this->unsent_key = this->begin_batch();
     this->add_to_batch(this->batches[this->unsent_key], this->unsent_key, std::move(entry));
     if (stored)
--- a/src/libverbenalever/coordinator/progress_log.h
+++ b/src/libverbenalever/coordinator/progress_log.h
@@ -53,6 +53,7 @@
         std::map<std::string, std::vector<progress_entry>> entries; ///< by workflow
         std::size_t written = 0; ///< entries that its key was written with
         std::size_t needed = 0;  ///< entries whose workflows have not ended
+        std::size_t bytes = 0;   ///< approximate size of all entries that were added
         bool stored = false;
     };
 
@@ -69,7 +70,7 @@
     std::int64_t term;
     std::map<std::string, batch> batches;                             ///< by key
     std::map<std::string, std::vector<std::string>> keys_by_workflow; ///< by workflow
-    std::string unsent_key; ///< key of the batch that is not sent yet; empty: none
+    std::string unsent_key; ///< key of the last batch, while it is not sent; empty: none
     std::int64_t last_batch_number = 0;
     std::map<std::string, std::vector<callback>> stored_callbacks; ///< by key
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/libverbenalever/coordinator/record_log.cpp
+++ b/src/libverbenalever/coordinator/record_log.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-/// Keeps a value well below the largest that the store accepts: a specification has a few thousand
-/// bytes at most.
 constexpr std::size_t records_per_batch = 64;
+/// A batch takes no further record once it has this many bytes: with a last record of the largest
+/// size its value stays well below the largest that the store accepts, 1 MB.
+constexpr std::size_t bytes_per_batch = 256 << 10;
 
 } // namespace
 
@@ -66,9 +67,12 @@
 {
     auto& to = this->unsent[id];
     if (!to) {
-        if (!this->open_batch || this->open_batch->unstored.size() >= records_per_batch)
+        if (!this->open_batch || this->open_batch->unstored.size() >= records_per_batch ||
+            this->open_batch->bytes >= bytes_per_batch)
             this->begin_batch();
         to = this->open_batch;
+        if (const auto* record = this->record_of(id))
+            to->bytes += pack_message(*record).size();
     }
     auto& callbacks = to->unstored[id];
     if (stored)
--- a/src/libverbenalever/coordinator/record_log.h
+++ b/src/libverbenalever/coordinator/record_log.h
@@ -66,6 +66,7 @@
     struct batch {
         std::string key;
         std::map<std::string, std::vector<callback>> unstored; ///< by workflow id
+        std::size_t bytes = 0;           ///< of its records when they were added
         std::size_t current_records = 0; ///< stored records that no newer one replaces
         bool rewriting = false;          ///< its current records are being stored again
     };
--- a/src/libverbenalever/coordinator/record_log_test.cpp
+++ b/src/libverbenalever/coordinator/record_log_test.cpp
@@ -78,6 +78,24 @@
     EXPECT_EQ(this->store.commit_count, 1);
 }
 
+// The whole system stood still: large workflows that came together made a value larger than the
+// store takes, and the coordinator sent that write again and again.
+TEST_F(record_log_test, large_records_that_are_stored_together_do_not_fill_one_value)
+{
+    constexpr std::size_t largest_value = 1 << 20;
+    constexpr std::size_t largest_record = 262'144;
+    constexpr int count = 16;
+    for (int number = 0; number < count; ++number) {
+        const auto id = "a" + std::to_string(number);
+        this->known[id] = {.id = id, .spec = {.payload = std::string(largest_record, 'x')}};
+        this->records->store(id, [this] { ++this->stored; });
+    }
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->stored, count);
+    for (const auto& [key, item] : this->store.items)
+        EXPECT_LT(item.value.size(), largest_value) << key;
+}
+
 TEST_F(record_log_test, a_key_is_deleted_once_its_records_are_replaced)
 {
     this->store_record("a");
