Do not let a replaced connection of a member become its current one

Cause: the members replace their connections during the freeze. On waking the coordinator reads the greeting on the new one first, then heartbeats that were left in the old one, which named the old one the member's connection again, and then its end, which counted as the member's: it was taken from the advisor's VMs, and nothing announces it again. All questions went through the coordinator's own VM.

Evidence, test before: a_heartbeat_left_in_a_replaced_connection_does_not_make_it_current; the member is gone and counted as departed. Ruled out: nothing else was looked at.

Why it works: connections are numbered as they are accepted; a greeting on one with a lower number than the member's current one changes nothing.

--- a/src/libverbenalever/coordination/member_hub.cpp
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -58,6 +58,11 @@
     auto& entry = this->connections.at(number);
     const bool first_greeting = entry.vm.empty();
     entry.vm = greeting->vm;
+    // After a pause, what was left in a connection that the member has replaced since is read after
+    // the first greeting on the new one.
+    if (const auto member = this->members.find(greeting->vm);
+        member != this->members.end() && member->second > number)
+        return;
     this->members[greeting->vm] = number;
     this->disconnected.erase(greeting->vm);
     if (first_greeting)
--- a/src/libverbenalever/coordination/member_hub_test.cpp
+++ b/src/libverbenalever/coordination/member_hub_test.cpp
@@ -58,11 +58,12 @@
     event_loop member_loop; ///< of the member
     member_hub hub{this->loop,
                    {.joined = [](const member_greeting&) {},
-                    .left = [](const std::string&) {},
+                    .left = [this](const std::string&) { ++this->departures; },
                     .heartbeat = [](const member_greeting&) {},
                     .on_message = [](peer_topic, auto, auto) {},
                     .greeting = [] { return std::string(); }}};
     std::unique_ptr<peer_channel> member;
+    int departures = 0;
 };
 
 TEST_F(member_hub_test, a_member_that_answers_heartbeats_counts_as_connected)
@@ -113,5 +114,36 @@
     EXPECT_FALSE(this->hub.all_members_answered_within(answer_span));
 }
 
+// The advisor was asked through one VM only, for as long as a coordinator lived: after a pause it
+// read the last heartbeats of connections that its members had replaced, and took the end of these
+// for theirs.
+TEST_F(member_hub_test, a_heartbeat_left_in_a_replaced_connection_does_not_make_it_current)
+{
+    const auto frame = pack_message(std::tuple(static_cast<int>(peer_message::form::notification),
+                                               0, static_cast<int>(peer_topic::heartbeat),
+                                               pack_message(member_greeting{.vm = "vm-3"})));
+    const auto connect = [&] {
+        auto connection = frame_connection::connect(
+            this->member_loop, endpoint{.address = "127.0.0.1", .port = this->hub.port()});
+        EXPECT_TRUE(connection.ok()) << connection.status();
+        return *std::move(connection);
+    };
+    auto replaced = connect();
+    replaced->send(frame);
+    this->run_for(milliseconds(100));
+    auto current = connect();
+    current->send(frame);
+    this->run_for(milliseconds(100));
+    const auto* channel = this->hub.find("vm-3");
+    ASSERT_NE(channel, nullptr);
+    replaced->send(frame);
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(this->hub.find("vm-3"), channel);
+    replaced.reset();
+    this->run_for(milliseconds(100));
+    EXPECT_EQ(this->hub.find("vm-3"), channel);
+    EXPECT_EQ(this->departures, 0);
+}
+
 } // namespace
 } // namespace verbenalever
