Keep a task's attempts while its queue is missing from the configuration

Cause: count_failed_run() took a queue that it did not know for one that allows a single attempt.

Evidence, test before: a_task_that_fails_while_its_queue_is_missing_keeps_its_attempts, failed after one start of three. Ruled out: nothing else was looked at.

Why it works: a workflow keeps the number of attempts that its queue had last.

--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -84,6 +84,7 @@
     }
     if (const auto* queue = this->configuration->queue(added->record.queue)) {
         added->priority = queue->priority;
+        added->attempts = static_cast<std::uint32_t>(std::max(1, queue->attempts));
         added->objective =
             queue->latency_objective +
             milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -81,6 +81,30 @@
     EXPECT_EQ(this->targets.start_count, 3);
 }
 
+// A workflow was shown as failed after one failed run: its queue was missing from the configuration
+// for a moment, and a queue that is not known counted as one that allows a single attempt.
+TEST_F(coordinator_test, a_task_that_fails_while_its_queue_is_missing_keeps_its_attempts)
+{
+    for (int number = 0; number < 3; ++number) {
+        auto& target = this->targets.add("t" + std::to_string(number), 4000);
+        target.fails_all_tasks = true;
+        target.task_duration = milliseconds(300);
+    }
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.start_count, 1);
+    const auto complete = *this->configuration;
+    this->configuration->queues.clear();
+    this->run_for(milliseconds(400));
+    EXPECT_NE(this->state(first, "w"), workflow_state::failed);
+    *this->configuration = complete;
+    for (int round = 0; round < 60 && this->state(first, "w") != workflow_state::failed; ++round)
+        this->run_for(milliseconds(100));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::failed);
+    EXPECT_EQ(this->targets.start_count, 3);
+}
+
 TEST_F(coordinator_test, cancelling_a_workflow_stops_its_tasks_and_frees_capacity)
 {
     this->targets.add("t1", 2000).task_duration = milliseconds(0);
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -100,8 +100,10 @@
     milliseconds accepted_at{0}; ///< time since boot
     /// Time since boot of the first start that a target has confirmed in this term; 0: none.
     milliseconds first_start_at{0};
-    milliseconds ended_at{0};         ///< time since boot; 0: it has not ended in this term
-    milliseconds objective{0};        ///< latency objective: time from acceptance to end
+    milliseconds ended_at{0};  ///< time since boot; 0: it has not ended in this term
+    milliseconds objective{0}; ///< latency objective: time from acceptance to end
+    /// Runs of a task that may fail, as its queue was last configured; 0: not known yet.
+    std::uint32_t attempts = 0;
     std::int64_t run_number_base = 0; ///< runs that start in this term have greater numbers
     bool record_stored = false;       ///< the store has its record
     bool end_stored = false;          ///< the store has its record with the final state
