Show a cancelled workflow as queued until its end is stored if nothing of it has started

Cause: an end is shown only once it is stored, and running until then. A workflow that was cancelled before anything of it had started was so shown as running; when its coordinator was replaced before the end was stored, the successor had it as queued.

Test before: a_workflow_that_never_started_is_not_shown_as_running, running. Ruled out: a start that was forgotten; none was confirmed.

Why it works: until the end is stored the state is running only if a task has started, as for any other open workflow.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -157,11 +157,10 @@
         return;
     }
     // An end is reported only once it is stored: before that a failover would lose it.
-    const bool end_hidden = is_final(existing->state) && !existing->end_stored;
-    const bool has_running_tasks =
-        existing->state == workflow_state::queued && existing->has_started;
-    reply(call_outcome::accepted,
-          end_hidden || has_running_tasks ? workflow_state::running : existing->state);
+    const bool open = !is_final(existing->state) || !existing->end_stored;
+    const auto open_state =
+        existing->has_started ? workflow_state::running : workflow_state::queued;
+    reply(call_outcome::accepted, open ? open_state : existing->state);
 }
 
 void coordinator::cancel(const std::string& id, std::function<void(call_outcome)> reply)
--- a/src/libverbenalever/coordinator/coordinator_cancels_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_cancels_test.cpp
@@ -102,6 +102,23 @@
     EXPECT_EQ(this->targets.start_count, 0);
 }
 
+// The state of a workflow went from running to queued at a change of the coordinator: a cancelled
+// workflow of which nothing had started was shown as running until its end was stored.
+TEST_F(coordinator_cancels_test, a_workflow_that_never_started_is_not_shown_as_running)
+{
+    auto& first = this->elect("vm-1");
+    first.all_members_connected = true;
+    this->submit(first, "w", {this->tasks(2, 1)});
+    this->run_for(milliseconds(200));
+    this->store.down = true;
+    this->cancel(first, "w");
+    this->run_for(milliseconds(200));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::queued);
+    this->store.down = false;
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::cancelled);
+}
+
 // Cancels of workflows that do not exist must not fill the memory of the coordinator.
 TEST_F(coordinator_cancels_test, cancels_of_unknown_workflows_are_bounded)
 {
