--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -214,11 +214,14 @@
         self.up = True
         self.report()
 
-    def crash(self):
+    def crash(self, silent=False):
+        """Lose everything. Silent: the machine has no power, so that connections to it hang."""
         lost = sorted(f"{task} run {run['run']}" for task, run in self.running.items())
-        self.fleet.record.write(f"worker {self.name} crashes; lost: {', '.join(lost) or 'nothing'}")
+        self.fleet.record.write(f"worker {self.name} {'loses power' if silent else 'crashes'}; "
+                                f"lost: {', '.join(lost) or 'nothing'}")
         self.up, self.running = False, {}
-        self.server.abort()
+        if not silent:
+            self.server.abort()
 
     def clock(self):
         return int((time.monotonic() - self.began) * 1000) + 1
