--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -20,9 +20,10 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-HOST, PREFIX, KEY = "desk.example", "/work7/", "key-of-team-1"
+HOST, KEY = "desk.example", "key-of-team-1"
+PREFIXES = {"work": "/work7/", "urgent": "/price3/"}  # queue -> prefix; `urgent` has priority 0
 # Bounds of sites/sscl-lever.toml that the stand-ins and the checks use.
-HOLD_MAX_MS, STOP_MS, BEAT_S = 6000, 400, 1.5
+HOLD_MAX_MS, STOP_MS, GANG_MS, BEAT_S = 6000, 400, 3000, 1.5
 
 
 class Record:
@@ -247,8 +248,12 @@
             for task in list(self.running):
                 self.end(task, "lapsed")
         for task, run in list(self.running.items()):
+            if task not in self.running:
+                continue  # it ended with its gang
             if run["stopping"] and now >= run["stopping"]:
                 self.end(task, "stopped")
+            elif self.fleet.is_gang(task):
+                self.fleet.tick_gang(task, run, now)
             elif now - run["since"] >= run["work_s"]:
                 self.end(task, "done")
 
@@ -366,6 +371,29 @@
         spec = self.specs[job]["steps"][int(step)]
         return spec["cpu"], spec["estimatedMs"] / 1000
 
+    def is_gang(self, task):
+        job, _, step, _ = task.split(".")
+        return self.specs[job]["steps"][int(step)].get("gang", False)
+
+    def tick_gang(self, task, run, now):
+        """Members work from the moment when all of one run are present, and end together."""
+        job, _, step, _ = task.split(".")
+        members = [(worker, name, other) for worker in self.workers.values() if worker.up
+                   for name, other in worker.running.items()
+                   if name.startswith(f"{job}.0.{step}.") and other["run"] == run["run"]]
+        complete = len(members) == self.specs[job]["steps"][int(step)]["count"]
+        if complete and not run.get("together"):
+            for _, _, other in members:
+                other["together"] = now
+        if run.get("together"):
+            if not complete or now - run["together"] >= run["work_s"]:
+                how = "done" if complete else "broken"
+                for worker, name, _ in members:
+                    worker.end(name, how)
+        elif now - run["since"] > GANG_MS / 1000:
+            for worker, name, _ in members:
+                worker.end(name, "alone")
+
     def note_start(self, worker, task, run, spec):
         self.starts.append((time.monotonic(), task, run, worker.name))
         self.record.write(f"worker {worker.name} starts {task} run {run}")
@@ -382,13 +410,13 @@
                     return worker, time.monotonic() - run["since"]
         return None, 0
 
-    def configure(self, version=7):
-        route = {"name": "work", "host": HOST, "prefix": PREFIX, "kind": "unsafe", "timeoutMs": 3000,
-                 "targetLatencyMs": 1000, "priority": 1, "service": "desk", "maxAttempts": 4,
-                 "stretch": 2.2, "public": False}
+    def configure(self, version=7, limit_cpu=0):
+        routes = [{"name": name, "host": HOST, "prefix": prefix, "kind": "unsafe", "timeoutMs": 3000,
+                   "targetLatencyMs": 1000, "priority": int(name != "urgent"), "service": "desk",
+                   "maxAttempts": 4, "stretch": 2.2, "public": False} for name, prefix in PREFIXES.items()]
         tenant = {"name": "team-1", "apiKeys": [KEY], "weight": 1,
-                  "maxCount": {"cpu": 0, "memMb": 0, "gpu": 0}}
-        document = {"version": version, "routes": [route], "tenants": [tenant], "limits": {},
+                  "maxCount": {"cpu": limit_cpu, "memMb": 0, "gpu": 0}}
+        document = {"version": version, "routes": routes, "tenants": [tenant], "limits": {},
                     "services": [{"name": "desk", "admissionCheck": False}]}
         self.do(lambda: self.store.put("op/config", json.dumps(document).encode()))
 
@@ -457,23 +485,23 @@
     def coordinator(self):
         return max(self.events("leadership_won"), key=lambda event: event["term"])["process"]
 
-    def call(self, method, job="", body=None, timeout=3.0, entry=None):
+    def call(self, method, job="", body=None, timeout=3.0, entry=None, queue="work"):
         """One call of a client, through a daemon in rotation. Status 0: no answer."""
         names = [entry] if entry else sorted(self.processes)
         name = random.choice(names)
-        status, answer = request(self.addresses[name]["front"], method, PREFIX + job, body,
+        status, answer = request(self.addresses[name]["front"], method, PREFIXES[queue] + job, body,
                                  {"Host": HOST, "Authorization": "Bearer " + KEY,
                                   "Time-Remaining": str(int(timeout * 1000))}, timeout)
         self.fleet.record.write(f"client {method} {job or 'count'} through {name}: {status or 'no answer'} "
                                 f"{json.dumps(answer)}")
         return status, answer
 
-    def submit(self, job, steps, tries=10):
+    def submit(self, job, steps, tries=10, queue="work"):
         """Hand a job in, as clients do: after no answer, 502, 504 or a refusal with the same id again."""
         body = {"spec": "text of " + job, "steps": steps}
         self.fleet.specs[job] = body
         for _ in range(tries):
-            status, _ = self.call("POST", job, body)
+            status, _ = self.call("POST", job, body, queue=queue)
             if 200 <= status < 300:
                 return True
             time.sleep(0.3)
