--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -92,6 +92,8 @@
         self.leases = {}  # id -> [ttl in seconds, end]
         self.last_lease = 0
         self.changed = asyncio.Event()
+        self.down = False  # no call is carried out or answered; leases run out meanwhile
+        self.answer_s = 0.004
 
     def _announce(self, event):
         self.history.append(event)
@@ -149,7 +151,12 @@
         return 200, {"revision": self.revision}
 
     async def handle(self, method, path, query, headers, body):
-        await asyncio.sleep(0.004)
+        if self.down:
+            return None
+        await asyncio.sleep(self.answer_s)
+        return None if self.down else await self.carry_out(path, query, body)
+
+    async def carry_out(self, path, query, body):
         name = path.removeprefix("/verbenalever/")
         if name == "kv-txn":
             return self.transact(body)
