--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,5 @@
-"""Two workers crash, each half a second after it has started a task of one job. Is the job shown as failed,
-although no run of it has ended as failed?"""
+"""A configuration lowers a team's limit while an urgent gang of that team waits, so that the gang no longer fits it.
+Do the team's other jobs run, while the team uses nothing of its limit and the workers are idle?"""
 
 import pathlib
 import sys
@@ -9,49 +9,47 @@
 from stand_ins import Entries, Fleet, job_id, main  # noqa: E402
 
 WORKERS, ENTRIES = 8, 3
-CRASHES = 2  # one worker of eight at a time: a share of 0.125 (pages: 0.14)
-DOWN_S = 2.0  # (pages: 4.5)
-AFTER_START_S = 0.5
+HIGH, LOW = 96000, 10000  # maxCount of the team: 96 cores of 128, then 10
+FINISH_S, STUCK_S = 14.0, 3.0
 
 
 def play(record, trouble):
     fleet = Fleet(record, WORKERS)
-    fleet.configure()
+    fleet.configure(version=7, limit_cpu=HIGH)
     entries = Entries(fleet, ENTRIES)
     try:
         entries.wait_ready()
         time.sleep(2)
-        job = job_id()
-        if not entries.submit(job, [{"count": 1, "cpu": 4500, "memMb": 8800, "estimatedMs": 5000}]):
-            raise RuntimeError("the job was not accepted")
-        crashes, down, state, asked = 0, {}, None, 0
-        end = time.monotonic() + 60
+        if trouble:
+            fleet.configure(version=9, limit_cpu=LOW)
+            record.write(f"configuration 9: maxCount.cpu of team-1 is {LOW} instead of {HIGH}")
+            time.sleep(3)
+        gang = job_id()
+        step = {"count": 8, "cpu": 3000, "memMb": 4000, "estimatedMs": 640, "gang": True}
+        if not entries.submit(gang, [step], queue="urgent"):
+            raise RuntimeError("the gang was not accepted")
+        batch = []
+        for _ in range(6):
+            batch.append(job_id())
+            if not entries.submit(batch[-1], [{"count": 2, "cpu": 900, "memMb": 2600, "estimatedMs": 2000}]):
+                raise RuntimeError("a job was not accepted")
+        record.write("the traffic ends")
+        # 14 s after the end of the traffic, 3 s of which are looked at: nothing of the team runs.
+        end = time.monotonic() + FINISH_S + STUCK_S
+        idle_since = None
         while time.monotonic() < end:
-            for worker, since in list(down.items()):
-                if time.monotonic() - since > DOWN_S:
-                    del down[worker]
-                    fleet.run(fleet.workers[worker].boot())
-                    record.write(f"worker {worker} is back under its id, as a new life")
-            worker, age = fleet.do(lambda: fleet.where(job))
-            if trouble and crashes < CRASHES and worker and age >= AFTER_START_S:
-                crashes += 1
-                fleet.do(worker.crash)
-                down[worker.name] = time.monotonic()
-            if time.monotonic() - asked > 1:
-                asked = time.monotonic()
-                state = entries.state(job)
-                if state in ("completed", "failed", "cancelled"):
-                    break
-            time.sleep(0.02)
-        failed_ends = [end for end in fleet.ends if end[4] == "failed"]
-        record.write(f"the job is shown as {state}; ends listed as failed: {len(failed_ends)}; "
-                     f"starts: {len(fleet.starts)}; crashes: {crashes}; maxAttempts: 4")
-        for event in entries.events("task_given_up"):
-            record.write(f"log of {event['process']}: task_given_up, targets {event['targets']}")
-        if trouble and crashes < CRASHES:
-            raise RuntimeError("the task was not seen to run often enough")
-        # LOST: shown as failed without cause (only ends `failed` count as attempts).
-        return not (state in ("failed", "cancelled") and len(failed_ends) < 4)
+            running = fleet.do(lambda: sum(len(worker.running) for worker in fleet.workers.values()))
+            idle_since = None if running else idle_since or time.monotonic()
+            time.sleep(0.1)
+        idle_s = time.monotonic() - idle_since if idle_since else 0
+        states = {job: entries.state(job) for job in batch}
+        started = {task.split(".")[0] for _, task, _, _ in fleet.starts}
+        stuck = [job for job in batch if states[job] not in ("completed", "cancelled") and job not in started]
+        record.write(f"the gang is {entries.state(gang)}; states of the six other jobs: {sorted(map(str, states.values()))}; "
+                     f"never started: {len(stuck)}; nothing has run on any worker for {idle_s:.1f} s")
+        # LOST: for 3 s a job has nothing running while a task's turn has come, there is capacity for it twice
+        # over, its tenant has under half of maxCount and under half of the service's capacity is in use.
+        return not (stuck and idle_s >= STUCK_S)
     finally:
         entries.close()
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
-"""A configuration lowers a team's limit while an urgent gang of that team waits, so that the gang no longer fits it.
-Do the team's other jobs run, while the team uses nothing of its limit and the workers are idle?"""
+"""Two of fifteen workers are lost, and one second later the entry daemon that coordinates is killed. How many jobs are
+said to wait, while jobs that were handed in just after the loss have not begun?"""
 
 import pathlib
 import sys
@@ -8,48 +8,63 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 from stand_ins import Entries, Fleet, job_id, main  # noqa: E402
 
-WORKERS, ENTRIES = 8, 3
-HIGH, LOW = 96000, 10000  # maxCount of the team: 96 cores of 128, then 10
-FINISH_S, STUCK_S = 14.0, 3.0
+WORKERS, LOST, ENTRIES, JOBS = 15, 2, 3, 12
+VISIBLE_S = 3.0 + 2.0  # visible_ms + 2 s
+CONTACT_S = 3.0
 
 
 def play(record, trouble):
     fleet = Fleet(record, WORKERS)
-    fleet.configure(version=7, limit_cpu=HIGH)
+    fleet.configure()
     entries = Entries(fleet, ENTRIES)
+    broken = 0
     try:
         entries.wait_ready()
         time.sleep(2)
+        # Some work runs already, as on any day: one job with two long tasks.
+        busy = job_id()
+        step = {"count": 2, "cpu": 9000, "memMb": 4000, "estimatedMs": 25000}
+        if not entries.submit(busy, [step]):
+            raise RuntimeError("the first job was not accepted")
+        time.sleep(1)
+        used = [worker for worker in fleet.workers.values() if worker.running]
+        others = [worker for worker in fleet.workers.values() if not worker.running]
         if trouble:
-            fleet.configure(version=9, limit_cpu=LOW)
-            record.write(f"configuration 9: maxCount.cpu of team-1 is {LOW} instead of {HIGH}")
-            time.sleep(3)
-        gang = job_id()
-        step = {"count": 8, "cpu": 3000, "memMb": 4000, "estimatedMs": 640, "gang": True}
-        if not entries.submit(gang, [step], queue="urgent"):
-            raise RuntimeError("the gang was not accepted")
-        batch = []
-        for _ in range(6):
-            batch.append(job_id())
-            if not entries.submit(batch[-1], [{"count": 2, "cpu": 900, "memMb": 2600, "estimatedMs": 2000}]):
-                raise RuntimeError("a job was not accepted")
-        record.write("the traffic ends")
-        # 14 s after the end of the traffic, 3 s of which are looked at: nothing of the team runs.
-        end = time.monotonic() + FINISH_S + STUCK_S
-        idle_since = None
-        while time.monotonic() < end:
-            running = fleet.do(lambda: sum(len(worker.running) for worker in fleet.workers.values()))
-            idle_since = None if running else idle_since or time.monotonic()
-            time.sleep(0.1)
-        idle_s = time.monotonic() - idle_since if idle_since else 0
-        states = {job: entries.state(job) for job in batch}
-        started = {task.split(".")[0] for _, task, _, _ in fleet.starts}
-        stuck = [job for job in batch if states[job] not in ("completed", "cancelled") and job not in started]
-        record.write(f"the gang is {entries.state(gang)}; states of the six other jobs: {sorted(map(str, states.values()))}; "
-                     f"never started: {len(stuck)}; nothing has run on any worker for {idle_s:.1f} s")
-        # LOST: for 3 s a job has nothing running while a task's turn has come, there is capacity for it twice
-        # over, its tenant has under half of maxCount and under half of the service's capacity is in use.
-        return not (stuck and idle_s >= STUCK_S)
+            for worker in (used + others)[:LOST]:
+                fleet.do(lambda lost=worker: lost.crash(silent=True))
+        lost_at = time.monotonic()
+        accepted = {}
+        for _ in range(JOBS):
+            job = job_id()
+            if entries.submit(job, [{"count": 1, "cpu": 1000, "memMb": 1000, "estimatedMs": 640}], tries=1):
+                accepted[job] = time.monotonic()
+        time.sleep(max(0, lost_at + 1 - time.monotonic()))
+        killed = entries.coordinator()
+        if trouble:
+            entries.kill(killed)
+        asked = 0
+        while time.monotonic() < lost_at + 12:
+            time.sleep(0.2)
+            if time.monotonic() < lost_at + VISIBLE_S:
+                continue
+            for name in sorted(entries.processes):
+                # These daemons were not touched, and the store was not either: they are in touch.
+                sent = time.monotonic()
+                status, answer = entries.call("GET", entry=name)
+                now = time.monotonic()
+                begun = {task.split(".")[0] for at, task, _, _ in list(fleet.starts)}
+                waiting = [job for job, at in accepted.items() if at < sent - VISIBLE_S and job not in begun]
+                if status == 200 and waiting:
+                    asked += 1
+                    said = answer["waiting"]
+                    record.write(f"{name} says that {said} wait; {len(waiting)} accepted over "
+                                 f"{VISIBLE_S} s before have not begun")
+                    broken += said * 2 < len(waiting)
+        record.write(f"accepted {len(accepted)} of {JOBS}; answers while such jobs waited: {asked}, "
+                     f"of them with under half: {broken}")
+        if len(accepted) < JOBS // 2:
+            raise RuntimeError("too few jobs were accepted")
+        return broken == 0
     finally:
         entries.close()
 
