--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -208,6 +208,7 @@
     def __init__(self, fleet, name, zone, rack, cpu=16000, memory=65536):
         self.fleet, self.name, self.zone, self.rack = fleet, name, zone, rack
         self.cpu, self.memory, self.seq = cpu, memory, 0
+        self.kind = "a"
         self.up, self.server = False, None
         self.changed = asyncio.Event()
 
@@ -241,7 +242,7 @@
             "service": "desk", "address": f"127.0.0.1:{self.server.port}", "zone": self.zone,
             "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": self.seq,
             "born": self.born, "capacity": {"cpu": self.cpu, "memMb": self.memory, "gpu": 0},
-            "labels": ["a", self.rack]}).encode())
+            "labels": [self.kind, self.rack]}).encode())
 
     def tick(self, now):
         key = f"servers/{self.name}"
