--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""Two of fifteen workers are lost, and one second later the entry daemon that coordinates is killed. How many jobs are
-said to wait, while jobs that were handed in just after the loss have not begun?"""
+"""One entry daemon is left. The store is down and slow in turn a few times, and then sound for good. Does the work
+that was accepted go on?"""
 
 import pathlib
 import sys
@@ -8,63 +8,58 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 from stand_ins import Entries, Fleet, job_id, main  # noqa: E402
 
-WORKERS, LOST, ENTRIES, JOBS = 15, 2, 3, 12
-VISIBLE_S = 3.0 + 2.0  # visible_ms + 2 s
-CONTACT_S = 3.0
+WORKERS, ENTRIES = 8, 3
+OUTAGES, DOWN_S, SLOW_S, SLOW_X = 2, 2.5, 1.0, 60
+FINISH_S, STUCK_S, CONTACT_S = 14.0, 3.0, 3.0
 
 
 def play(record, trouble):
     fleet = Fleet(record, WORKERS)
     fleet.configure()
     entries = Entries(fleet, ENTRIES)
-    broken = 0
+    store = fleet.store
+    usual = store.answer_s
     try:
         entries.wait_ready()
         time.sleep(2)
-        # Some work runs already, as on any day: one job with two long tasks.
-        busy = job_id()
-        step = {"count": 2, "cpu": 9000, "memMb": 4000, "estimatedMs": 25000}
-        if not entries.submit(busy, [step]):
-            raise RuntimeError("the first job was not accepted")
-        time.sleep(1)
-        used = [worker for worker in fleet.workers.values() if worker.running]
-        others = [worker for worker in fleet.workers.values() if not worker.running]
-        if trouble:
-            for worker in (used + others)[:LOST]:
-                fleet.do(lambda lost=worker: lost.crash(silent=True))
-        lost_at = time.monotonic()
-        accepted = {}
-        for _ in range(JOBS):
-            job = job_id()
-            if entries.submit(job, [{"count": 1, "cpu": 1000, "memMb": 1000, "estimatedMs": 640}], tries=1):
-                accepted[job] = time.monotonic()
-        time.sleep(max(0, lost_at + 1 - time.monotonic()))
-        killed = entries.coordinator()
         if trouble:
-            entries.kill(killed)
-        asked = 0
-        while time.monotonic() < lost_at + 12:
-            time.sleep(0.2)
-            if time.monotonic() < lost_at + VISIBLE_S:
-                continue
+            left = entries.coordinator()
             for name in sorted(entries.processes):
-                # These daemons were not touched, and the store was not either: they are in touch.
-                sent = time.monotonic()
-                status, answer = entries.call("GET", entry=name)
-                now = time.monotonic()
-                begun = {task.split(".")[0] for at, task, _, _ in list(fleet.starts)}
-                waiting = [job for job, at in accepted.items() if at < sent - VISIBLE_S and job not in begun]
-                if status == 200 and waiting:
-                    asked += 1
-                    said = answer["waiting"]
-                    record.write(f"{name} says that {said} wait; {len(waiting)} accepted over "
-                                 f"{VISIBLE_S} s before have not begun")
-                    broken += said * 2 < len(waiting)
-        record.write(f"accepted {len(accepted)} of {JOBS}; answers while such jobs waited: {asked}, "
-                     f"of them with under half: {broken}")
-        if len(accepted) < JOBS // 2:
-            raise RuntimeError("too few jobs were accepted")
-        return broken == 0
+                if name != left:
+                    entries.kill(name)
+            record.write(f"{left} is the only entry daemon left")
+            time.sleep(3)
+        jobs = [job_id() for _ in range(4)]
+        steps = [{"count": 2, "cpu": 900, "memMb": 2600, "estimatedMs": 3000},
+                 {"count": 2, "cpu": 900, "memMb": 2600, "estimatedMs": 1000, "after": [0]}]
+        for job in jobs:
+            if not entries.submit(job, steps):
+                raise RuntimeError("a job was not accepted")
+        time.sleep(1)
+        for _ in range(OUTAGES if trouble else 0):
+            record.write(f"the store is down for {DOWN_S} s")
+            store.down = True
+            time.sleep(DOWN_S)
+            record.write(f"the store answers again, slowly, for {SLOW_S} s")
+            store.answer_s, store.down = usual * SLOW_X, False
+            time.sleep(SLOW_S)
+        store.answer_s = usual
+        record.write("the store is sound from now on")
+        end = time.monotonic() + FINISH_S + STUCK_S
+        idle_since, late = None, job_id()
+        while time.monotonic() < end:
+            running = fleet.do(lambda: sum(len(worker.running) for worker in fleet.workers.values()))
+            idle_since = None if running else idle_since or time.monotonic()
+            time.sleep(0.1)
+        idle_s = time.monotonic() - idle_since if idle_since else 0
+        states = [entries.state(job) for job in jobs]
+        new = entries.submit(late, steps[:1], tries=5)
+        record.write(f"{FINISH_S + STUCK_S} s later: states {states}; nothing has run on any worker for {idle_s:.1f} s; "
+                     f"a new job is {'accepted' if new else 'refused five times'}")
+        stalled = entries.events("transaction_stalled")
+        record.write(f"log: {len(stalled)} transactions stalled" + (f", last: {stalled[-1]['answer']}" if stalled else ""))
+        # LOST: a job has nothing running for 3 s while a task's turn has come and all workers are idle.
+        return not (any(state != "completed" for state in states) and idle_s >= STUCK_S)
     finally:
         entries.close()
 
--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -557,6 +557,7 @@
 def main(play):
     """Run play(record, trouble): True if the rule held. Exit with 0, 1, or 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends what was started
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
     record.write(f"disruption: {'on' if trouble else 'off'}")
