--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -348,8 +348,9 @@
     ///               has too little free capacity
     void preempt_run(fleet_target& target, const task_name& task, const workflow& preemptor,
                      std::string_view reason);
-    /// Preempts less urgent runs of the same team until the urgent step fits its team's limit.
-    void preempt_for_team_limit(workflow& owner, std::uint32_t step_index);
+    /// Preempts less urgent runs of the same team until @p tasks of the urgent step fit its team's
+    /// limit.
+    void preempt_for_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t tasks);
     /// Preempts less urgent runs on targets that the urgent step may use, or asks the advisor
     /// about such targets.
     /// @return whether runs were preempted or targets were named to the advisor
@@ -369,7 +370,10 @@
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
-    /// @return whether pool and label match and the step has not just failed on the target
+    /// @return whether the target is in the workflow's pool and has the label that the step needs
+    [[nodiscard]] static bool matches(const fleet_target& target, const workflow& owner,
+                                      std::uint32_t step_index);
+    /// @return whether the target matches() and the step has not just failed there
     [[nodiscard]] bool is_suitable(const fleet_target& target, const workflow& owner,
                                    std::uint32_t step_index) const;
     /// @return the target as a candidate for the step; nothing when no task fits there, it is
@@ -425,6 +429,14 @@
     /// @return whether the advisor's ticket for the target has not expired; true without a ticket
     [[nodiscard]] bool ticket_valid(const workflow& owner, std::uint32_t step_index,
                                     const std::string& target) const;
+    /// @return how many waiting tasks of the step could run at a time if the team ran nothing else
+    /// and the targets were empty; 0 when they are too few for a gang
+    [[nodiscard]] std::uint32_t max_concurrent_tasks(const workflow& owner,
+                                                     std::uint32_t step_index) const;
+    /// Keeps less urgent work of the team from using the part of its limit that tasks of an urgent
+    /// step will use, and frees it, when the step can run within the limit at all.
+    /// @param allowed tasks that may start now
+    void claim_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t allowed);
     /// Asks the advisor which of @p targets may run the step. The targets of a gang are divided
     /// among several questions when there are many.
     /// @param add_claims see send_question()
--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -39,15 +39,21 @@
            this->is_suitable(target, owner, step_index);
 }
 
-bool coordinator::is_suitable(const fleet_target& target, const workflow& owner,
-                              std::uint32_t step_index) const
+bool coordinator::matches(const fleet_target& target, const workflow& owner,
+                          std::uint32_t step_index)
 {
     const auto& report = target.report;
     const auto& label = owner.record.spec.steps[step_index].required_label;
-    const auto& avoided_until = owner.steps[step_index].avoided_until;
-    const auto failed = avoided_until.find(report.name);
     return report.pool == owner.record.pool &&
-           (label.empty() || std::ranges::find(report.labels, label) != report.labels.end()) &&
+           (label.empty() || std::ranges::find(report.labels, label) != report.labels.end());
+}
+
+bool coordinator::is_suitable(const fleet_target& target, const workflow& owner,
+                              std::uint32_t step_index) const
+{
+    const auto& avoided_until = owner.steps[step_index].avoided_until;
+    const auto failed = avoided_until.find(target.report.name);
+    return matches(target, owner, step_index) &&
            (failed == avoided_until.end() || this->evaluation_time >= failed->second);
 }
 
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-void coordinator::preempt_for_team_limit(workflow& owner, std::uint32_t step_index)
+void coordinator::preempt_for_team_limit(workflow& owner, std::uint32_t step_index,
+                                         std::uint32_t tasks)
 {
     const auto now = boot_time();
     auto& step = owner.steps[step_index];
@@ -50,8 +51,8 @@
     std::ranges::sort(found, {}, [](const auto& entry) { return entry.first.lost_work; });
     resources free_capacity;
     for (const auto& [chosen, target] : found) {
-        if (need.processors_milli * step.waiting_count <= free_capacity.processors_milli &&
-            need.memory_mb * step.waiting_count <= free_capacity.memory_mb)
+        if (need.processors_milli * tasks <= free_capacity.processors_milli &&
+            need.memory_mb * tasks <= free_capacity.memory_mb)
             break;
         free_capacity += chosen.placed->need;
         this->preempt_run(*target, chosen.task, owner, "limit");
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -4,6 +4,7 @@
 #include "coordination/leadership.h"
 #include "coordinator/coordinator.h"
 #include "coordinator/step_placer.h"
+#include "coordinator/target_session.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
@@ -161,11 +162,9 @@
     const auto* queue = this->configuration->queue(owner.record.queue);
     const auto allowed = this->tasks_within_team_limit(owner, spec.need, step.waiting_count);
     if (owner.urgent() && allowed < step.waiting_count)
-        this->usage_by_team.reserve_for_urgent(owner.record.team, spec.need,
-                                               step.waiting_count - allowed);
+        this->claim_team_limit(owner, step_index, allowed);
     if (allowed == 0 || (spec.gang && allowed < step.waiting_count)) {
         this->release_reservation(step);
-        this->preempt_for_team_limit(owner, step_index);
         return false;
     }
     if (step.open_questions > 0 && spec.gang)
@@ -236,3 +235,53 @@
 }
 
 } // namespace verbenalever
+std::uint32_t coordinator::max_concurrent_tasks(const workflow& owner,
+                                                std::uint32_t step_index) const
+{
+    const auto& step = owner.steps[step_index];
+    const auto& spec = owner.record.spec.steps[step_index];
+    const auto wanted = step.waiting_count;
+    const auto* team = this->configuration->team(owner.record.team);
+    const auto within_limit =
+        team == nullptr ? wanted
+                        : team_usage_tracker::max_runs_beside({}, team->limit, spec.need, wanted);
+    if (within_limit == 0 || (spec.gang && within_limit < wanted))
+        return 0;
+    std::uint32_t fitting = 0;
+    for (const auto& [name, target] : this->targets) {
+        if (fitting >= within_limit)
+            break;
+        const auto advice = step.advice.find(name);
+        if (target->report.leaving || !target->session->reachable() ||
+            this->in_unusable_zone(*target) || !matches(*target, owner, step_index) ||
+            (advice != step.advice.end() && !advice->second.allowed))
+            continue;
+        auto tasks = fleet_target::count_fitting(target->report.capacity, spec.need);
+        if (spec.max_per_target > 0)
+            tasks = std::min(tasks, spec.max_per_target);
+        fitting += std::min(tasks, within_limit - fitting);
+    }
+    return spec.gang && fitting < wanted ? 0 : fitting;
+}
+
+void coordinator::claim_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t allowed)
+{
+    this->evaluation_time = boot_time();
+    const auto concurrent = this->max_concurrent_tasks(owner, step_index);
+    auto& step = owner.steps[step_index];
+    if (const bool too_large = concurrent == 0; too_large != step.too_large) {
+        step.too_large = too_large;
+        this->env.log.write("coordinator", too_large ? "step_too_large" : "step_fits",
+                            {{"workflow", owner.record.id},
+                             {"step", step_index},
+                             {"team", owner.record.team},
+                             {"tasks", step.waiting_count}});
+    }
+    if (concurrent <= allowed)
+        return;
+    const auto& spec = owner.record.spec.steps[step_index];
+    this->usage_by_team.reserve_for_urgent(owner.record.team, spec.need, concurrent - allowed);
+    if (allowed == 0 || spec.gang)
+        this->preempt_for_team_limit(owner, step_index, concurrent);
+}
+
--- a/src/libverbenalever/coordinator/team_usage_tracker.cpp
+++ b/src/libverbenalever/coordinator/team_usage_tracker.cpp
@@ -77,6 +77,20 @@
         usage.reserved_for_urgent = {};
 }
 
+std::uint32_t team_usage_tracker::max_runs_beside(const resources& used, const resources& limit,
+                                                  const resources& need, std::uint32_t wanted)
+{
+    std::int64_t max_runs = wanted;
+    const auto bound = [&max_runs](std::int64_t all, std::int64_t in_use, std::int64_t each) {
+        if (all > 0 && each > 0)
+            max_runs = std::min(max_runs, std::max<std::int64_t>(0, all - in_use) / each);
+    };
+    bound(limit.processors_milli, used.processors_milli, need.processors_milli);
+    bound(limit.memory_mb, used.memory_mb, need.memory_mb);
+    bound(limit.accelerators, used.accelerators, need.accelerators);
+    return static_cast<std::uint32_t>(max_runs);
+}
+
 std::uint32_t team_usage_tracker::max_runs_within_limit(std::string_view team,
                                                         const resources& limit,
                                                         const resources& need, std::uint32_t wanted,
@@ -89,15 +103,7 @@
         const auto& usage = found->second;
         counted += usage.urgent_peak - usage.urgent + usage.reserved_for_urgent;
     }
-    std::int64_t max_runs = wanted;
-    const auto bound = [&max_runs](std::int64_t all, std::int64_t used, std::int64_t each) {
-        if (all > 0 && each > 0)
-            max_runs = std::min(max_runs, std::max<std::int64_t>(0, all - used) / each);
-    };
-    bound(limit.processors_milli, counted.processors_milli, need.processors_milli);
-    bound(limit.memory_mb, counted.memory_mb, need.memory_mb);
-    bound(limit.accelerators, counted.accelerators, need.accelerators);
-    return static_cast<std::uint32_t>(max_runs);
+    return max_runs_beside(counted, limit, need, wanted);
 }
 
 void team_usage_tracker::decay_urgent_peaks()
--- a/src/libverbenalever/coordinator/team_usage_tracker.h
+++ b/src/libverbenalever/coordinator/team_usage_tracker.h
@@ -29,6 +29,11 @@
     void reserve_for_urgent(std::string_view team, const resources& need, std::uint32_t runs);
     void clear_urgent_reservations();
 
+    /// @return how many runs, at most @p wanted, fit within @p limit beside @p used of it
+    [[nodiscard]] static std::uint32_t max_runs_beside(const resources& used,
+                                                       const resources& limit,
+                                                       const resources& need, std::uint32_t wanted);
+
     /// @return how many runs, at most @p wanted, the team may start without exceeding @p limit
     [[nodiscard]] std::uint32_t max_runs_within_limit(std::string_view team, const resources& limit,
                                                       const resources& need, std::uint32_t wanted,
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -80,6 +80,8 @@
     int consecutive_missed_answers = 0; ///< questions without answer since the last answer
     milliseconds ready_since{0};        ///< time since boot when it first became ready; 0: not yet
     bool in_ready_list = false;         ///< whether coordinator::ready_steps contains the step
+    /// Whether it was last found to exceed its team's limit, or all targets, by itself.
+    bool too_large = false;
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
     /// Estimated time from the start of the step to the end of the workflow.
     milliseconds time_to_workflow_end{0};
