--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace verbenalever {
@@ -39,9 +40,10 @@
     store_transaction change;
     std::string fence_value;
     std::vector<callback> done;
+    std::vector<callback> leased_done; ///< the same for writes with a lease
+    std::string_view last_answer;      ///< other than a result, for the log
     milliseconds first_sent{0};
     milliseconds last_sent{0};
-    bool stall_logged = false;
 };
 
 commit_chain::commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
@@ -156,8 +158,9 @@
         else {
             change.deletes.push_back(found->first);
         }
-        for (auto& done : found->second.done)
-            this->in_flight->done.push_back(std::move(done));
+        auto& callbacks =
+            found->second.lease == 0 ? this->in_flight->done : this->in_flight->leased_done;
+        std::ranges::move(found->second.done, std::back_inserter(callbacks));
         this->pending_writes.erase(found);
         key_queue.pop_front();
         ++entries;
@@ -194,6 +197,9 @@
     case store_result::outcome::committed:
         this->finish_transaction(result.revision);
         return;
+    case store_result::outcome::lease_ended:
+        this->drop_leased_writes();
+        return;
     case store_result::outcome::rejected:
         this->log_stall("rejected");
         this->schedule_resend(rejection_wait);
@@ -218,9 +224,25 @@
     this->on_fence_lost();
 }
 
+void commit_chain::drop_leased_writes()
+{
+    auto& writes = this->in_flight->change.writes;
+    const auto dropped = std::erase_if(writes, [](const auto& write) { return write.lease != 0; });
+    if (dropped == 0) {
+        this->log_stall("lease_ended");
+        this->schedule_resend(rejection_wait);
+        return;
+    }
+    this->log.write("coordination", "leased_writes_dropped",
+                    {{"writes", dropped}, {"others", writes.size()}});
+    this->in_flight->leased_done.clear();
+    // The fence value stays, so that an earlier attempt that was executed is recognised.
+    this->send_transaction();
+}
+
 void commit_chain::log_stall(std::string_view answer)
 {
-    if (!this->stalled() || std::exchange(this->in_flight->stall_logged, true))
+    if (!this->stalled() || std::exchange(this->in_flight->last_answer, answer) == answer)
         return;
     const auto& writes = this->in_flight->change.writes;
     const auto largest =
@@ -242,7 +264,8 @@
         std::clamp(attempt_duration * timeout_factor, shortest_timeout, longest_timeout);
     this->last_confirmed = this->in_flight->last_sent;
     this->fence_revision = revision;
-    const auto done = std::move(this->in_flight->done);
+    auto done = std::move(this->in_flight->done);
+    std::ranges::move(this->in_flight->leased_done, std::back_inserter(done));
     this->in_flight.reset();
     if (!this->pending_writes.empty() && !this->closed)
         this->schedule_flush();
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -47,7 +47,8 @@
     /// not been sent.
     /// @param urgent whether it is sent before writes that are not urgent
     /// @param done   called when the write is committed; never when the fence is lost
-    /// @param lease  lease that the key is attached to; 0: none
+    /// @param lease  lease that the key is attached to; 0: none. If it has ended when the write
+    ///               reaches the store, the write is dropped without a call of @p done
     void put(const std::string& key, producer value, bool urgent, callback done,
              std::int64_t lease = 0);
 
@@ -107,7 +108,10 @@
     void handle_result(const store_result& result);
     void finish_transaction(std::int64_t revision);
     void schedule_resend(milliseconds wait);
-    /// Log once that the transaction in flight has had no useful answer for too long.
+    /// Resend the transaction in flight without the writes under leases, since one has ended.
+    void drop_leased_writes();
+    /// Log, once for each kind of answer, that the transaction in flight has had no useful answer
+    /// for too long.
     void log_stall(std::string_view answer);
 
     metadata_store& store;
--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -33,6 +33,12 @@
             key, [value] { return value; }, false, [this] { ++this->writes_done; });
     }
 
+    std::int64_t grant_lease()
+    {
+        this->store.grant_lease(milliseconds(10'000), [](const auto&) {});
+        return this->store.last_lease;
+    }
+
     event_loop loop;
     fake_store store{this->loop};
     event_log log{"test"};
@@ -123,6 +129,45 @@
     EXPECT_EQ(this->writes_done, backlog);
 }
 
+// A write whose lease ended while its transaction could not reach the store was sent again for
+// good, and no later write was ever committed.
+TEST_F(commit_chain_test, a_write_under_an_ended_lease_holds_up_no_other_write)
+{
+    this->store.down = true;
+    bool leased_done = false;
+    this->chain->put(
+        "leader", [] { return "me"; }, true, [&leased_done] { leased_done = true; },
+        this->grant_lease());
+    this->put("a", "1");
+    this->run_for(milliseconds(100));
+    this->store.expire(this->store.last_lease);
+    this->store.down = false;
+    this->put("b", "2");
+    this->run_for(milliseconds(600));
+    EXPECT_EQ(this->writes_done, 2);
+    EXPECT_FALSE(leased_done);
+    EXPECT_FALSE(this->store.items.contains("leader"));
+    EXPECT_FALSE(this->has_lost_fence);
+}
+
+// The same when the store had executed the transaction before the lease ended.
+TEST_F(commit_chain_test, a_lost_answer_to_a_write_under_an_ended_lease_is_no_lost_fence)
+{
+    this->store.responses_to_lose = 1;
+    this->store.lease_check_first = true;
+    this->chain->put(
+        "leader", [] { return "me"; }, true, {}, this->grant_lease());
+    this->put("a", "1");
+    this->run_for(milliseconds(22)); // sent, and its answer is lost
+    ASSERT_EQ(this->store.commit_count, 1);
+    this->store.expire(this->store.last_lease);
+    this->put("b", "2");
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(this->writes_done, 2);
+    EXPECT_EQ(this->store.commit_count, 2);
+    EXPECT_FALSE(this->has_lost_fence);
+}
+
 TEST_F(commit_chain_test, nothing_is_written_after_another_process_took_the_fence)
 {
     this->store.items["fence"] = {"fence", "other", 7, false};
--- a/src/libverbenalever/ports/store_result.h
+++ b/src/libverbenalever/ports/store_result.h
@@ -10,10 +10,11 @@
 /// Result of a transaction.
 struct store_result {
     enum class outcome {
-        committed, ///< all changes were applied
-        conflict,  ///< a condition failed; nothing was applied
-        rejected,  ///< nothing was applied: store busy, rate limit exceeded, or a lease has ended
-        unknown,   ///< no response: the changes may have been applied or may still be
+        committed,   ///< all changes were applied
+        conflict,    ///< a condition failed; nothing was applied
+        lease_ended, ///< the lease of a write has ended; nothing was applied, nor ever will be
+        rejected,    ///< nothing was applied: store busy or rate limit exceeded
+        unknown,     ///< no response: the changes may have been applied or may still be
     };
 
     outcome how = outcome::unknown;
--- a/src/libverbenalever/testing/fake_store.cpp
+++ b/src/libverbenalever/testing/fake_store.cpp
@@ -1,5 +1,7 @@
 #include "testing/fake_store.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 fake_store::fake_store(event_loop& loop)
@@ -35,8 +37,13 @@
         conflict.current.push_back(found == this->items.end() ? store_item{.key = condition.key}
                                                               : found->second);
     }
-    if (!conditions_hold)
+    const bool lease_ended = std::ranges::any_of(change.writes, [this](const auto& write) {
+        return write.lease != 0 && !this->leases.contains(write.lease);
+    });
+    if (!conditions_hold && !(lease_ended && this->lease_check_first))
         return conflict;
+    if (lease_ended)
+        return {.how = store_result::outcome::lease_ended};
     ++this->revision;
     ++this->commit_count;
     for (const auto& write : change.writes) {
--- a/src/libverbenalever/testing/fake_store.h
+++ b/src/libverbenalever/testing/fake_store.h
@@ -40,6 +40,9 @@
     /// their timeout. Watches go on, and leases can still be revoked.
     bool down = false;
 
+    /// Whether an ended lease of a write is noticed before a condition that fails.
+    bool lease_check_first = false;
+
     /// Time until a transaction is answered.
     milliseconds commit_delay{1};
 
