--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -158,8 +158,10 @@
     }
     // An end is reported only once it is stored: before that a failover would lose it.
     const bool open = !is_final(existing->state) || !existing->end_stored;
-    const auto open_state =
-        existing->has_started ? workflow_state::running : workflow_state::queued;
+    // Callers that were told that it runs must not see it return to `queued` after a hand-over.
+    const auto open_state = existing->has_started || existing->may_have_started
+                                ? workflow_state::running
+                                : workflow_state::queued;
     reply(call_outcome::accepted, open ? open_state : existing->state);
 }
 
--- a/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_recovery_test.cpp
@@ -164,6 +164,47 @@
     EXPECT_EQ(this->targets.start_count, 4);
 }
 
+// Jobs whose starts went to lost targets were left out of the number of waiting jobs after a
+// hand-over, although no task of them had started: a stored placement was taken for a start.
+TEST_F(coordinator_recovery_test, a_placement_alone_does_not_end_the_wait_of_a_workflow)
+{
+    this->targets.add("t1", 8000).task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "runs", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    this->targets.targets["t1"]->unresponsive = true;
+    for (int number = 0; number < 3; ++number)
+        this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(100));
+    ASSERT_EQ(this->targets.start_count, 4);
+    EXPECT_EQ(first.active_coordinator->count_waiting("slow"), 3);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    EXPECT_GE(second.active_coordinator->count_waiting("slow"), 3);
+    this->targets.targets["t1"]->unresponsive = false;
+    this->run_for(milliseconds(1200));
+    EXPECT_EQ(this->targets.running("w0"), 1);
+    EXPECT_EQ(second.active_coordinator->count_waiting("slow"), 0);
+}
+
+// The same by way of a crash that was stored for a run whose start was never confirmed.
+TEST_F(coordinator_recovery_test, an_unconfirmed_crash_does_not_end_the_wait_of_a_workflow)
+{
+    auto& target = this->targets.add("t1", 8000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    target.unresponsive = true; // the start is sent, and neither executed nor answered
+    this->submit(first, "w", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(100));
+    ASSERT_EQ(this->targets.start_count, 1);
+    this->targets.restart("t1");
+    this->run_for(milliseconds(400));
+    EXPECT_EQ(first.active_coordinator->count_waiting("slow"), 1);
+    this->kill(first);
+    auto& second = this->elect("vm-2");
+    EXPECT_EQ(second.active_coordinator->count_waiting("slow"), 1);
+}
+
 // Until a target answers, a successor counts what its predecessor may have started there against
 // the team's limit. Cancelling the workflow in the meantime must not leave it counted for good.
 TEST_F(coordinator_recovery_test, a_workflow_cancelled_during_adoption_frees_its_teams_limit)
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -94,8 +94,7 @@
     auto& task = step.tasks[entry.index];
     if (task.current_phase == workflow_task::phase::done)
         return;
-    // Its start was most likely sent; callers must not see the workflow return to `queued`.
-    owner->has_started = true;
+    owner->may_have_started = true;
     const auto& need = owner->record.spec.steps[entry.step].need;
     if (task.current_phase == workflow_task::phase::waiting) {
         task.current_phase = workflow_task::phase::awaiting_target;
@@ -153,7 +152,8 @@
     if (owner == nullptr || is_final(owner->state) || entry.step >= owner->steps.size() ||
         entry.index >= owner->steps[entry.step].tasks.size())
         return false;
-    owner->has_started = true;
+    const auto evidence = crash_evidence_of(entry);
+    (evidence == crash_evidence::unconfirmed ? owner->may_have_started : owner->has_started) = true;
     auto& step = owner->steps[entry.step];
     auto& task = step.tasks[entry.index];
     task.run = std::max(task.run, entry.run);
@@ -166,7 +166,7 @@
         if (std::ranges::find(failed, entry.run) == failed.end())
             failed.push_back(entry.run);
     }
-    if (const auto evidence = crash_evidence_of(entry)) {
+    if (evidence) {
         step.crashes_seen = true;
         task.crashes.add({.run = entry.run, .evidence = *evidence, .target = {}});
     }
@@ -189,17 +189,20 @@
 {
     this->loaded = true;
     std::size_t unfinished = 0;
+    std::size_t unconfirmed = 0; // workflows of which only placements show that they may run
     for (auto& [id, entry] : this->workflows) {
         this->remembered_cancels += entry->record.submitted() ? 0 : 1;
         if (is_final(entry->state))
             continue;
         ++unfinished;
+        unconfirmed += entry->may_have_started && !entry->has_started ? 1 : 0;
         this->add_ready_steps(*entry);
     }
     this->env.log.write("coordinator", "loaded",
                         {{"term", this->term},
                          {"workflows", this->workflows.size()},
                          {"open", unfinished},
+                         {"unconfirmed", unconfirmed},
                          {"keys", this->loaded_keys},
                          {"unseen_targets", this->awaited_placements.size()},
                          {"ms", (boot_time() - this->started_at).count()}});
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -109,7 +109,9 @@
     std::int64_t run_number_base = 0; ///< runs that start in this term have greater numbers
     bool record_stored = false;       ///< the store has its record
     bool end_stored = false;          ///< the store has its record with the final state
-    bool has_started = false;         ///< a task of it has started, in any term
+    bool has_started = false;         ///< a task of it is known to have started, in any term
+    /// An earlier coordinator stored a placement of a task, and has most likely sent its start.
+    bool may_have_started = false;
     [[nodiscard]] bool urgent() const
     {
         return this->priority == 0;
