--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -293,6 +293,9 @@
     /// @return whether the platform's list was read recently enough for starts: capacities that
     /// have shrunk since are not known
     [[nodiscard]] bool list_is_recent() const;
+    /// Poll some targets, also idle ones, of each zone that may be silent: nothing starts there
+    /// until one of them answers.
+    void probe_suspected_zones();
     /// Poll the target repeatedly while it has runs.
     void update_polling(fleet_target& target);
     /// Order a run to stop; a run whose start was not sent is only removed.
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -348,6 +348,31 @@
     auto& first = this->elect("vm-1");
     this->targets.poll_count = 0;
     for (int number = 0; number < 20; ++number) {
+// Load pattern: light work; one rack of a zone is lost for good. The idle targets of the zone's
+// other rack were never asked, so that the zone counted as silent and got no work any more.
+TEST_F(coordinator_load_test, idle_targets_of_a_zone_are_used_after_others_of_it_are_lost)
+{
+    for (int number = 0; number < 3; ++number) {
+        auto& lost = this->targets.add("lost" + std::to_string(number), 2000, "z1");
+        lost.task_duration = milliseconds(0);
+        lost.report.labels.emplace_back("rack-1");
+        this->targets.add("idle" + std::to_string(number), 2000, "z1").task_duration =
+            milliseconds(0);
+    }
+    auto& first = this->elect("vm-1");
+    auto on_rack = this->tasks(3, 2);
+    on_rack.required_label = "rack-1";
+    this->submit(first, "on-rack", {on_rack}, "slow");
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("on-rack"), 3);
+    for (int number = 0; number < 3; ++number)
+        this->targets.targets["lost" + std::to_string(number)]->unresponsive = true;
+    this->run_for(milliseconds(3500)); // longer than a poll waits
+    this->submit(first, "next", {this->tasks(3, 2)}, "slow");
+    this->run_for(milliseconds(800));
+    EXPECT_EQ(this->targets.running("next"), 3);
+}
+
         this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
         this->run_for(milliseconds(60));
     }
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -5,9 +5,11 @@
 #include "coordinator/coordinator.h"
 #include "coordinator/target_session.h"
 #include "ports/target_directory.h"
+#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace verbenalever {
@@ -21,6 +23,8 @@
 constexpr milliseconds max_list_age{3000};
 /// Wait before an order without an answer is sent again.
 constexpr milliseconds resend_wait{150};
+/// Targets of a zone that may be silent that are probed in each check_interval.
+constexpr int probes_per_zone = 3;
 /// Reason for the removal of a target that began a new life.
 constexpr std::string_view reborn = "reborn";
 
@@ -204,6 +208,7 @@
     // The registration of a new life may have been read before the end of the last one was noticed.
     if (!targets_to_remove.empty())
         this->apply_directory(std::vector(this->latest_reports));
+    this->probe_suspected_zones();
     this->release_overdue_tasks(now);
     this->update_adoption();
     this->usage_by_team.decay_urgent_peaks();
@@ -211,6 +216,24 @@
     this->request_scheduling_pass();
 }
 
+void coordinator::probe_suspected_zones()
+{
+    if (!this->silent_zones.any_suspected())
+        return;
+    std::map<std::string_view, int> probed;
+    for (const auto& [name, target] : this->targets) {
+        const auto& zone = target->report.availability_zone;
+        if (!target->session->reachable() || !target->session->polled() ||
+            !this->silent_zones.is_suspected(zone) || ++probed[zone] > probes_per_zone)
+            continue;
+        this->env.metrics.add("zone_probes");
+        target->session->probe();
+    }
+    for (const auto& [zone, count] : probed)
+        this->env.log.write("coordinator", "zone_probed",
+                            {{"availability_zone", zone}, {"reachable", count}});
+}
+
 void coordinator::update_fleet_capacity()
 {
     const auto now = boot_time();
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -3,6 +3,7 @@
 #include "loop/event_loop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenalever {
 
@@ -50,6 +51,14 @@
     this->poll();
 }
 
+void target_session::probe()
+{
+    if (this->poll_in_progress)
+        return;
+    this->probing = true;
+    this->poll();
+}
+
 void target_session::set_polling(bool wanted, bool urgent)
 {
     this->polling_wanted = wanted;
@@ -149,8 +158,8 @@
     if (this->poll_in_progress)
         return;
     this->poll_in_progress = true;
-    const bool wait_for_end =
-        this->has_been_polled && this->missed_answers == 0 && !this->waiting_for_stored_end;
+    const bool wait_for_end = !std::exchange(this->probing, false) && this->has_been_polled &&
+                              this->missed_answers == 0 && !this->waiting_for_stored_end;
     const auto longest_wait = this->polling_urgent ? urgent_poll_wait : poll_wait;
     const auto wait = wait_for_end ? longest_wait : milliseconds(0);
     const auto timeout =
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -51,6 +51,9 @@
     /// @param urgent whether some of it is urgent, so that a lost poll must be noticed early
     void set_polling(bool wanted, bool urgent);
 
+    /// Poll the target once, to be answered at once, unless a poll is waiting for its answer.
+    void probe();
+
     /// Make the next poll acknowledge the ended runs up to @p number, so that the target no longer
     /// reports them.
     /// @param all whether all ends that the target has reported are stored
@@ -145,6 +148,7 @@
     bool polling_wanted = false;
     bool polling_urgent = false;
     bool poll_in_progress = false;
+    bool probing = false; ///< the next poll does not wait for an end
     bool waiting_for_stored_end = false;
     bool has_been_polled = false;
     int missed_answers = 0;
--- a/src/libverbenalever/coordinator/zone_silence_detector.cpp
+++ b/src/libverbenalever/coordinator/zone_silence_detector.cpp
@@ -29,13 +29,18 @@
         ++this->suspected_zones;
 }
 
-bool zone_silence_detector::is_silent(std::string_view availability_zone, milliseconds now) const
+bool zone_silence_detector::is_suspected(std::string_view availability_zone) const
 {
-    if (this->suspected_zones == 0)
+    if (!this->any_suspected())
         return false;
     const auto known = this->zones.find(availability_zone);
-    return known != this->zones.end() && known->second.missed_answers >= min_missed_answers &&
-           now - known->second.last_answer_at >= min_silence;
+    return known != this->zones.end() && known->second.missed_answers >= min_missed_answers;
+}
+
+bool zone_silence_detector::is_silent(std::string_view availability_zone, milliseconds now) const
+{
+    return this->is_suspected(availability_zone) &&
+           now - this->zones.find(availability_zone)->second.last_answer_at >= min_silence;
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/zone_silence_detector.h
+++ b/src/libverbenalever/coordinator/zone_silence_detector.h
@@ -25,6 +25,16 @@
     /// answer either
     [[nodiscard]] bool is_silent(std::string_view availability_zone, milliseconds now) const;
 
+    /// @return whether targets of the zone have missed so many answers that it may be silent: its
+    /// other targets have to be asked, since only an answer ends this
+    [[nodiscard]] bool is_suspected(std::string_view availability_zone) const;
+
+    /// @return whether any zone is suspected
+    [[nodiscard]] bool any_suspected() const
+    {
+        return this->suspected_zones > 0;
+    }
+
 private:
     struct zone_state {
         milliseconds last_answer_at{0}; ///< time since boot
