--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -333,6 +333,13 @@
     void request_scheduling_pass(milliseconds wait = milliseconds(2));
     /// Tries to schedule the ready steps in their order.
     void run_scheduling_pass();
+    using ready_iterator = std::set<ready_key>::iterator;
+    /// Schedules ready steps in their order, from @p at on, until @p most have been evaluated.
+    /// @param reranked receives the steps that need another place among the ready steps
+    /// @return the key of the first step that was not scheduled; empty if there is none
+    std::optional<ready_key>
+    schedule_steps(ready_iterator at, int most,
+                   std::vector<std::pair<workflow*, std::uint32_t>>& reranked);
     /// Schedules a ready step and records what it still waits for.
     /// @return false when it waits for its team's limit or for the advisor
     bool schedule_step(workflow& owner, std::uint32_t step_index);
@@ -422,6 +429,14 @@
     [[nodiscard]] std::uint32_t tasks_within_team_limit(const workflow& owner,
                                                         const resources& need,
                                                         std::uint32_t wanted) const;
+    /// @return how many waiting tasks of the step could run at a time if the team ran nothing else
+    /// and the targets were empty; 0 when they are too few for a gang
+    [[nodiscard]] std::uint32_t max_concurrent_tasks(const workflow& owner,
+                                                     std::uint32_t step_index) const;
+    /// Keeps less urgent work of the team from using the part of its limit that tasks of an urgent
+    /// step will use, and frees it, when the step can run within the limit at all.
+    /// @param allowed tasks that may start now
+    void claim_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t allowed);
     /// Reserves capacity for one task on each target of @p placement.
     void reserve(workflow_step& step, const resources& need,
                  const std::vector<fleet_target*>& placement);
@@ -432,14 +447,6 @@
     /// @return whether the advisor's ticket for the target has not expired; true without a ticket
     [[nodiscard]] bool ticket_valid(const workflow& owner, std::uint32_t step_index,
                                     const std::string& target) const;
-    /// @return how many waiting tasks of the step could run at a time if the team ran nothing else
-    /// and the targets were empty; 0 when they are too few for a gang
-    [[nodiscard]] std::uint32_t max_concurrent_tasks(const workflow& owner,
-                                                     std::uint32_t step_index) const;
-    /// Keeps less urgent work of the team from using the part of its limit that tasks of an urgent
-    /// step will use, and frees it, when the step can run within the limit at all.
-    /// @param allowed tasks that may start now
-    void claim_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t allowed);
     /// Asks the advisor which of @p targets may run the step. The targets of a gang are divided
     /// among several questions when there are many.
     /// @param add_claims see send_question()
@@ -546,6 +553,9 @@
     milliseconds started_at{0};  ///< time since boot of start()
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
+    /// Where the next pass continues with the steps behind the first ones; empty: right behind
+    /// them.
+    std::optional<ready_key> resume_pass_at;
     free_capacity_index free_targets; ///< outlives the targets, which it refers to
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
     /// Start times of lives that targets have answered to be over, by target name, as long as the
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -161,6 +161,48 @@
     EXPECT_EQ(this->targets.start_count, 2);
 }
 
+// Load pattern: all targets of one kind are lost while urgent work that needs it goes on arriving.
+// Each pass looked at the same steps at the front, which no target suits, and at no others: work of
+// all other queues waited beside idle targets for good.
+TEST_F(coordinator_load_test, steps_that_no_target_suits_do_not_hide_later_ones)
+{
+    constexpr int backlog = 900;
+    this->targets.add("t1", 8000).task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    auto unsuited = this->tasks(1, 1);
+    unsuited.required_label = "lost-kind";
+    for (int number = 0; number < backlog; ++number)
+        this->submit(first, "unsuited" + std::to_string(number), {unsuited});
+    this->run_for(milliseconds(600));
+    for (int number = 0; number < 4; ++number)
+        this->submit(first, "later" + std::to_string(number), {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->targets.start_count, 4);
+}
+
+// Load pattern: the same while less urgent runs fill the only target that suits the last of the
+// urgent steps: those that no target suits used up the preemptions of each pass.
+TEST_F(coordinator_load_test, steps_that_no_target_suits_use_up_no_preemptions)
+{
+    constexpr int backlog = 250;
+    auto& target = this->targets.add("t1", 8000);
+    target.task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "slow", {this->tasks(8, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("slow"), 8);
+    auto unsuited = this->tasks(1, 1);
+    unsuited.required_label = "lost-kind";
+    for (int number = 0; number < backlog; ++number)
+        this->submit(first, "unsuited" + std::to_string(number), {unsuited});
+    this->run_for(milliseconds(800));
+    const auto reclaimed_before = first.metrics.value("runs_reclaimed");
+    this->submit(first, "urgent", {this->tasks(1, 1)});
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("urgent"), 1);
+    EXPECT_EQ(first.metrics.value("runs_reclaimed") - reclaimed_before, 1);
+}
+
 // Load pattern: operators take out one of two availability zones while a team uses more than half
 // of what is left. Its share is a part of the targets in service, so the other team goes first.
 TEST_F(coordinator_load_test, shares_are_measured_against_the_zones_in_service)
@@ -306,6 +348,31 @@
     EXPECT_EQ(this->state(first, "urgent"), workflow_state::completed);
 }
 
+// Load pattern: light work; one rack of a zone is lost for good. The idle targets of the zone's
+// other rack were never asked, so that the zone counted as silent and got no work any more.
+TEST_F(coordinator_load_test, idle_targets_of_a_zone_are_used_after_others_of_it_are_lost)
+{
+    for (int number = 0; number < 3; ++number) {
+        auto& lost = this->targets.add("lost" + std::to_string(number), 2000, "z1");
+        lost.task_duration = milliseconds(0);
+        lost.report.labels.emplace_back("rack-1");
+        this->targets.add("idle" + std::to_string(number), 2000, "z1").task_duration =
+            milliseconds(0);
+    }
+    auto& first = this->elect("vm-1");
+    auto on_rack = this->tasks(3, 2);
+    on_rack.required_label = "rack-1";
+    this->submit(first, "on-rack", {on_rack}, "slow");
+    this->run_for(milliseconds(300));
+    ASSERT_EQ(this->targets.running("on-rack"), 3);
+    for (int number = 0; number < 3; ++number)
+        this->targets.targets["lost" + std::to_string(number)]->unresponsive = true;
+    this->run_for(milliseconds(3500)); // longer than a poll waits
+    this->submit(first, "next", {this->tasks(3, 2)}, "slow");
+    this->run_for(milliseconds(800));
+    EXPECT_EQ(this->targets.running("next"), 3);
+}
+
 // Load pattern: an availability zone is cut off. Each of its targets would be found silent by
 // losing a task; the others must not be used meanwhile.
 TEST_F(coordinator_load_test, few_tasks_are_placed_in_a_zone_that_was_cut_off)
@@ -348,31 +415,6 @@
     auto& first = this->elect("vm-1");
     this->targets.poll_count = 0;
     for (int number = 0; number < 20; ++number) {
-// Load pattern: light work; one rack of a zone is lost for good. The idle targets of the zone's
-// other rack were never asked, so that the zone counted as silent and got no work any more.
-TEST_F(coordinator_load_test, idle_targets_of_a_zone_are_used_after_others_of_it_are_lost)
-{
-    for (int number = 0; number < 3; ++number) {
-        auto& lost = this->targets.add("lost" + std::to_string(number), 2000, "z1");
-        lost.task_duration = milliseconds(0);
-        lost.report.labels.emplace_back("rack-1");
-        this->targets.add("idle" + std::to_string(number), 2000, "z1").task_duration =
-            milliseconds(0);
-    }
-    auto& first = this->elect("vm-1");
-    auto on_rack = this->tasks(3, 2);
-    on_rack.required_label = "rack-1";
-    this->submit(first, "on-rack", {on_rack}, "slow");
-    this->run_for(milliseconds(300));
-    ASSERT_EQ(this->targets.running("on-rack"), 3);
-    for (int number = 0; number < 3; ++number)
-        this->targets.targets["lost" + std::to_string(number)]->unresponsive = true;
-    this->run_for(milliseconds(3500)); // longer than a poll waits
-    this->submit(first, "next", {this->tasks(3, 2)}, "slow");
-    this->run_for(milliseconds(800));
-    EXPECT_EQ(this->targets.running("next"), 3);
-}
-
         this->submit(first, "w" + std::to_string(number), {this->tasks(1, 1)});
         this->run_for(milliseconds(60));
     }
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -86,13 +86,14 @@
     if (!owner.urgent() || step.rank > 0 || now < step.ready_since + preemption_delay ||
         now < step.next_preemption_at || this->preemptions_left == 0)
         return false;
-    --this->preemptions_left;
     const auto& need = owner.record.spec.steps[step_index].need;
     std::vector<preemption_plan> plans;
     std::vector<std::pair<double, fleet_target*>> not_asked;
+    bool examined = false;
     for (const auto& [name, target] : this->targets) {
         if (!this->can_use(*target, owner, step_index))
             continue;
+        examined = true;
         auto found = plan_preemptions(*target, need, {.priority = owner.priority}, wanted);
         if (found.empty())
             continue;
@@ -103,6 +104,7 @@
         else if (answer == step.advice.end())
             not_asked.emplace_back(found.front().lost_work, target.get());
     }
+    this->preemptions_left -= examined ? 1 : 0;
     step.next_preemption_at = now + preemption_interval;
     if (plans.empty()) {
         std::ranges::sort(not_asked);
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -8,14 +8,17 @@
 #include "timeline/event_log.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace verbenalever {
 
 namespace {
 
-/// Steps for which one pass evaluates targets; later ones would find no free capacity either. Steps
-/// that wait for their team's limit or for the advisor do not count: later ones may still start.
-constexpr int max_steps_per_pass = 400;
+/// Steps for which one pass evaluates targets, from the front of the ready steps. Steps that wait
+/// for their team's limit or for the advisor do not count: later ones may still start.
+constexpr int first_steps_per_pass = 300;
+/// Steps behind them for which it does so; successive passes go through all of these.
+constexpr int later_steps_per_pass = 100;
 /// After a pass the next one waits for this many times its duration, so that scheduling leaves most
 /// of the processor to orders, polls of targets and callers.
 constexpr int pass_pause_factor = 3;
@@ -102,16 +105,13 @@
     this->ready_steps.insert(this->ready_key_of(owner, step_index));
 }
 
-void coordinator::run_scheduling_pass()
+std::optional<coordinator::ready_key>
+coordinator::schedule_steps(ready_iterator at, int most,
+                            std::vector<std::pair<workflow*, std::uint32_t>>& reranked)
 {
-    if (!this->loaded || !this->election.leads())
-        return;
-    const auto pass_started_at = boot_time();
-    this->usage_by_team.clear_urgent_reservations();
-    this->preemptions_left = preemptions_per_pass;
-    int steps_left = max_steps_per_pass;
-    std::vector<std::pair<workflow*, std::uint32_t>> reranked;
-    for (auto at = this->ready_steps.begin(); at != this->ready_steps.end() && steps_left > 0;) {
+    while (at != this->ready_steps.end()) {
+        if (most == 0)
+            return *at;
         const auto [priority, rank, due, id, step_index] = *at;
         ++at; // scheduling a step may erase it from ready_steps
         auto* owner = this->find_workflow(id);
@@ -119,8 +119,28 @@
             continue;
         if (this->rank_of(*owner, step_index) != rank)
             reranked.emplace_back(owner, step_index);
-        steps_left -= this->schedule_step(*owner, step_index) ? 1 : 0;
+        most -= this->schedule_step(*owner, step_index) ? 1 : 0;
     }
+    return std::nullopt;
+}
+
+void coordinator::run_scheduling_pass()
+{
+    if (!this->loaded || !this->election.leads())
+        return;
+    const auto pass_started_at = boot_time();
+    this->usage_by_team.clear_urgent_reservations();
+    this->preemptions_left = preemptions_per_pass;
+    std::vector<std::pair<workflow*, std::uint32_t>> reranked;
+    const auto later =
+        this->schedule_steps(this->ready_steps.begin(), first_steps_per_pass, reranked);
+    // What the first steps wait for need not be what later ones wait for: each has its turn.
+    if (later)
+        this->resume_pass_at = this->schedule_steps(
+            this->ready_steps.lower_bound(std::max(*later, this->resume_pass_at.value_or(*later))),
+            later_steps_per_pass, reranked);
+    else
+        this->resume_pass_at.reset();
     for (const auto& [owner, step_index] : reranked) {
         if (owner->steps[step_index].in_ready_list)
             this->update_rank(*owner, step_index);
@@ -224,17 +244,6 @@
     return true;
 }
 
-std::uint32_t coordinator::tasks_within_team_limit(const workflow& owner, const resources& need,
-                                                   std::uint32_t wanted) const
-{
-    const auto* team = this->configuration->team(owner.record.team);
-    if (team == nullptr)
-        return wanted;
-    return this->usage_by_team.max_runs_within_limit(owner.record.team, team->limit, need, wanted,
-                                                     owner.urgent());
-}
-
-} // namespace verbenalever
 std::uint32_t coordinator::max_concurrent_tasks(const workflow& owner,
                                                 std::uint32_t step_index) const
 {
@@ -285,3 +294,14 @@
         this->preempt_for_team_limit(owner, step_index, concurrent);
 }
 
+std::uint32_t coordinator::tasks_within_team_limit(const workflow& owner, const resources& need,
+                                                   std::uint32_t wanted) const
+{
+    const auto* team = this->configuration->team(owner.record.team);
+    if (team == nullptr)
+        return wanted;
+    return this->usage_by_team.max_runs_within_limit(owner.record.team, team->limit, need, wanted,
+                                                     owner.urgent());
+}
+
+} // namespace verbenalever
