TWICE by reading: a renewed lease confirms a coordinator only with the leader key under it

Callers would see: one task on two targets at a time.

Cause: after its lease had ended, a coordinator took the renewal of the next one, which the store grants to anyone, for a proof that nobody else was elected, while its write of the leader key had no answer. It renewed the leases of its tasks meanwhile, and a successor waits for those until renewal_grace after its own election only.

Why it works: last_renewal moves only while the key is known to be written under the renewed lease; commits of the chain confirm as before.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -266,6 +266,7 @@
     this->candidacy_pending = false;
     this->replaced_revision = 0;
     this->lease = lease;
+    this->key_lease = lease;
     this->chain = std::make_unique<commit_chain>(
         this->loop, this->store, this->log, this->fence_key, this->tenure, term,
         [this] { this->step_down("another process holds the fence"); });
@@ -283,19 +284,20 @@
     if (!this->leads())
         return;
     const auto sent = boot_time();
-    this->store.renew_lease(this->lease,
-                            [this, alive = this->alive, sent, tenure = this->tenure](auto status) {
-                                if (!*alive)
-                                    return;
-                                if (!this->leads() || tenure != this->tenure)
-                                    return;
-                                if (status.ok() || absl::IsNotFound(status))
-                                    this->chain->resend_if_stalled(sent);
-                                if (status.ok())
-                                    this->last_renewal = std::max(this->last_renewal, sent);
-                                else if (absl::IsNotFound(status))
-                                    this->restore_key();
-                            });
+    this->store.renew_lease(this->lease, [this, alive = this->alive, sent, lease = this->lease,
+                                          tenure = this->tenure](auto status) {
+        if (!*alive)
+            return;
+        if (!this->leads() || tenure != this->tenure)
+            return;
+        if (status.ok() || absl::IsNotFound(status))
+            this->chain->resend_if_stalled(sent);
+        // A lease says who coordinates only while the key is under it.
+        if (status.ok() && this->key_lease == lease)
+            this->last_renewal = std::max(this->last_renewal, sent);
+        else if (absl::IsNotFound(status))
+            this->restore_key();
+    });
 }
 
 void leadership::restore_key()
@@ -317,7 +319,11 @@
             // The fence condition of the chain makes this fail if another process has won since.
             this->chain->put(
                 this->leader_key, [record] { return pack_message(record); }, true,
-                [this] { this->log.write("coordination", "lease_regained", {}); }, *granted);
+                [this, lease = *granted] {
+                    this->key_lease = lease;
+                    this->log.write("coordination", "lease_regained", {});
+                },
+                *granted);
         });
 }
 
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -130,8 +130,9 @@
                                         ///< process has terminated; 0: none
     std::unique_ptr<commit_chain> chain;
     std::unique_ptr<commit_chain> former_chain; ///< kept alive until the next step_down()
-    std::string tenure; ///< see coordinator_record; of the current or last term of this process
-    std::int64_t lease = 0;
+    std::string tenure;     ///< see coordinator_record; of the current or last term of this process
+    std::int64_t lease = 0; ///< the last one granted for the leader key
+    std::int64_t key_lease = 0; ///< the one under which the leader key was last written
     milliseconds last_renewal{0};
     bool restoring_key = false;
     bool candidacy_pending = false;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -149,6 +149,22 @@
     EXPECT_TRUE(leader.election.is_lease_valid());
 }
 
+// Guards against tasks that run twice: a coordinator whose lease had ended took the renewal of its
+// next one for a proof that nobody had been elected meanwhile, and renewed the leases of its tasks.
+TEST_F(leadership_test, a_new_lease_confirms_nothing_until_the_leader_key_is_written_under_it)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->first.election.leads() ? this->first : this->second;
+    auto& other = this->first.election.leads() ? this->second : this->first;
+    other.election.retire();
+    this->store.transactions_to_delay = 1000; // the chain does not learn that the fence is lost
+    this->store.expire(this->store.lease_of_key["v/leader"]);
+    this->store.items["v/fence"] = {"v/fence", "another tenure", ++this->store.revision, false};
+    this->run_for(milliseconds(1600));
+    EXPECT_GE(leader.election.time_since_confirmed(), milliseconds(1500));
+    EXPECT_FALSE(leader.election.is_lease_valid());
+}
+
 TEST_F(leadership_test, a_retired_process_never_becomes_a_candidate_again)
 {
     this->run_for(milliseconds(400));
