TWICE by reading: wait for all ends of a target before its inherited placements are given up

Callers would see: a task that had ended as done starts again after a change of the coordinator.

Cause: a target lists at most 500 ends at a time. A successor took its first answer for the whole state: a task whose end was not among the listed ones counted as never run.

Evidence: before the fix a_successor_waits_for_all_ends_of_a_target: start_count 700, expected 600.

Why it works: placements of earlier coordinators wait for an answer that lists all ends, as the detection of missing runs does. Ends are acknowledged as they are stored, so that the next polls list the rest; the longest lease bounds the wait as before.

--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -214,6 +214,32 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// A successor polls a target that cannot list all its ends at a time: tasks whose ends were not
+// among the first ones started again although they had ended as done.
+TEST_F(coordinator_late_orders_test, a_successor_waits_for_all_ends_of_a_target)
+{
+    this->targets.add("t1", 1000).task_duration = milliseconds(0);
+    this->targets.detect_duplicate_runs = false;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(600, 0)});
+    this->run_for(milliseconds(1500));
+    ASSERT_EQ(this->targets.running("w"), 600);
+    this->targets.targets["t1"]->polls_to_lose = 1;
+    this->kill(first);
+    this->targets.listed_ends_limit = 500;
+    this->targets.end_all("t1", target_view::ending::done);
+    auto& second = this->elect("vm-2");
+    // Transactions of other workflows are under way, so that the ends and new placements are stored
+    // together.
+    this->store.commit_delay = milliseconds(60);
+    for (int number = 0; number < 150; ++number) {
+        this->submit(second, "other" + std::to_string(number), {this->tasks(1, 4)}); // fits nowhere
+        this->run_for(milliseconds(10));
+    }
+    EXPECT_EQ(this->targets.start_count, 600);
+    EXPECT_EQ(this->state(second, "w"), workflow_state::completed);
+}
+
 // A target restarts unnoticed; its next life executes and confirms a start, which must not run
 // twice when the restart is noticed.
 TEST_F(coordinator_late_orders_test, a_start_that_the_next_life_confirms_does_not_run_twice)
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -43,7 +43,9 @@
         this->detect_missing_runs(target, reported_tasks, sent);
     if (!*coordinator_alive)
         return;
-    this->end_wait_for_poll(target.report.name);
+    // An end that did not fit into the answer may be that of an awaited placement.
+    if (!view.more_ends)
+        this->end_wait_for_poll(target.report.name);
     this->update_polling(target);
     // Its cost grows with the awaited targets; while there are any, check_targets() calls it.
     if (this->awaited_placements.empty())
