--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace verbenalever {
 namespace {
@@ -214,6 +215,38 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// The same, and the start is executed between a poll and the stop: the task started elsewhere as
+// soon as the stop was answered, while the run went on until it had stopped.
+TEST_F(coordinator_late_orders_test, a_stopped_start_holds_its_task_until_a_poll_shows_its_end)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    target.stop_delay = milliseconds(300);
+    auto& first = this->elect("vm-1");
+    this->hold_first_start();
+    target.unresponsive = true;
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.restart("t1");
+    this->run_for(milliseconds(150));
+    bool delivered = false;
+    timer delivery(this->loop, [this] {
+        this->targets.start(target_life{.name = "t1", .born_ms = 2}, *this->held_authority,
+                            *this->held, milliseconds(500), [](const order_result&) {});
+    });
+    this->targets.on_poll = [&](std::int64_t) {
+        if (!target.unresponsive && !std::exchange(delivered, true))
+            delivery.start_once(milliseconds(0));
+    };
+    target.unresponsive = false;
+    this->run_for(milliseconds(1500));
+    ASSERT_TRUE(delivered);
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 // A successor polls a target that cannot list all its ends at a time: tasks whose ends were not
 // among the first ones started again although they had ended as done.
 TEST_F(coordinator_late_orders_test, a_successor_waits_for_all_ends_of_a_target)
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -113,7 +113,7 @@
         return;
     for (auto& entry : target.unresolved_starts) {
         auto& start = entry.second;
-        if (start.stop_in_flight)
+        if (start.stop_in_flight || start.stopped_at.count() != 0)
             continue;
         start.stop_in_flight = true;
         target.session->stop(
@@ -131,12 +131,27 @@
                                      {"index", task.index},
                                      {"run", run},
                                      {"target", target.report.name}});
-                this->release_held_task(task, found->second);
-                target.unresolved_starts.erase(found);
-                if (target.unresolved_starts.empty())
-                    this->request_scheduling_pass();
+                found->second.stopped_at = boot_time();
+                target.session->probe();
             });
     }
 }
 
+void coordinator::resolve_stopped_starts(fleet_target& target, milliseconds sent)
+{
+    const bool any = !target.unresolved_starts.empty();
+    for (auto entry = target.unresolved_starts.begin(); entry != target.unresolved_starts.end();) {
+        auto& [task, start] = *entry;
+        if (start.stopped_at.count() == 0 || start.stopped_at > sent) {
+            ++entry;
+            continue;
+        }
+        // A run that the poll has shown was adopted, and its task is not held any more.
+        this->release_held_task(task, start);
+        entry = target.unresolved_starts.erase(entry);
+    }
+    if (any && target.unresolved_starts.empty())
+        this->request_scheduling_pass();
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -43,6 +43,7 @@
         this->detect_missing_runs(target, reported_tasks, sent);
     if (!*coordinator_alive)
         return;
+    this->resolve_stopped_starts(target, sent);
     // An end that did not fit into the answer may be that of an awaited placement.
     if (!view.more_ends)
         this->end_wait_for_poll(target.report.name);
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -46,8 +46,11 @@
 struct unresolved_start {
     std::int64_t run = 0;
     bool stop_in_flight = false; ///< a stop order for it was not answered yet
-    bool holds_task = false;     ///< its task must not start again before it is stopped
-    resources need;              ///< of the task
+    /// Time since boot at which the stop was answered; 0: not yet. A run that had begun before it
+    /// ends later, so that a poll sent after this has to show what became of it.
+    milliseconds stopped_at{0};
+    bool holds_task = false; ///< its task must not start again before it is stopped
+    resources need;          ///< of the task
 };
 
 /// An ended run that the target reports until it is acknowledged.
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -53,8 +53,6 @@
 
 void target_session::probe()
 {
-    if (this->poll_in_progress)
-        return;
     this->probing = true;
     this->poll();
 }
@@ -203,7 +201,7 @@
         return;
     if (this->waiting_for_stored_end)
         this->schedule_poll(max_store_wait);
-    else if (this->polling_wanted || this->due_acknowledgement() != 0)
+    else if (this->polling_wanted || this->probing || this->due_acknowledgement() != 0)
         this->schedule_poll(milliseconds(0));
 }
 
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -51,7 +51,7 @@
     /// @param urgent whether some of it is urgent, so that a lost poll must be noticed early
     void set_polling(bool wanted, bool urgent);
 
-    /// Poll the target once, to be answered at once, unless a poll is waiting for its answer.
+    /// Send one more poll, which the target answers at once; after the one in progress, if any.
     void probe();
 
     /// Make the next poll acknowledge the ended runs up to @p number, so that the target no longer
