Late gang: keep nothing of a team's limit for urgent work that has ended

Cause: less urgent work may not use what urgent work used at its recent peak; after a single burst the peak fades by 2 percent each 200 ms whether or not urgent work goes on.

Evidence: before the fix the_peak_of_a_single_burst_is_not_kept_for_long: "max_runs_within_limit() 2, expected 10".

Why it works: after two seconds without an urgent run of the team the peak is forgotten. While urgent work goes on it fades as before.

--- a/src/libverbenalever/coordinator/team_usage_tracker.cpp
+++ b/src/libverbenalever/coordinator/team_usage_tracker.cpp
@@ -8,6 +8,9 @@
 
 /// Factor applied to peaks in each decay interval: a third is left after ten seconds.
 constexpr double peak_decay = 0.98;
+/// A team whose urgent work has not used any of a resource for this many decay intervals keeps
+/// nothing of it for a next burst: two seconds, which less urgent work can wait.
+constexpr int quiet_intervals_limit = 2000 / team_usage_tracker::peak_decay_interval_ms;
 /// A team counts as over its share above this many times the share: below that the difference is a
 /// few tasks.
 constexpr double share_tolerance = 1.15;
@@ -34,6 +37,7 @@
     if (!urgent)
         return;
     usage.urgent += need;
+    usage.quiet_intervals = 0;
     each_amount(usage.urgent_peak, usage.urgent,
                 [](std::int64_t& peak, std::int64_t now) { peak = std::max(peak, now); });
 }
@@ -109,6 +113,9 @@
 void team_usage_tracker::decay_urgent_peaks()
 {
     for (auto& [team, usage] : this->usage_by_team) {
+        usage.quiet_intervals = usage.urgent == resources{} ? usage.quiet_intervals + 1 : 0;
+        if (usage.quiet_intervals >= quiet_intervals_limit)
+            usage.urgent_peak = {};
         each_amount(usage.urgent_peak, usage.urgent, [](std::int64_t& peak, std::int64_t now) {
             peak = std::max(now, static_cast<std::int64_t>(static_cast<double>(peak) * peak_decay));
         });
--- a/src/libverbenalever/coordinator/team_usage_tracker.h
+++ b/src/libverbenalever/coordinator/team_usage_tracker.h
@@ -12,7 +12,8 @@
 /// Tracks the resources that the runs of each team use, to enforce the team's limit and share.
 ///
 /// Urgent work that arrives in bursts must not find its team's limit used up by slower work. Less
-/// urgent work therefore may not use what the team's urgent work has used at its recent peak.
+/// urgent work therefore may not use what the team's urgent work has used at its recent peak, until
+/// no urgent work has run for a while.
 class team_usage_tracker {
 public:
     /// Add a run that was placed, or remove one that has ended.
@@ -58,6 +59,7 @@
         resources urgent_peak;         ///< recent peak of urgent, decaying
         resources reserved_for_urgent; ///< for urgent runs that the limit prevents from starting
         resources possible;            ///< of runs that may exist on targets not polled yet
+        int quiet_intervals = 0;       ///< decay intervals since the last urgent run
     };
 
     std::map<std::string, usage_counts, std::less<>> usage_by_team;
--- a/src/libverbenalever/coordinator/team_usage_tracker_test.cpp
+++ b/src/libverbenalever/coordinator/team_usage_tracker_test.cpp
@@ -42,6 +42,23 @@
     EXPECT_EQ(tracker.max_runs_within_limit("a", cores(10), cores(1), 20, false), 10);
 }
 
+// A gang of nearly its team's whole limit waited for many seconds on an idle fleet after a burst of
+// urgent work, until the peak had faded.
+TEST(team_usage_tracker_test, the_peak_of_a_single_burst_is_not_kept_for_long)
+{
+    team_usage_tracker tracker;
+    tracker.add_run("a", cores(9), true);
+    for (int round = 0; round < 20; ++round)
+        tracker.decay_urgent_peaks();
+    tracker.remove_run("a", cores(9), true);
+    for (int round = 0; round < 9; ++round)
+        tracker.decay_urgent_peaks();
+    EXPECT_LT(tracker.max_runs_within_limit("a", cores(10), cores(1), 10, false), 4);
+    for (int round = 0; round < 2; ++round)
+        tracker.decay_urgent_peaks();
+    EXPECT_EQ(tracker.max_runs_within_limit("a", cores(10), cores(1), 10, false), 10);
+}
+
 // Load pattern: one team submits many times its usual work.
 TEST(team_usage_tracker_test, only_a_team_far_above_its_share_exceeds_it)
 {
