Long tasks: do not take a whole percent that takes seconds for a stalled run

Cause: targets report whole percents, and a run without a higher one for 1.2 s counted as stalled.

Why it works: the bound is three times the time that one percent should take by the estimate and by what the queue's runs have taken, at least the former bound, which holds for runs of up to 40 s. It doubles with each further run of a step that was stopped so, for estimates that are far too low.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -293,6 +293,10 @@
                              milliseconds sent);
 
     // Orders (coordinator_targets.cpp).
+    /// @param gang whether for a member of a gang
+    /// @return how long the percent of a run of the step may stay the same on a sound target
+    [[nodiscard]] milliseconds stall_time_of(const workflow& owner, std::uint32_t step_index,
+                                             bool gang) const;
     /// @return whether the platform's list was read recently enough for starts: capacities that
     /// have shrunk since are not known
     [[nodiscard]] bool list_is_recent() const;
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -11,12 +11,18 @@
 
 namespace {
 
-/// A run whose percent has not grown for this long and in this many polls is stalled: the longest
-/// runs in the users' data take 12 s, so that a sound target shows one percent in 120 ms.
-constexpr milliseconds task_stall_time{1200};
+/// A run whose percent has not grown for this long and in this many polls is stalled, unless it is
+/// so long that a sound target may not show the next percent sooner, see stall_time_of().
+constexpr milliseconds min_stall_time{1200};
 constexpr int stalled_polls = 2;
 /// Stall time of a member of a gang: longer, since its stop loses the work of all members.
-constexpr milliseconds gang_task_stall_time{2500};
+constexpr milliseconds min_gang_stall_time{2500};
+/// Targets report whole percents. A run may take this many times as long as expected for each.
+constexpr int percent_time_factor = 3;
+/// After so many runs of a step have stalled the next ones get twice as long each time: the tasks
+/// may take much longer than estimated.
+constexpr int stalls_before_doubling = 1;
+constexpr int max_doublings = 10;
 constexpr double complete_percent = 100; ///< percent
 
 } // namespace
@@ -99,15 +105,20 @@
     ++placed.polls_without_progress;
     if (placed.stopping || placed.owner == nullptr || is_final(placed.owner->state) ||
         placed.polls_without_progress < stalled_polls ||
-        now - placed.percent_changed_at < task_stall_time)
+        now - placed.percent_changed_at < min_stall_time)
         return;
     // The tasks of a gang start and end together: one at 0 or 100 percent waits for the others.
     const bool gang = placed.owner->record.spec.steps[reported.task.step].gang;
     if (gang && (placed.percent == 0 || placed.percent >= complete_percent))
         return;
+    auto& owner = *placed.owner;
+    if (placed.percent_changed_at + this->stall_time_of(owner, reported.task.step, false) > now)
+        return;
     target.record_stall(now);
-    if (gang && placed.percent_changed_at + gang_task_stall_time > now)
+    if (gang &&
+        placed.percent_changed_at + this->stall_time_of(owner, reported.task.step, true) > now)
         return;
+    ++owner.steps[reported.task.step].stalled_runs;
     this->env.metrics.add("runs_stalled");
     this->env.log.write("coordinator", "run_stalled",
                         {{"workflow", reported.task.workflow},
@@ -120,6 +131,21 @@
     this->stop_run(target, reported.task, reported.run);
 }
 
+milliseconds coordinator::stall_time_of(const workflow& owner, std::uint32_t step_index,
+                                        bool gang) const
+{
+    const milliseconds estimated(owner.record.spec.steps[step_index].estimated_ms);
+    const auto model = this->run_length_models.find(owner.record.queue);
+    const auto expected =
+        model == this->run_length_models.end() ? estimated : model->second.predict(estimated);
+    const auto percent_time = std::max(estimated, expected) / 100;
+    const auto doublings =
+        std::clamp(owner.steps[step_index].stalled_runs - stalls_before_doubling, 0, max_doublings);
+    return std::max(gang ? min_gang_stall_time : min_stall_time,
+                    percent_time * percent_time_factor) *
+           (1 << doublings);
+}
+
 void coordinator::adopt_run(fleet_target& target, const target_view::running_task& reported)
 {
     auto* owner = this->find_workflow(reported.task.workflow);
--- a/src/libverbenalever/coordinator/coordinator_stalls_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_stalls_test.cpp
@@ -39,5 +39,39 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// A task that took minutes was stopped again and again as stalled: its percent, a whole number,
+// grew only every few seconds.
+TEST_F(coordinator_stalls_test, a_long_run_with_rare_percents_is_not_stopped)
+{
+    auto& target = this->targets.add("t1", 1000);
+    target.task_duration = milliseconds(0);
+    target.percent_time = milliseconds(2500);
+    auto& first = this->elect("vm-1");
+    auto step = this->tasks(1, 1);
+    step.estimated_ms = 250'000;
+    this->submit(first, "w", {step});
+    this->run_for(milliseconds(6000));
+    EXPECT_EQ(this->targets.start_count, 1);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
+// The same for a task that takes far longer than its estimate: it was stopped without an end.
+TEST_F(coordinator_stalls_test, a_run_that_is_much_longer_than_estimated_is_not_stopped_for_ever)
+{
+    for (const auto* name : {"t1", "t2", "t3", "t4"}) {
+        auto& target = this->targets.add(name, 1000);
+        target.task_duration = milliseconds(0);
+        target.percent_time = milliseconds(2400);
+    }
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(9000));
+    const auto starts = this->targets.start_count;
+    EXPECT_LE(starts, 4);
+    this->run_for(milliseconds(6000));
+    EXPECT_EQ(this->targets.start_count, starts);
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -85,6 +85,7 @@
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
     /// Estimated time from the start of the step to the end of the workflow.
     milliseconds time_to_workflow_end{0};
+    int stalled_runs = 0;      ///< runs that were stopped because they seemed stalled
     bool crashes_seen = false; ///< a target has crashed under a task of the step
     /// Time since boot since when suspects of crashes wait for a target; 0: none waits.
     milliseconds suspects_wait_since{0};
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -275,8 +275,12 @@
             this->acknowledged_done.insert(end.task);
     }
     std::erase_if(source.ended, [&](const auto& end) { return end.number <= acknowledged; });
-    for (const auto& [task, run] : source.running)
-        view.running.push_back({task, run, {}, source.is_stalled ? 1.0 : this->next_percent()});
+    for (const auto& [task, run] : source.running) {
+        auto percent = source.is_stalled ? 1.0 : this->next_percent();
+        if (source.percent_time.count() > 0)
+            percent = static_cast<double>(boot_time() / source.percent_time);
+        view.running.push_back({task, run, {}, percent});
+    }
     view.ended = source.ended;
     if (this->listed_ends_limit > 0 && view.ended.size() > this->listed_ends_limit) {
         view.ended.resize(this->listed_ends_limit);
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -34,6 +34,7 @@
         milliseconds stop_delay{1};   ///< time that a run takes to end after a stop order
         bool fails_all_tasks = false; ///< every task fails when its time is over
         bool is_stalled = false;      ///< tasks make no progress and do not end
+        milliseconds percent_time{0}; ///< time that a run takes for one percent; 0: any
 
         milliseconds task_duration{20}; ///< 0: tasks run until end_all() is called
         std::map<task_name, std::int64_t> running;
