Deadly tasks: ask other targets of a group before its loss excuses a crash

Cause: a crash is not counted when the zone, or the targets of a label, seem to be lost as a whole. Idle targets are not polled: the losses of idle targets seemed to be of one moment, and no other target had answered since.

Evidence: before the fix crashes_on_an_idle_fleet_are_not_taken_for_a_lost_zone: "crash_count 6, expected <= 4".

Why it works: with the third loss of a group, as many of its other reachable targets are polled as would refute its loss. Their answers come long before a crashed target returns, which is when the crash is counted. Where the group is lost in fact, none answers.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -239,7 +239,16 @@
     void remember_lost_life(const fleet_target& target, const std::vector<implicated_run>& runs);
     /// Called when a target is seen: when its life is a new one, the life before has crashed.
     void resolve_lost_life(const std::string& target, std::int64_t born_ms);
+    /// Remember the loss of a target. When several of its zone, or with one of its labels, are lost
+    /// by now, probe others of that group: idle targets are not polled otherwise.
     void record_target_loss(const fleet_target& target);
+    /// Selects targets that may be lost together.
+    using target_group = std::function<bool(const target_report&)>;
+    /// @return the group of the target's zone, and of each of its labels
+    [[nodiscard]] static std::vector<target_group> groups_of(const target_report& report);
+    /// @return how many targets of the group may have been lost at the same moment as the named one
+    [[nodiscard]] std::size_t count_losses(const std::string& name,
+                                           const target_group& in_group) const;
     /// @return whether the target was lost together with its zone, or with nearly all targets that
     /// share a label with it, such as that of their rack
     [[nodiscard]] bool lost_with_its_group(const std::string& target) const;
@@ -284,6 +293,10 @@
     /// Update the percent of a run, and stop the run when it is stalled.
     void detect_stall(fleet_target& target, const target_view::running_task& row,
                       placed_run& placed);
+    /// @param gang whether for a member of a gang
+    /// @return how long the percent of a run of the step may stay the same on a sound target
+    [[nodiscard]] milliseconds stall_time_of(const workflow& owner, std::uint32_t step_index,
+                                             bool gang) const;
     /// Add a run that a target reports and this coordinator does not know; stop the run when its
     /// task does not need it.
     void adopt_run(fleet_target& target, const target_view::running_task& row);
@@ -293,10 +306,6 @@
                              milliseconds sent);
 
     // Orders (coordinator_targets.cpp).
-    /// @param gang whether for a member of a gang
-    /// @return how long the percent of a run of the step may stay the same on a sound target
-    [[nodiscard]] milliseconds stall_time_of(const workflow& owner, std::uint32_t step_index,
-                                             bool gang) const;
     /// @return whether the platform's list was read recently enough for starts: capacities that
     /// have shrunk since are not known
     [[nodiscard]] bool list_is_recent() const;
--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -126,6 +126,47 @@
 void coordinator::record_target_loss(const fleet_target& target)
 {
     this->target_losses.add({target.report.name, target.session->last_answer_at(), boot_time()});
+    // Whether its groups are lost as well is known only from the answers of their other targets.
+    for (const auto& in_group : groups_of(target.report)) {
+        const auto lost = this->count_losses(target.report.name, in_group);
+        if (lost < min_group_losses)
+            continue;
+        auto wanted = lost / losses_per_survivor + 1;
+        for (const auto& [name, other] : this->targets) {
+            if (wanted == 0)
+                break;
+            if (!in_group(other->report) || !other->session->polled() ||
+                !other->session->reachable())
+                continue;
+            --wanted;
+            this->env.metrics.add("group_probes");
+            other->session->probe();
+        }
+    }
+}
+
+std::vector<coordinator::target_group> coordinator::groups_of(const target_report& report)
+{
+    std::vector<target_group> groups{[zone = report.availability_zone](const target_report& other) {
+        return other.availability_zone == zone;
+    }};
+    for (const auto& label : report.labels) {
+        groups.emplace_back([label](const target_report& other) {
+            return std::ranges::find(other.labels, label) != other.labels.end();
+        });
+    }
+    return groups;
+}
+
+std::size_t coordinator::count_losses(const std::string& name, const target_group& in_group) const
+{
+    const auto* loss = this->target_losses.find(name);
+    return loss == nullptr
+               ? 0
+               : this->target_losses.count_simultaneous(*loss, [&](const std::string& other) {
+                     const auto found = this->targets.find(other);
+                     return found != this->targets.end() && in_group(found->second->report);
+                 });
 }
 
 bool coordinator::lost_with_its_group(const std::string& name) const
@@ -134,31 +175,19 @@
     const auto lost_target = this->targets.find(name);
     if (loss == nullptr || lost_target == this->targets.end())
         return false;
-    const auto is_group_lost = [&](const auto& in_group) {
-        const auto lost = this->target_losses.count_simultaneous(*loss, [&](const auto& other) {
-            const auto found = this->targets.find(other);
-            return found != this->targets.end() && in_group(found->second->report);
-        });
-        if (lost < min_group_losses)
-            return false;
-        std::size_t survivors = 0;
-        for (const auto& [other, target] : this->targets) {
-            const bool survived = target->added_at < loss->last_answer_at &&
-                                  target->session->last_answer_at() > loss->noticed_at;
-            survivors += survived && in_group(target->report) ? 1 : 0;
-        }
-        return lost >= losses_per_survivor * survivors;
-    };
-    const auto& report = lost_target->second->report;
-    if (is_group_lost([&](const target_report& other) {
-            return other.availability_zone == report.availability_zone;
-        }))
-        return true;
-    return std::ranges::any_of(report.labels, [&](const std::string& label) {
-        return is_group_lost([&](const target_report& other) {
-            return std::ranges::find(other.labels, label) != other.labels.end();
+    return std::ranges::any_of(
+        groups_of(lost_target->second->report), [&](const target_group& in_group) {
+            const auto lost = this->count_losses(name, in_group);
+            if (lost < min_group_losses)
+                return false;
+            std::size_t survivors = 0;
+            for (const auto& [other, target] : this->targets) {
+                const bool survived = target->added_at < loss->last_answer_at &&
+                                      target->session->last_answer_at() > loss->noticed_at;
+                survivors += survived && in_group(target->report) ? 1 : 0;
+            }
+            return lost >= losses_per_survivor * survivors;
         });
-    });
 }
 
 void coordinator::count_crash(const std::string& target, const std::vector<implicated_run>& runs)
--- a/src/libverbenalever/coordinator/coordinator_crashes_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes_test.cpp
@@ -46,6 +46,22 @@
     EXPECT_LE(this->targets.crash_count, 3);
 }
 
+// On an idle fleet the crashes of a task counted as the loss of a whole zone, since no other target
+// was asked whether it is up: the task went on crashing targets.
+TEST_F(coordinator_crashes_test, crashes_on_an_idle_fleet_are_not_taken_for_a_lost_zone)
+{
+    this->add_targets(12, milliseconds(0));
+    auto& first = this->elect("vm-1");
+    this->run_for(milliseconds(1500)); // the first polls of all targets are over
+    this->make_deadly("deadly");
+    for (const auto& [name, target] : this->targets.targets)
+        target->loses_response = [](const start_order&) { return true; };
+    this->submit(first, "deadly", {this->tasks(1, 1)});
+    this->run_for(milliseconds(14'000));
+    EXPECT_EQ(this->state(first, "deadly"), workflow_state::failed);
+    EXPECT_LE(this->targets.crash_count, 4);
+}
+
 // A start that was sent to a target that was down already is no crash under its task: with one true
 // crash in addition the task was given up.
 TEST_F(coordinator_crashes_test, a_start_that_was_not_confirmed_does_not_count_in_full)
