TWICE: store the placement of a task that is held for the next life of its target

Cause: a target restarts under its name, and its next life executes a start before the list shows it. When a poll shows the restart, the run is given up, its placement deleted, and the task held until the next life has answered; only the coordinator knew that. A successor found no placement and started the task elsewhere at once.

Before the fix a_successor_waits_for_the_next_life_that_a_task_is_held_for: "runs on two targets: w/0/0".

Why it works: the held task gets a placement of its own until it is released. It is written before or with the deletion of the first one, and a successor waits for the answer of the target's present life, at most until the longest lease is over.

That the users' record has this cause is likely, not proved.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -581,6 +581,7 @@
     struct removed_starts {
         std::map<task_name, unresolved_start> starts;
         milliseconds removed_at{0}; ///< time since boot
+        std::int64_t born_ms = 0;   ///< of the life that was removed
     };
     std::map<std::string, removed_starts> removed_unresolved_starts; ///< by target name
     /// Placements by earlier coordinators on targets that have not answered in this term, by
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -295,5 +295,30 @@
     EXPECT_EQ(this->targets.running("w"), 1);
 }
 
+// The same, and the coordinator is replaced before the next life is listed: its successor did not
+// know that the task was held for that life, and started it elsewhere at once.
+TEST_F(coordinator_late_orders_test, a_successor_waits_for_the_next_life_that_a_task_is_held_for)
+{
+    this->targets.add("t1", 1000).task_duration = milliseconds(0);
+    this->targets.executes_starts_for_former_lives = true;
+    auto& first = this->elect("vm-1");
+    this->targets.listed_born_ms["t1"] = 1;
+    this->targets.restart("t1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    while (this->targets.start_count == 0)
+        this->run_for(milliseconds(1));
+    this->targets.add("t2", 1000).task_duration = milliseconds(0);
+    this->targets.publish_targets();
+    this->run_for(milliseconds(300)); // the former life is dropped, and the task is held
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(300));
+    this->targets.listed_born_ms.clear();
+    this->targets.publish_targets();
+    this->run_for(milliseconds(800));
+    EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
+    EXPECT_EQ(this->targets.running("w"), 1);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -36,7 +36,9 @@
         return kept.second.removed_at + removed_starts_retention < now;
     });
     if (!target.unresolved_starts.empty())
-        this->removed_unresolved_starts[target.report.name] = {target.unresolved_starts, now};
+        this->removed_unresolved_starts[target.report.name] = {.starts = target.unresolved_starts,
+                                                               .removed_at = now,
+                                                               .born_ms = target.report.born_ms};
 }
 
 void coordinator::restore_unresolved_starts(fleet_target& target)
@@ -45,8 +47,10 @@
     if (kept == this->removed_unresolved_starts.end())
         return;
     for (const auto& [task, start] : kept->second.starts)
-        target.unresolved_starts[task] = {
-            .run = start.run, .holds_task = start.holds_task, .need = start.need};
+        target.unresolved_starts[task] = {.run = start.run,
+                                          .holds_task = start.holds_task,
+                                          .batch = start.batch,
+                                          .need = start.need};
     this->removed_unresolved_starts.erase(kept);
 }
 
@@ -67,6 +71,9 @@
         task.awaited_target_count = 1;
         --step.waiting_count;
         start.holds_task = true;
+        // A successor has to wait for the target too.
+        start.batch = this->placements.add({name.workflow, name.occurrence, name.step, name.index,
+                                            start.run, target, kept->second.born_ms});
         this->usage_by_team.add_possible_run(owner->record.team, start.need);
         // A gang starts only when all its tasks wait.
         if (step.waiting_count == 0 || owner->record.spec.steps[name.step].gang)
@@ -76,8 +83,11 @@
 
 void coordinator::release_held_task(const task_name& name, unresolved_start& start)
 {
+    if (!std::exchange(start.holds_task, false))
+        return;
+    this->placements.mark_run_ended(start.batch);
     auto* owner = this->find_workflow(name.workflow);
-    if (!std::exchange(start.holds_task, false) || owner == nullptr)
+    if (owner == nullptr)
         return;
     auto& step = owner->steps[name.step];
     auto& task = step.tasks[name.index];
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -50,6 +50,7 @@
     /// ends later, so that a poll sent after this has to show what became of it.
     milliseconds stopped_at{0};
     bool holds_task = false; ///< its task must not start again before it is stopped
+    std::int64_t batch = 0;  ///< of its placement in the placement log while it holds its task
     resources need;          ///< of the task
 };
 
