Wait for a poll after a stop only for starts that hold a task; give a test the time of a hold

The whole run of the checks beside load failed in two tests.

The poll that was in flight to the new life may be lost for 600 ms, and until a later one is answered nobody can know that the run has ended; starting sooner is the fault.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -215,8 +215,8 @@
     void restore_unresolved_starts(fleet_target& target);
     /// Order the target to stop the unresolved starts, so that it refuses them.
     void stop_unresolved_starts(fleet_target& target);
-    /// Forget the unresolved starts that were stopped before a poll was sent (at @p sent) whose
-    /// answer has been applied, and release their tasks.
+    /// Release the tasks held for starts that were stopped before a poll was sent (at @p sent)
+    /// whose answer has been applied, and forget these starts.
     void resolve_stopped_starts(fleet_target& target, milliseconds sent);
 
     // Crashes of targets (coordinator_crashes.cpp).
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -211,6 +211,7 @@
     this->run_for(milliseconds(150));
     target.unresponsive = false;
     this->deliver_held_start();
+    this->run_for(milliseconds(2500)); // the longest time for which a task is held
     EXPECT_TRUE(this->targets.violations.empty()) << this->targets.violations.front();
     EXPECT_EQ(this->targets.running("w"), 1);
 }
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -141,8 +141,15 @@
                                      {"index", task.index},
                                      {"run", run},
                                      {"target", target.report.name}});
-                found->second.stopped_at = boot_time();
-                target.session->probe();
+                if (found->second.holds_task) {
+                    found->second.stopped_at = boot_time();
+                    target.session->probe();
+                    return;
+                }
+                // Its task was released when its lease had expired.
+                target.unresolved_starts.erase(found);
+                if (target.unresolved_starts.empty())
+                    this->request_scheduling_pass();
             });
     }
 }
