Election: require fresh evidence before a coordinator is replaced, and judge the link

After a cut that resets connections, a VM of the returning zone deposed a coordinator that was never away, and weak VMs with narrow links coordinated full fleets without ever loading their state.

Cause: a refused connection started a candidacy that outlived the cut and was conditional on the leader key only. A VM of 0.3 core was not weak beside one of 0.5 core, the link was not judged, a process that had just started knew no stronger VM, and a hand-over waited behind the transaction in flight.

Change: the claim is also conditional on the fence key as read after the first refused connection, and needs a further one after the store has answered; hearing the coordinator cancels it. Fitness is the processor share and the link, and the strongest known one is stored. A weak or stalled coordinator hands over at once by ending its lease.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -19,20 +19,46 @@
 constexpr milliseconds transaction_gap{20};
 /// Writes per transaction: the fence key takes two more entries, a condition and a write.
 constexpr std::size_t writes_per_transaction = store_transaction::max_entries - 2;
-/// Values are added to a transaction until they reach this many bytes, well under the limit of one
-/// call.
-constexpr std::size_t bytes_per_transaction = 256 << 10;
+/// Bytes of values in one transaction, well under the limit of one call.
+constexpr std::size_t max_transaction_bytes = 256 << 10;
+/// A narrow link carries at least this much at once, so that no value waits for ever.
+constexpr std::size_t min_transaction_bytes = 16 << 10;
+/// Part of a second for which one transaction may occupy the link.
+constexpr double link_time_s = 0.05;
+/// Values are sent as base64 text in JSON.
+constexpr double encoding_overhead = 1.4;
+constexpr double bytes_per_megabit = 125'000;
 /// Bounds of the timeout after which the same transaction is resent. The store usually answers
 /// within milliseconds; the timeout grows when it is slow.
-constexpr milliseconds shortest_timeout{150};
+constexpr milliseconds min_timeout{150};
 constexpr milliseconds longest_timeout{2000};
 /// The timeout is this multiple of the duration of the last successful attempt.
 constexpr int timeout_factor = 8;
 /// Wait before a transaction that the store has rejected is resent.
 constexpr milliseconds rejection_wait{100};
+constexpr std::string_view rejected_answer = "rejected";
 /// Time without an answer after which the store counts as unavailable.
 constexpr milliseconds stall_limit{600};
 
+std::size_t transaction_bytes(double link_mbps)
+{
+    if (link_mbps <= 0)
+        return max_transaction_bytes;
+    const auto bytes = link_mbps * bytes_per_megabit * link_time_s / encoding_overhead;
+    return std::clamp(static_cast<std::size_t>(bytes), min_transaction_bytes,
+                      max_transaction_bytes);
+}
+
+/// @return the shortest timeout of a transaction: longer on a link on which one takes long to send
+milliseconds transaction_timeout(double link_mbps)
+{
+    if (link_mbps <= 0)
+        return min_timeout;
+    const auto bytes = static_cast<double>(transaction_bytes(link_mbps)) * encoding_overhead;
+    const auto send_ms = bytes / (link_mbps * bytes_per_megabit) * 1000;
+    return min_timeout + milliseconds(static_cast<std::int64_t>(send_ms));
+}
+
 } // namespace
 
 /// The transaction in flight, kept until it is known to be committed.
@@ -48,10 +74,12 @@
 
 commit_chain::commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
                            std::string fence_key, std::string holder, std::int64_t fence_revision,
-                           std::function<void()> on_fence_lost)
+                           std::function<void()> on_fence_lost, double link_mbps)
     : store(store), log(log), fence_key(std::move(fence_key)), holder(std::move(holder)),
       fence_revision(fence_revision), on_fence_lost(std::move(on_fence_lost)),
-      last_confirmed(boot_time()), last_commit_duration(transaction_gap), timeout(shortest_timeout),
+      bytes_per_transaction(transaction_bytes(link_mbps)),
+      shortest_timeout(transaction_timeout(link_mbps)), last_confirmed(boot_time()),
+      last_commit_duration(transaction_gap), timeout(this->shortest_timeout),
       flush_timer(loop, [this] { this->flush(); }),
       resend_timer(loop, [this] { this->send_transaction(); }), alive(std::make_shared<bool>(true))
 {
@@ -78,19 +106,6 @@
         this->schedule_flush();
 }
 
-void commit_chain::put_first(const std::string& key, producer value, callback done)
-{
-    if (this->closed)
-        return;
-    this->withdraw(key);
-    auto& entry = this->pending_writes[key];
-    entry.value = std::move(value);
-    entry.done.push_back(std::move(done));
-    this->urgent_order.push_front(key);
-    if (!this->in_flight)
-        this->schedule_flush();
-}
-
 milliseconds commit_chain::expected_commit_delay() const
 {
     const auto transactions = this->pending_writes.size() / writes_per_transaction;
@@ -126,6 +141,13 @@
     return this->in_flight && boot_time() - this->in_flight->first_sent > stall_limit;
 }
 
+milliseconds commit_chain::time_without_answer() const
+{
+    if (!this->in_flight || this->in_flight->last_answer == rejected_answer)
+        return milliseconds(0);
+    return boot_time() - this->in_flight->first_sent;
+}
+
 void commit_chain::flush()
 {
     if (this->in_flight || this->pending_writes.empty() || this->closed)
@@ -146,7 +168,7 @@
     change.writes.push_back({this->fence_key, this->in_flight->fence_value, 0});
     std::size_t bytes = 0;
     std::size_t entries = 0;
-    while (entries < writes_per_transaction && bytes < bytes_per_transaction) {
+    while (entries < writes_per_transaction && bytes < this->bytes_per_transaction) {
         auto& key_queue = this->urgent_order.empty() ? this->normal_order : this->urgent_order;
         if (key_queue.empty())
             break;
@@ -186,7 +208,7 @@
 {
     if (this->closed || !this->stalled() || this->in_flight->last_sent >= answered_call_sent_at)
         return;
-    this->timeout = shortest_timeout;
+    this->timeout = this->shortest_timeout;
     this->resend_timer.stop();
     this->send_transaction();
 }
@@ -201,7 +223,7 @@
         this->drop_leased_writes();
         return;
     case store_result::outcome::rejected:
-        this->log_stall("rejected");
+        this->log_stall(rejected_answer);
         this->schedule_resend(rejection_wait);
         return;
     case store_result::outcome::unknown:
@@ -261,7 +283,7 @@
     const auto attempt_duration = boot_time() - this->in_flight->last_sent;
     this->last_commit_duration = boot_time() - this->in_flight->first_sent;
     this->timeout =
-        std::clamp(attempt_duration * timeout_factor, shortest_timeout, longest_timeout);
+        std::clamp(attempt_duration * timeout_factor, this->shortest_timeout, longest_timeout);
     this->last_confirmed = this->in_flight->last_sent;
     this->fence_revision = revision;
     auto done = std::move(this->in_flight->done);
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -39,9 +39,12 @@
     /// @param holder         unique name of this tenure: one term of one process
     /// @param fence_revision revision of the fence key as written by this tenure
     /// @param on_fence_lost  called once when another process has written the fence key
+    /// @param link_mbps      bandwidth of this VM's link, which bounds the size of a transaction;
+    /// 0:
+    ///                       not known
     commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
                  std::string fence_key, std::string holder, std::int64_t fence_revision,
-                 std::function<void()> on_fence_lost);
+                 std::function<void()> on_fence_lost, double link_mbps = 0);
 
     /// Add a write to a coming transaction. It replaces an earlier write of the same key that has
     /// not been sent.
@@ -52,9 +55,6 @@
     void put(const std::string& key, producer value, bool urgent, callback done,
              std::int64_t lease = 0);
 
-    /// Add a write that is sent before all pending ones.
-    void put_first(const std::string& key, producer value, callback done);
-
     /// @return estimated time until those transactions are committed that the pending writes fill
     /// completely
     [[nodiscard]] milliseconds expected_commit_delay() const;
@@ -81,6 +81,10 @@
     /// @return whether the transaction in flight has had no answer for too long
     [[nodiscard]] bool stalled() const;
 
+    /// @return how long the transaction in flight has had no answer; 0 when there is none, or when
+    /// the store rejects it
+    [[nodiscard]] milliseconds time_without_answer() const;
+
     /// Resend a transaction that has had no answer for too long. To be called when the store has
     /// answered another call: a transaction that was sent before that call was probably lost, or
     /// its answer was, while the store was unavailable.
@@ -120,6 +124,8 @@
     std::string holder;
     std::int64_t fence_revision;
     std::function<void()> on_fence_lost;
+    std::size_t bytes_per_transaction; ///< values are added to a transaction until they reach this
+    milliseconds shortest_timeout;     ///< after which a transaction is resent
 
     std::map<std::string, pending_write> pending_writes;
     std::deque<std::string> urgent_order;
--- a/src/libverbenalever/coordination/coordinator_link.h
+++ b/src/libverbenalever/coordination/coordinator_link.h
@@ -20,9 +20,9 @@
         std::function<std::string()> greeting; ///< payload of the hello and of each heartbeat
         std::function<void(peer_topic, std::string_view, peer_channel::replier)> on_message;
         std::function<void(bool up)> connection_changed;
-        /// Called when a coordinator from which a message was received before now refuses
-        /// connections: its process has terminated. Not called for a coordinator that never sent a
-        /// message, since it may be unreachable from this VM only.
+        /// Called each time a coordinator from which a message was received before refuses a
+        /// connection: its process has terminated, or the network to it is cut. Not called for a
+        /// coordinator that never sent a message, since it may be unreachable from this VM only.
         std::function<void()> coordinator_gone;
     };
 
--- /dev/null
+++ b/src/libverbenalever/coordination/hand_over_policy.cpp
@@ -0,0 +1,54 @@
+#include "coordination/hand_over_policy.h"
+
+#include <algorithm>
+
+namespace verbenalever {
+
+namespace {
+
+/// A coordinator whose event loop runs later than this is too slow: the latency objectives of
+/// urgent work are a few hundred milliseconds.
+constexpr milliseconds max_loop_lag{150};
+/// The coordinator hands over because of its lag only if another process lags this many times less.
+constexpr int min_lag_ratio = 4;
+/// No hand-over because of lag within this time of an election or an earlier hand-over.
+constexpr milliseconds lag_grace{2000};
+/// Time without progress after which a coordinator that reaches the store hands over: longer than a
+/// few attempts that are lost, shorter than callers wait for an answer.
+constexpr milliseconds max_stall{3000};
+
+} // namespace
+
+std::optional<hand_over_decision> decide_hand_over(const coordinator_condition& own,
+                                                   std::span<const member_condition> members)
+{
+    const auto find = [members](const auto& matches) -> const member_condition* {
+        const auto found = std::ranges::find_if(members, [&matches](const auto& member) {
+            return member.can_coordinate && matches(member);
+        });
+        return found == members.end() ? nullptr : &*found;
+    };
+    const auto* stronger = find([&own](const member_condition& member) {
+        return own.fitness.is_weak_beside(member.fitness) && member.loop_lag < max_loop_lag;
+    });
+    if (stronger != nullptr)
+        return hand_over_decision{"weak", stronger->vm};
+    // While the store does not answer this process, another one may not reach it either.
+    if (own.store_answers && std::max(own.writes_stalled, own.load_stalled) >= max_stall) {
+        const auto* other =
+            find([](const member_condition& member) { return member.loop_lag < max_loop_lag; });
+        if (other != nullptr)
+            return hand_over_decision{
+                own.writes_stalled >= max_stall ? "writes_stalled" : "load_stalled", other->vm};
+    }
+    if (own.since_change < lag_grace || own.loop_lag < max_loop_lag)
+        return std::nullopt;
+    const auto* less_delayed = find([&own](const member_condition& member) {
+        return member.loop_lag * min_lag_ratio < own.loop_lag;
+    });
+    if (less_delayed == nullptr)
+        return std::nullopt;
+    return hand_over_decision{"slow", less_delayed->vm};
+}
+
+} // namespace verbenalever
--- /dev/null
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -0,0 +1,66 @@
+#include "coordination/hand_over_policy.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace verbenalever {
+namespace {
+
+constexpr vm_fitness strong{.processor_share = 0.5, .link_mbps = 200};
+constexpr vm_fitness weak{.processor_share = 0.3, .link_mbps = 10};
+
+member_condition member(const vm_fitness& fitness, milliseconds lag = milliseconds(0))
+{
+    return {.vm = "vm-2", .fitness = fitness, .loop_lag = lag, .can_coordinate = true};
+}
+
+std::string_view reason(const coordinator_condition& own,
+                        const std::vector<member_condition>& members)
+{
+    const auto decision = decide_hand_over(own, members);
+    return decision ? decision->reason : "";
+}
+
+// A weak VM that was elected right after all processes were killed used to coordinate for the rest
+// of the day.
+TEST(hand_over_policy_test, a_weak_coordinator_hands_over_at_once)
+{
+    EXPECT_EQ(reason({.fitness = weak}, {member(weak), member(strong)}), "weak");
+    EXPECT_EQ(reason({.fitness = weak}, {member(weak)}), "");
+    EXPECT_EQ(reason({.fitness = strong}, {member(weak), member(strong)}), "");
+}
+
+TEST(hand_over_policy_test, a_member_that_cannot_coordinate_or_is_late_takes_nothing)
+{
+    auto away = member(strong);
+    away.can_coordinate = false;
+    EXPECT_EQ(reason({.fitness = weak}, {away, member(strong, milliseconds(400))}), "");
+}
+
+// A coordinator whose writes or reads never finished used to keep the leader key.
+TEST(hand_over_policy_test, a_stalled_coordinator_resigns_while_the_store_answers_it)
+{
+    coordinator_condition own{
+        .fitness = strong, .writes_stalled = milliseconds(3100), .store_answers = true};
+    EXPECT_EQ(reason(own, {member(weak)}), "writes_stalled");
+    own.writes_stalled = milliseconds(0);
+    own.load_stalled = milliseconds(3100);
+    EXPECT_EQ(reason(own, {member(weak)}), "load_stalled");
+    EXPECT_EQ(reason(own, {}), "") << "nobody could take over";
+    own.store_answers = false;
+    EXPECT_EQ(reason(own, {member(weak)}), "") << "the store may be away for all";
+}
+
+TEST(hand_over_policy_test, a_late_loop_is_a_reason_only_some_time_after_the_election)
+{
+    coordinator_condition own{
+        .fitness = strong, .loop_lag = milliseconds(400), .since_change = milliseconds(500)};
+    EXPECT_EQ(reason(own, {member(strong)}), "");
+    own.since_change = milliseconds(2500);
+    EXPECT_EQ(reason(own, {member(strong)}), "slow");
+    EXPECT_EQ(reason(own, {member(strong, milliseconds(200))}), "");
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -30,6 +30,11 @@
 /// How long others wait for a coordinator whose key is gone, but whose connection is alive, to
 /// restore the key before they become candidates.
 constexpr milliseconds key_restore_time{800};
+/// A suspicion that no further refused connection confirms within this time starts again. Refused
+/// connections are repeated several times in it.
+constexpr milliseconds suspicion_age_limit{1000};
+/// A renewal answered within this time shows that the store can be reached.
+constexpr milliseconds renewal_answer_age_limit{1000};
 
 milliseconds random_jitter()
 {
@@ -40,9 +45,11 @@
 } // namespace
 
 leadership::leadership(event_loop& loop, metadata_store& store, const event_log& log,
-                       std::string prefix, coordinator_record self, callbacks notify)
+                       std::string prefix, coordinator_record self, callbacks notify,
+                       double link_mbps)
     : loop(loop), store(store), log(log), leader_key(prefix + "leader"),
       fence_key(prefix + "fence"), self(std::move(self)), notify(std::move(notify)),
+      link_mbps(link_mbps),
       watch_retry_timer(
           loop, [this] { this->watched_revision == 0 ? this->read_coordinator() : this->watch(); }),
       candidacy_timer(loop, [this] { this->start_candidacy(); }),
@@ -63,7 +70,8 @@
 
 milliseconds leadership::time_since_confirmed() const
 {
-    if (!this->leads())
+    // While the lease is being ended another process may already have been elected.
+    if (!this->leads() || this->ending_lease)
         return milliseconds::max();
     return boot_time() - std::max(this->last_renewal, this->chain->confirmed_at());
 }
@@ -148,6 +156,7 @@
     if (stored_record && this->replaced_revision != 0 && item.revision == this->replaced_revision)
         return;
     this->replaced_revision = 0;
+    this->replaced_fence_revision = 0;
     this->known_coordinator = stored_record;
     this->known_revision = item.revision;
     this->notify.coordinator_changed(stored_record);
@@ -156,7 +165,7 @@
         // The key names this VM and address although this process is not coordinator: an earlier
         // process here wrote it and has terminated.
         if (stored_record->vm == this->self.vm && stored_record->address == this->self.address)
-            this->replace_coordinator();
+            this->replace_coordinator(coordinator_loss::process_replaced);
         return;
     }
     // A coordinator that is still alive restores its key as soon as it reaches the store.
@@ -164,17 +173,62 @@
         random_jitter() + (this->notify.coordinator_heard() ? key_restore_time : milliseconds(0)));
 }
 
-void leadership::replace_coordinator()
+void leadership::replace_coordinator(coordinator_loss loss)
 {
     if (this->retired || this->leads() || !this->known_coordinator || this->known_revision == 0)
         return;
-    this->log.write("coordination", "coordinator_gone",
-                    {{"tenure", this->known_coordinator->tenure}});
+    if (loss == coordinator_loss::connection_refused) {
+        if (!this->suspected || this->suspected->leader_revision != this->known_revision ||
+            boot_time() - this->suspected->began > suspicion_age_limit) {
+            this->start_suspicion();
+            return;
+        }
+        if (this->suspected->fence_revision == 0)
+            return; // the store has not answered since the first refused connection
+        this->replaced_fence_revision = this->suspected->fence_revision;
+    }
+    this->suspected.reset();
+    this->log.write(
+        "coordination", "coordinator_gone",
+        {{"tenure", this->known_coordinator->tenure},
+         {"evidence", loss == coordinator_loss::connection_refused ? "connection_refused"
+                                                                   : "process_replaced"}});
     this->replaced_revision = this->known_revision;
     this->known_coordinator.reset();
     this->schedule_candidacy(random_jitter());
 }
 
+void leadership::start_suspicion()
+{
+    this->suspected = suspicion{.leader_revision = this->known_revision, .began = boot_time()};
+    this->store.read(this->fence_key,
+                     [this, alive = this->alive, began = this->suspected->began](auto fence) {
+                         if (!*alive || !this->suspected || this->suspected->began != began)
+                             return;
+                         if (fence.ok() && *fence)
+                             this->suspected->fence_revision = (*fence)->revision;
+                         else
+                             this->suspected.reset();
+                     });
+}
+
+void leadership::confirm_coordinator()
+{
+    this->suspected.reset();
+    if (!this->leads() && this->replaced_revision != 0)
+        this->cancel_replacement("coordinator_heard");
+}
+
+void leadership::cancel_replacement(std::string_view reason)
+{
+    this->log.write("coordination", "replacement_cancelled", {{"reason", reason}});
+    this->replaced_revision = 0;
+    this->replaced_fence_revision = 0;
+    ++this->candidacy_round;
+    this->candidacy_timer.stop();
+    this->reload_coordinator();
+}
+
 void leadership::schedule_candidacy(milliseconds wait)
 {
     if (!this->retired && !this->candidacy_pending && !this->leads())
@@ -187,16 +241,22 @@
     if (this->retired || this->candidacy_pending || this->leads() || this->known_coordinator)
         return;
     this->candidacy_pending = true;
-    this->store.grant_lease(lease_time, [this, alive = this->alive](auto granted) {
-        if (!*alive)
-            return;
-        if (granted.ok()) {
-            this->write_claim(*granted);
-            return;
-        }
-        this->candidacy_pending = false;
-        this->schedule_candidacy(retry_wait + random_jitter());
-    });
+    this->store.grant_lease(
+        lease_time, [this, alive = this->alive, round = this->candidacy_round](auto granted) {
+            if (!*alive)
+                return;
+            if (granted.ok() && round == this->candidacy_round) {
+                this->write_claim(*granted);
+                return;
+            }
+            this->candidacy_pending = false;
+            if (this->replaced_revision != 0)
+                // What was seen of the coordinator before the store is reached again proves
+                // nothing then.
+                this->cancel_replacement("store_away");
+            else if (!this->known_coordinator)
+                this->schedule_candidacy(retry_wait + random_jitter());
+        });
 }
 
 void leadership::write_claim(std::int64_t lease)
@@ -209,6 +269,8 @@
     record.tenure = fmt::format("{}-{}-{}", this->self.vm, random_hex(4), ++this->tenure_count);
     store_transaction change;
     change.conditions.push_back({this->leader_key, this->replaced_revision});
+    if (this->replaced_fence_revision != 0)
+        change.conditions.push_back({this->fence_key, this->replaced_fence_revision});
     change.writes.push_back({this->leader_key, pack_message(record), lease});
     change.writes.push_back({this->fence_key, record.tenure, 0});
     this->last_renewal = boot_time();
@@ -229,6 +291,13 @@
     }
     if (result.how != store_result::outcome::unknown) {
         this->candidacy_pending = false;
+        for (const auto& item : result.current) {
+            if (item.key == this->fence_key && this->replaced_fence_revision != 0 &&
+                item.revision != this->replaced_fence_revision) {
+                this->cancel_replacement("coordinator_writes");
+                return;
+            }
+        }
         for (const auto& item : result.current) {
             if (item.key != this->leader_key)
                 continue;
@@ -265,11 +334,15 @@
 {
     this->candidacy_pending = false;
     this->replaced_revision = 0;
+    this->replaced_fence_revision = 0;
+    this->suspected.reset();
+    this->ending_lease = false;
+    this->last_renewal_answer = boot_time();
     this->lease = lease;
     this->key_lease = lease;
     this->chain = std::make_unique<commit_chain>(
         this->loop, this->store, this->log, this->fence_key, this->tenure, term,
-        [this] { this->step_down("another process holds the fence"); });
+        [this] { this->step_down("another process holds the fence"); }, this->link_mbps);
     this->renew_timer.start_repeating(renewal_interval);
     this->log.write("coordination", "leadership_won", {{"term", term}, {"tenure", this->tenure}});
     auto record = this->self;
@@ -290,8 +363,10 @@
             return;
         if (!this->leads() || tenure != this->tenure)
             return;
-        if (status.ok() || absl::IsNotFound(status))
+        if (status.ok() || absl::IsNotFound(status)) {
+            this->last_renewal_answer = boot_time();
             this->chain->resend_if_stalled(sent);
+        }
         // A lease says who coordinates only while the key is under it.
         if (status.ok() && this->key_lease == lease)
             this->last_renewal = std::max(this->last_renewal, sent);
@@ -302,7 +377,7 @@
 
 void leadership::restore_key()
 {
-    if (this->restoring_key)
+    if (this->restoring_key || this->ending_lease)
         return;
     this->restoring_key = true;
     this->log.write("coordination", "lease_ended", {{"tenure", this->tenure}});
@@ -311,7 +386,7 @@
             if (!*alive)
                 return;
             this->restoring_key = false;
-            if (!granted.ok() || !this->leads() || tenure != this->tenure)
+            if (!granted.ok() || !this->leads() || tenure != this->tenure || this->ending_lease)
                 return;
             this->lease = *granted;
             auto record = this->self;
@@ -343,10 +418,31 @@
 void leadership::hand_over(milliseconds pause)
 {
     this->no_candidacy_before = boot_time() + pause;
-    if (!this->leads())
+    if (!this->leads() || this->ending_lease)
         return;
-    this->chain->put_first(
-        this->leader_key, [] { return std::nullopt; }, [this] { this->step_down("handed over"); });
+    this->ending_lease = true;
+    this->renew_timer.stop();
+    // A lease that is not ended now expires within lease_time, since it is not renewed any more.
+    this->store.revoke_lease(this->key_lease,
+                             [this, alive = this->alive, tenure = this->tenure](const auto&) {
+                                 if (*alive && this->leads() && tenure == this->tenure)
+                                     this->step_down("handed over");
+                             });
+}
+
+bool leadership::may_become_candidate() const
+{
+    return !this->retired && boot_time() >= this->no_candidacy_before;
+}
+
+bool leadership::renewals_answered() const
+{
+    return this->leads() && boot_time() - this->last_renewal_answer < renewal_answer_age_limit;
+}
+
+milliseconds leadership::time_without_answer() const
+{
+    return this->leads() ? this->chain->time_without_answer() : milliseconds(0);
 }
 
 void leadership::step_down(std::string_view reason)
@@ -354,6 +450,7 @@
     this->log.write("coordination", "leadership_lost",
                     {{"tenure", this->tenure}, {"reason", reason}});
     this->renew_timer.stop();
+    this->ending_lease = false;
     // The chain may be the caller, and the coordinator object that writes through it is destroyed
     // later, so it is kept alive.
     this->chain->close();
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -22,6 +22,12 @@
 struct store_item;
 struct store_result;
 
+/// Why the known coordinator is taken to have ended.
+enum class coordinator_loss {
+    process_replaced,   ///< the process at its address does not coordinate
+    connection_refused, ///< its address refuses connections: its process, or the way to it, is gone
+};
+
 /// The stored record of the coordinator: the value of the leader key.
 struct coordinator_record {
     std::string vm;
@@ -54,9 +60,10 @@
         std::function<milliseconds()> candidacy_delay;
     };
 
-    /// @param prefix start of the keys used: "PREFIXleader" and "PREFIXfence"
+    /// @param prefix    start of the keys used: "PREFIXleader" and "PREFIXfence"
+    /// @param link_mbps bandwidth of this VM's link; 0: not known
     leadership(event_loop& loop, metadata_store& store, const event_log& log, std::string prefix,
-               coordinator_record self, callbacks notify);
+               coordinator_record self, callbacks notify, double link_mbps = 0);
     ~leadership();
     leadership(const leadership&) = delete;
     leadership& operator=(const leadership&) = delete;
@@ -66,17 +73,40 @@
     /// Read the leader key again, e.g. because the connection to the coordinator was lost.
     void reload_coordinator();
 
-    /// Become a candidate without waiting for the coordinator's lease to expire, because its
-    /// process has terminated.
-    void replace_coordinator();
+    /// Become a candidate without waiting for the coordinator's lease to expire.
+    ///
+    /// A refused connection alone proves nothing: it is the same when the network between the two
+    /// processes is cut. So the first one makes this process read the fence key, and only another
+    /// one after that starts the candidacy; the claim then fails if the coordinator has written to
+    /// the store since the fence key was read. While the store does not answer, nothing is claimed.
+    void replace_coordinator(coordinator_loss loss);
+
+    /// The coordinator has sent a message: give up a candidacy that would replace it.
+    void confirm_coordinator();
 
     /// Step down because another process is known to have become coordinator.
     void abdicate(std::string_view reason);
 
-    /// Step down by deleting the leader key, so that another process can win.
+    /// Step down by ending the lease of the leader key, so that another process can win. That is a
+    /// small call of its own, which does not wait for pending writes.
     /// @param pause how long this process does not become a candidate again
     void hand_over(milliseconds pause);
 
+    /// @return whether this process is about to step down
+    [[nodiscard]] bool handing_over() const
+    {
+        return this->ending_lease;
+    }
+
+    /// @return whether this process would become a candidate now
+    [[nodiscard]] bool may_become_candidate() const;
+
+    /// @return whether the store has answered a renewal of the leader key's lease lately
+    [[nodiscard]] bool renewals_answered() const;
+
+    /// @return how long the coordinator's transaction has had no answer
+    [[nodiscard]] milliseconds time_without_answer() const;
+
     /// Step down and never become a candidate again.
     void retire();
 
@@ -109,6 +139,10 @@
     void schedule_candidacy(milliseconds wait);
     void start_candidacy();
     void write_claim(std::int64_t lease);
+    /// Read the revision of the fence key, to see later whether the coordinator writes.
+    void start_suspicion();
+    /// Give up a candidacy that would replace the coordinator, and read who coordinates.
+    void cancel_replacement(std::string_view reason);
     void finish_claim(std::int64_t lease, const std::string& tenure, const store_result& result);
     void become_coordinator(std::int64_t lease, std::int64_t term);
     void renew();
@@ -128,12 +162,25 @@
     std::int64_t known_revision = 0;    ///< store revision of the leader key when last read
     std::int64_t replaced_revision = 0; ///< revision of the leader key of a coordinator whose
                                         ///< process has terminated; 0: none
+    /// Revision of the fence key when that coordinator was suspected; 0: not a condition.
+    std::int64_t replaced_fence_revision = 0;
+    /// A refused connection to the coordinator.
+    struct suspicion {
+        std::int64_t leader_revision = 0;
+        std::int64_t fence_revision = 0; ///< read after the connection was refused; 0: not yet
+        milliseconds began{0};           ///< time since boot
+    };
+    std::optional<suspicion> suspected;
+    std::uint64_t candidacy_round = 0; ///< answers to candidacies of earlier rounds are ignored
     std::unique_ptr<commit_chain> chain;
     std::unique_ptr<commit_chain> former_chain; ///< kept alive until the next step_down()
     std::string tenure;     ///< see coordinator_record; of the current or last term of this process
     std::int64_t lease = 0; ///< the last one granted for the leader key
     std::int64_t key_lease = 0; ///< the one under which the leader key was last written
     milliseconds last_renewal{0};
+    milliseconds last_renewal_answer{0}; ///< time since boot
+    bool ending_lease = false;           ///< between hand_over() and its end
+    double link_mbps;
     bool restoring_key = false;
     bool candidacy_pending = false;
     bool retired = false;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -46,6 +46,26 @@
         this->loop.run();
     }
 
+    candidate& coordinator()
+    {
+        return this->first.election.leads() ? this->first : this->second;
+    }
+
+    candidate& member()
+    {
+        return this->first.election.leads() ? this->second : this->first;
+    }
+
+    /// The member's connections to the coordinator are refused, every 50 ms.
+    void refuse_connections(candidate& member, milliseconds span)
+    {
+        timer refused(this->loop, [&member] {
+            member.election.replace_coordinator(coordinator_loss::connection_refused);
+        });
+        refused.start_repeating(milliseconds(50));
+        this->run_for(span);
+    }
+
     event_loop loop;
     fake_store store{this->loop};
     event_log log{"test"};
@@ -67,7 +87,7 @@
     auto& leader = this->first.election.leads() ? this->first : this->second;
     auto& other = this->first.election.leads() ? this->second : this->first;
     const auto term = leader.terms.back();
-    other.election.replace_coordinator();
+    other.election.replace_coordinator(coordinator_loss::process_replaced);
     this->run_for(milliseconds(200));
     ASSERT_TRUE(other.election.leads());
     EXPECT_GT(other.terms.back(), term);
@@ -77,6 +97,82 @@
     EXPECT_EQ(leader.terms.size() + other.terms.size(), 2);
 }
 
+// The end of a cut that resets connections used to depose a coordinator that was never away: the
+// candidacy of the processes that were cut off waited for the store.
+TEST_F(leadership_test, connections_refused_while_the_store_is_away_replace_nobody)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    this->store.down = true;
+    this->refuse_connections(other, milliseconds(300));
+    this->store.down = false;
+    this->run_for(milliseconds(500));
+    EXPECT_TRUE(leader.election.leads());
+    EXPECT_EQ(leader.losses, 0);
+    EXPECT_TRUE(other.terms.empty());
+}
+
+// A member whose link to the coordinator alone is cut must not depose it.
+TEST_F(leadership_test, a_coordinator_that_writes_is_not_replaced_when_its_connections_are_refused)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    timer writes(this->loop, [&leader] {
+        leader.chain->put("v/w/1", [] { return std::string("record"); }, true, {});
+    });
+    writes.start_repeating(milliseconds(20));
+    this->refuse_connections(other, milliseconds(800));
+    EXPECT_TRUE(leader.election.leads());
+    EXPECT_EQ(leader.losses, 0);
+    EXPECT_TRUE(other.terms.empty());
+}
+
+TEST_F(leadership_test, an_idle_coordinator_that_refuses_connections_is_replaced_within_its_lease)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    this->refuse_connections(other, leadership::lease_time / 3);
+    EXPECT_TRUE(other.election.leads());
+    this->run_for(milliseconds(200));
+    EXPECT_FALSE(leader.election.leads());
+}
+
+// A member that heard the coordinator again used to replace it all the same.
+TEST_F(leadership_test, hearing_the_coordinator_cancels_a_candidacy_that_would_replace_it)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    other.candidacy_delay = milliseconds(300);
+    this->refuse_connections(other, milliseconds(200));
+    other.election.confirm_coordinator();
+    this->run_for(milliseconds(700));
+    EXPECT_TRUE(leader.election.leads());
+    EXPECT_TRUE(other.terms.empty());
+}
+
+// A hand-over used to wait behind a transaction that had no answer.
+TEST_F(leadership_test, a_coordinator_whose_writes_stall_can_hand_over)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    this->store.transactions_to_delay = 1;
+    leader.chain->put("v/w/1", [] { return std::string("record"); }, true, {});
+    this->run_for(milliseconds(50));
+    EXPECT_GT(leader.election.time_without_answer(), milliseconds(20));
+    leader.election.hand_over(milliseconds(5000));
+    EXPECT_FALSE(leader.election.is_lease_valid());
+    this->run_for(milliseconds(300));
+    EXPECT_FALSE(leader.election.leads());
+    EXPECT_TRUE(other.election.leads());
+    this->store.apply_delayed_transactions();
+    EXPECT_EQ(this->store.items.count("v/w/1"), 0) << "the fence rejects it";
+}
+
 // After a restart of all processes, the key of the previous coordinator used to block them until
 // its lease expired.
 TEST_F(leadership_test, a_restarted_process_replaces_its_predecessor_at_once)
--- a/src/libverbenalever/coordination/member_hub.cpp
+++ b/src/libverbenalever/coordination/member_hub.cpp
@@ -43,6 +43,8 @@
         },
         [this, number] { this->close(number); });
     entry.channel->set_heartbeat(this->notify.greeting);
+    // The member must not take this process for the coordinator, or for none, until the next one.
+    entry.channel->send_heartbeat();
 }
 
 void member_hub::on_message(std::uint64_t number, peer_topic topic, std::string_view payload,
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -17,14 +17,19 @@
     std::int64_t configuration_digest = 0; ///< of the content of its configuration
     std::int64_t lag_ms = 0;               ///< how late its event loop runs
     double processor_share = 0;            ///< share of one core that its VM has
-    double strongest_share = 0;            ///< largest processor_share of any VM that it knows
+    double strongest_share = 0;            ///< processor_share of the fittest VM that it knows
     bool store_answers = false; ///< the store answered its last call about the coordinator
     bool coordinating = false;
     bool certain = false; ///< it is coordinator and its lease cannot have expired yet
     bool leaving = false; ///< the process stops soon and relays no more orders
+    double link_mbps = 0; ///< bandwidth of its VM's link; 0: not known, or an earlier build
+    double strongest_link_mbps = 0; ///< the same of the VM that strongest_share is of
+    /// It would become a candidate if there were no coordinator. An earlier build sends nothing.
+    bool may_coordinate = true;
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
-                   processor_share, strongest_share, store_answers, coordinating, certain, leaving)
+                   processor_share, strongest_share, store_answers, coordinating, certain, leaving,
+                   link_mbps, strongest_link_mbps, may_coordinate)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/coordination/peer_channel.h
+++ b/src/libverbenalever/coordination/peer_channel.h
@@ -57,6 +57,9 @@
         this->heartbeat_payload = std::move(payload);
     }
 
+    /// Send a heartbeat now, because this process's state has changed.
+    void send_heartbeat();
+
     /// @return whether anything was ever received from the peer
     [[nodiscard]] bool has_received() const
     {
@@ -88,7 +91,6 @@
     };
 
     void send(const peer_message& message);
-    void send_heartbeat();
     void receive(std::string_view frame);
     void send_reply(std::uint64_t call, int topic, std::string payload);
     void on_heartbeat_timer();
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -136,6 +136,9 @@
         return this->loaded;
     }
 
+    /// @return how long no part of the stored state was read while it is being loaded
+    [[nodiscard]] milliseconds time_without_load_progress() const;
+
 private:
     /// How long a coordinator that cannot reach the store renews the leases of tasks: a little
     /// longer than its own lease, after which another coordinator may have been elected. One task
@@ -567,6 +570,7 @@
     bool renewing_leases = true; ///< result of the last check whether task leases may be renewed
     bool list_was_recent = true; ///< result of the last check of list_is_recent()
     milliseconds started_at{0};  ///< time since boot of start()
+    milliseconds last_load_progress{0}; ///< time since boot of the last page read; 0: not loading
     std::unordered_map<std::string, std::unique_ptr<workflow>> workflows;
     std::set<ready_key> ready_steps;
     /// Where the next pass continues with the steps behind the first ones; empty: right behind
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -31,8 +31,17 @@
 
 } // namespace
 
+milliseconds coordinator::time_without_load_progress() const
+{
+    if (this->loaded || this->last_load_progress.count() == 0)
+        return milliseconds(0);
+    return boot_time() - this->last_load_progress;
+}
+
 void coordinator::load_page(const std::string& prefix, const std::string& after)
 {
+    if (this->last_load_progress.count() == 0)
+        this->last_load_progress = boot_time();
     this->env.store.list(prefix, after, [this, alive = this->alive, prefix, after](auto page) {
         if (!*alive)
             return;
@@ -45,6 +54,7 @@
             this->load_retry_timer->start_once(retry_wait);
             return;
         }
+        this->last_load_progress = boot_time();
         this->apply_loaded_page(prefix, *page);
     });
 }
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -16,23 +16,22 @@
 
 namespace {
 
-/// A coordinator whose event loop runs later than this is too slow: the latency objectives of
-/// urgent work are a few hundred milliseconds.
-constexpr milliseconds max_loop_lag{150};
 constexpr milliseconds hand_over_check_interval{200};
-/// The coordinator hands over because of its lag only if another process lags this many times less.
-constexpr int min_lag_ratio = 4;
-/// No hand-over within this time of an election or an earlier hand-over: a new coordinator is busy
-/// at first, and a hand-over costs time itself.
-constexpr milliseconds hand_over_delay{2000};
-/// Assumed share (in cores) of the strongest VM until a coordinator reports it: what each VM has on
-/// the users' smaller sites, which is enough to coordinate them.
-constexpr double default_strongest_share = 0.25;
-/// A VM with less than this fraction of the strongest VM's share counts as weak.
-constexpr double weak_share_ratio = 0.6;
+/// Assumed fitness of the strongest VM until a coordinator has told or stored it: what each VM has
+/// on the users' smaller sites, which is enough to coordinate them.
+constexpr vm_fitness default_strongest{.processor_share = 0.25};
 /// A weak VM becomes a candidate this much later than the strong ones: several times the random
 /// spread of their candidacies.
 constexpr milliseconds weak_candidacy_delay{400};
+/// The same in a process that has not heard any coordinator: after a loss of all processes the
+/// stronger VMs may take a second longer to start.
+constexpr milliseconds weak_candidacy_delay_after_start{1000};
+/// Each further level of weakness adds this much.
+constexpr milliseconds weakness_level_delay{200};
+/// A stronger VM that has not connected within this time of a term counts as gone.
+constexpr milliseconds strongest_absence_limit{30'000};
+/// Wait before the fitness of the strongest VM is read again after a failure.
+constexpr milliseconds join_retry_wait{250};
 /// A coordinator that handed over is no candidate for this long.
 constexpr milliseconds candidacy_pause{15'000};
 
@@ -53,8 +52,7 @@
                },
            .left =
                [this](const std::string& vm) {
-                   this->member_shares.erase(vm);
-                   this->member_lags.erase(vm);
+                   this->member_conditions.erase(vm);
                    this->orders.remove_relay(vm);
                    this->snapshots.remove_peer(vm);
                    if (this->active_coordinator)
@@ -90,10 +88,14 @@
                                     {});
                     this->external.operators.set_peer_notifies(up);
                     this->non_coordinating_heartbeats = 0;
+                    this->coordinator_ever_heard |= up;
                     if (!up)
                         this->election.reload_coordinator();
                 },
-            .coordinator_gone = [this] { this->election.replace_coordinator(); }}),
+            .coordinator_gone =
+                [this] {
+                    this->election.replace_coordinator(coordinator_loss::connection_refused);
+                }}),
       relay(external.orders, metrics),
       orders({.loop = loop,
               .direct = external.orders,
@@ -118,16 +120,22 @@
                    const bool other = coordinator && coordinator->vm != this->own_settings.vm;
                    this->link.set_coordinator(other ? coordinator : std::nullopt);
                },
-           .coordinator_heard = [this] { return this->link.up(); },
-           .candidacy_delay = [this] { return this->candidacy_delay(); }}),
+           .coordinator_heard =
+               [this] { return this->link.up() && this->non_coordinating_heartbeats == 0; },
+           .candidacy_delay = [this] { return this->candidacy_delay(); }},
+          this->own_settings.link_mbps),
       former_coordinator_timer(loop, [this] { this->former_coordinator.reset(); }), loop_lag(loop),
-      strongest_known_share(default_strongest_share),
+      strongest_known(default_strongest),
       hand_over_timer(loop, [this] { this->check_hand_over(); }),
+      join_timer(loop, [this] { this->join_election(); }),
       retry_timer(loop, [this] { this->retry_pending_calls(); })
 {
 }
 
-cluster_entry::~cluster_entry() = default;
+cluster_entry::~cluster_entry()
+{
+    *this->alive = false;
+}
 
 absl::Status cluster_entry::start()
 {
@@ -141,10 +149,34 @@
         if (this->active_coordinator)
             this->active_coordinator->apply_configuration(this->configuration);
     });
-    this->election.start();
+    this->join_election();
     return absl::OkStatus();
 }
 
+void cluster_entry::join_election()
+{
+    this->external.store.read(this->strongest_key(), [this, alive = this->alive](auto stored) {
+        if (!*alive)
+            return;
+        if (!stored.ok()) {
+            this->join_timer.start_once(join_retry_wait);
+            return;
+        }
+        if (*stored) {
+            if (const auto read = unpack_message<vm_fitness>((*stored)->value); read.ok())
+                this->strongest_known = fitter(this->strongest_known, *read);
+            else
+                this->log.write("coordination", "strongest_unreadable", {{"key", (*stored)->key}});
+        }
+        this->election.start();
+    });
+}
+
+std::string cluster_entry::strongest_key() const
+{
+    return this->own_settings.key_prefix + "strongest";
+}
+
 bool cluster_entry::ready() const
 {
     // A coordinator that is not sure of its lease accepts nothing, so callers should use another
@@ -159,6 +191,8 @@
 {
     this->retired = true;
     this->election.retire();
+    this->hub.for_each_member(
+        [](const std::string&, peer_channel& channel) { channel.send_heartbeat(); });
 }
 
 bool cluster_entry::coordinating() const
@@ -184,18 +218,24 @@
                                         .configuration_digest = this->configuration->digest,
                                         .lag_ms = this->loop_lag.lag().count(),
                                         .processor_share = this->own_settings.processor_share,
-                                        .strongest_share = this->strongest_share(),
+                                        .strongest_share = this->strongest().processor_share,
                                         .store_answers = this->election.store_answers(),
-                                        .coordinating = this->active_coordinator != nullptr,
+                                        .coordinating = this->active_coordinator != nullptr &&
+                                                        !this->election.handing_over(),
                                         .certain = this->election.is_lease_valid(),
-                                        .leaving = this->retired});
+                                        .leaving = this->retired,
+                                        .link_mbps = this->own_settings.link_mbps,
+                                        .strongest_link_mbps = this->strongest().link_mbps,
+                                        .may_coordinate = this->election.may_become_candidate()});
 }
 
 void cluster_entry::apply_heartbeat(const member_greeting& member)
 {
-    this->member_lags[member.vm] = member.lag_ms;
-    // A member that cannot reach the store could not take over.
-    this->member_shares[member.vm] = member.store_answers ? member.processor_share : 0;
+    this->member_conditions[member.vm] = {
+        .vm = member.vm,
+        .fitness = {.processor_share = member.processor_share, .link_mbps = member.link_mbps},
+        .loop_lag = milliseconds(member.lag_ms),
+        .can_coordinate = member.store_answers && member.may_coordinate && !member.leaving};
     if (member.leaving)
         this->orders.remove_relay(member.vm);
     else
@@ -204,7 +244,8 @@
 
 void cluster_entry::handle_coordinator_heartbeat(const member_greeting& greeting)
 {
-    this->strongest_known_share = greeting.strongest_share;
+    this->strongest_known = {.processor_share = greeting.strongest_share,
+                             .link_mbps = greeting.strongest_link_mbps};
     this->coordinator_lease_certain = greeting.certain;
     this->send_snapshot_if_behind(greeting, this->link.channel());
     // A restarted process listens at the former coordinator's address without coordinating. A
@@ -212,33 +253,49 @@
     constexpr int max_non_coordinating = 2;
     this->non_coordinating_heartbeats =
         greeting.coordinating ? 0 : this->non_coordinating_heartbeats + 1;
+    if (greeting.coordinating)
+        this->election.confirm_coordinator();
     if (this->non_coordinating_heartbeats == max_non_coordinating)
-        this->election.replace_coordinator();
+        this->election.replace_coordinator(coordinator_loss::process_replaced);
+}
+
+vm_fitness cluster_entry::own_fitness() const
+{
+    return {.processor_share = this->own_settings.processor_share,
+            .link_mbps = this->own_settings.link_mbps};
 }
 
-double cluster_entry::strongest_share() const
+vm_fitness cluster_entry::strongest() const
 {
-    double strongest = this->own_settings.processor_share;
-    for (const auto& [vm, share] : this->member_shares)
-        strongest = std::max(strongest, share);
+    // Right after an election hardly any member is connected.
+    const bool members_known = this->active_coordinator != nullptr &&
+                               boot_time() - this->elected_at > strongest_absence_limit;
+    auto strongest = this->own_fitness();
+    if (!members_known)
+        strongest = fitter(strongest, this->strongest_known);
+    for (const auto& [vm, member] : this->member_conditions)
+        strongest = fitter(strongest, member.fitness);
     return strongest;
 }
 
 milliseconds cluster_entry::candidacy_delay() const
 {
-    const bool weak =
-        this->own_settings.processor_share < this->strongest_known_share * weak_share_ratio;
-    return weak ? weak_candidacy_delay : milliseconds(0);
+    const int weakness = this->own_fitness().weakness_beside(this->strongest_known);
+    if (weakness == 0)
+        return milliseconds(0);
+    return (this->coordinator_ever_heard ? weak_candidacy_delay
+                                         : weak_candidacy_delay_after_start) +
+           weakness_level_delay * (weakness - 1);
 }
 
-const std::string* cluster_entry::stronger_member()
+void cluster_entry::store_strongest()
 {
-    for (const auto& [vm, share] : this->member_shares) {
-        if (this->own_settings.processor_share < share * weak_share_ratio &&
-            this->hub.find(vm) != nullptr)
-            return &vm;
-    }
-    return nullptr;
+    const auto strongest = this->strongest();
+    if (this->chain == nullptr || strongest == this->strongest_stored)
+        return;
+    this->strongest_stored = strongest;
+    this->chain->put(this->strongest_key(), [strongest] { return pack_message(strongest); }, false,
+                     {});
 }
 
 void cluster_entry::start_coordinating(std::int64_t term, commit_chain& chain)
@@ -264,6 +321,9 @@
     this->add_advisor(this->own_settings.vm);
     this->hub.for_each_member(
         [this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
+    this->chain = &chain;
+    this->elected_at = boot_time();
+    this->strongest_stored = {};
     this->active_coordinator->start();
     this->last_role_change = boot_time();
     this->hand_over_timer.start_repeating(hand_over_check_interval);
@@ -275,35 +335,47 @@
         this->hand_over_timer.stop();
         return;
     }
-    if (boot_time() - this->last_role_change < hand_over_delay)
-        return;
-    if (const auto* stronger = this->stronger_member()) {
-        this->log.write("coordination", "handing_over",
-                        {{"reason", "weak"},
-                         {"processor_share", this->own_settings.processor_share},
-                         {"member", *stronger}});
-        this->last_role_change = boot_time();
-        this->election.hand_over(candidacy_pause);
+    if (this->election.handing_over())
         return;
+    this->store_strongest();
+    std::vector<member_condition> members;
+    for (const auto& [vm, member] : this->member_conditions) {
+        if (this->hub.find(vm) != nullptr)
+            members.push_back(member);
     }
-    const auto own_lag = this->loop_lag.lag();
-    if (own_lag < max_loop_lag)
+    const coordinator_condition own{.fitness = this->own_fitness(),
+                                    .loop_lag = this->loop_lag.lag(),
+                                    .since_change = boot_time() - this->last_role_change,
+                                    .writes_stalled = this->election.time_without_answer(),
+                                    .load_stalled =
+                                        this->active_coordinator->time_without_load_progress(),
+                                    .store_answers = this->election.renewals_answered()};
+    const auto decision = decide_hand_over(own, members);
+    if (!decision)
         return;
-    const auto less_delayed = std::ranges::find_if(this->member_lags, [&](const auto& member) {
-        return this->hub.find(member.first) != nullptr &&
-               milliseconds(member.second) * min_lag_ratio < own_lag;
-    });
-    if (less_delayed == this->member_lags.end())
-        return;
-    this->log.write(
-        "coordination", "handing_over",
-        {{"reason", "slow"}, {"lag_ms", own_lag.count()}, {"member", less_delayed->first}});
+    this->log.write("coordination", "handing_over",
+                    {{"reason", decision->reason},
+                     {"processor_share", own.fitness.processor_share},
+                     {"link_mbps", own.fitness.link_mbps},
+                     {"lag_ms", own.loop_lag.count()},
+                     {"writes_stalled_ms", own.writes_stalled.count()},
+                     {"load_stalled_ms", own.load_stalled.count()},
+                     {"member", decision->member}});
     this->last_role_change = boot_time();
-    this->election.hand_over(candidacy_pause);
+    this->hand_over(candidacy_pause);
+}
+
+void cluster_entry::hand_over(milliseconds pause)
+{
+    this->election.hand_over(pause);
+    // Members that know become candidates as soon as the leader key is gone.
+    this->hub.for_each_member(
+        [](const std::string&, peer_channel& channel) { channel.send_heartbeat(); });
 }
 
 void cluster_entry::stop_coordinating()
 {
+    this->chain = nullptr;
     this->former_coordinator = std::move(this->active_coordinator);
     this->former_coordinator_timer.start_once(milliseconds(0));
 }
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "coordination/coordinator_link.h"
+#include "coordination/hand_over_policy.h"
 #include "coordination/leadership.h"
 #include "coordination/member_hub.h"
 #include "coordination/snapshot_send_policy.h"
+#include "coordination/vm_fitness.h"
 #include "coordinator/coordinator.h"
 #include "gateway/workflow_gateway.h"
 #include "loop/endpoint.h"
@@ -40,6 +42,7 @@
         std::string availability_zone;
         endpoint peer;              ///< where this entry daemon listens for other entry daemons
         double processor_share = 1; ///< cores that this VM may use; 0.25: a quarter of one
+        double link_mbps = 0;       ///< bandwidth of this VM's network link; 0: not known
         std::string key_prefix;     ///< prefix of this product's keys in the store
         /// A task stops when the coordinator has not renewed its lease this long.
         milliseconds task_lease{0};
@@ -108,13 +111,18 @@
     /// Send the call, and again after each unknown outcome, until its deadline.
     void send_until_deadline(pending_call call);
     void retry_pending_calls();
-    /// Hand coordination over to a member whose VM has a much larger processor share or whose event
-    /// loop is much less late.
+    /// Hand coordination over if decide_hand_over() says so.
     void check_hand_over();
-    /// @return a connected member on a VM with a much larger processor share than this VM has; null
-    /// when there is none
-    [[nodiscard]] const std::string* stronger_member();
-    [[nodiscard]] double strongest_share() const;
+    void hand_over(milliseconds pause);
+    /// Read the fitness of the strongest VM that an earlier coordinator has stored, then join the
+    /// election.
+    void join_election();
+    /// Store the fitness of the strongest known VM when it has changed, for processes that start.
+    void store_strongest();
+    [[nodiscard]] std::string strongest_key() const;
+    [[nodiscard]] vm_fitness own_fitness() const;
+    /// @return the fitness of the strongest VM that this process knows
+    [[nodiscard]] vm_fitness strongest() const;
     /// @return how long to let stronger VMs become candidates first
     [[nodiscard]] milliseconds candidacy_delay() const;
     void handle_coordinator_heartbeat(const member_greeting& greeting);
@@ -153,18 +161,23 @@
     std::unique_ptr<coordinator> former_coordinator;
     timer former_coordinator_timer;
     lag_meter loop_lag;
-    std::map<std::string, std::int64_t> member_lags; ///< loop lag in milliseconds, by VM
-    std::map<std::string, double> member_shares;     ///< cores, by VM; 0: cannot reach the store
+    std::map<std::string, member_condition> member_conditions; ///< by VM
     /// Successive heartbeats in which the coordinator's VM says that it does not coordinate.
     int non_coordinating_heartbeats = 0;
-    double strongest_known_share; ///< largest share, in cores, that the coordinator knows of
+    bool coordinator_ever_heard = false;
+    vm_fitness strongest_known;    ///< as read from the store, or from the coordinator's heartbeats
+    vm_fitness strongest_stored;   ///< as last written by this process
+    commit_chain* chain = nullptr; ///< while coordinating
+    milliseconds elected_at{0};    ///< time since boot
     /// The value of member_greeting::certain in the coordinator's last heartbeat.
     bool coordinator_lease_certain = true;
     milliseconds last_role_change{0}; ///< time since boot of the election or start of a hand-over
     timer hand_over_timer;
+    timer join_timer;
     std::vector<pending_call> pending_calls;
     timer retry_timer;
     bool retired = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace verbenalever
--- a/testsuite/harness/platform_standin.py
+++ b/testsuite/harness/platform_standin.py
@@ -120,6 +120,14 @@
                 return 404, {}
             self.leases[lease] = time.monotonic() + 1.2
             return 200, {"ttlMs": 1200}
+        if name.startswith("kv-lease-end/"):
+            lease = int(name.split("/")[1])
+            if self.leases.pop(lease, None) is None:
+                return 404, {}
+            self.revision += 1
+            for key in [key for key, entry in self.items.items() if entry[2] == lease]:
+                self.delete(key)
+            return 200, {}
         return 404, {}
 
     async def watch(self, prefix, after, wait_ms):
