Coordinator: past use of teams shifts the due times of waiting work

Cause: teams that use far more than others over hours had the same place in the order of waiting work as all others.

Change: with the setting usage_half_life, the processors of runs are counted by team from their placement or adoption to their end, and the key of a ready step has the due time plus the shift that follows for its team. The shift is kept in the step, so that the key is the same at its removal; a step that holds reservations keeps its shift. Priority, rank and the lateness in it are judged as before. The use is stored under PREFIXu/teams through the commit chain, not urgent, every 10 s if anything was used, and read after the rest is loaded; nothing is written before. Without the setting nothing is counted, read or written. No deployment sets it.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "coordination/leadership.h"
 #include "coordinator/target_session.h"
 #include "ports/target_directory.h"
+#include "scheduling/usage_history.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
@@ -40,6 +41,9 @@
                      this->send_start_orders(stored_workflow);
                  }),
       progress(chain, this->progress_prefix(), term),
+      past_use(this->env.usage_half_life > milliseconds(0)
+                   ? std::make_unique<usage_history>(this->env.usage_half_life)
+                   : nullptr),
       scheduling_timer(this->env.loop, [this] { this->run_scheduling_pass(); }),
       check_timer(this->env.loop, [this] { this->check_targets(); }),
       cleanup_timer(this->env.loop, [this] { this->delete_ended_workflows(); }),
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -42,6 +42,7 @@
 struct preemption_plan;
 struct step_candidate;
 struct store_page;
+class usage_history;
 
 /// A workflow as a caller submits it. The caller's API key and the queue have been checked.
 struct workflow_submission {
@@ -82,6 +83,10 @@
         milliseconds task_lease{0}; ///< a task stops when its lease was not renewed this long
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0}; ///< how long records of ended workflows stay in the store
+        /// Time after which the past use of a team counts half in the order of waiting work; 0:
+        /// past use is neither counted nor stored.
+        milliseconds usage_half_life{0};
+        milliseconds past_use_store_interval{10'000}; ///< shortest time between two writes of it
         /// @return whether every recently seen member is connected to this process and has
         /// answered a heartbeat that was sent to it within the given time, so that none of them had
         /// been elected instead before that
@@ -148,7 +153,7 @@
     static constexpr milliseconds renewal_grace{1500};
 
     /// Order of the ready steps: priority, rank (see rank_of()), due time of the workflow in
-    /// milliseconds since boot, workflow id, step index.
+    /// milliseconds since boot plus workflow_step::due_shift, workflow id, step index.
     using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
 
     // Loading the store (coordinator_store_load.cpp).
@@ -517,9 +522,28 @@
     void add_ready_steps(workflow& owner);
     /// Removes the step from ready_steps, and releases the capacity that is reserved for it.
     void remove_from_ready(workflow& owner, std::uint32_t step_index);
-    /// Moves a step of ready_steps to the place that its present rank gives it.
+    /// Moves a step of ready_steps to the place that its present rank and due shift give it.
     void update_rank(workflow& owner, std::uint32_t step_index);
 
+    // Past use of the teams (coordinator_usage_history.cpp).
+    /// Read the stored past use, again when that fails, and then start to update and store it. Work
+    /// is placed meanwhile, in the order that it has without the stored use.
+    void load_past_use();
+    /// @param stored what an earlier coordinator has stored; nullopt: nothing
+    void restore_past_use(const std::optional<std::string>& stored);
+    /// Compute the shifts of the teams, and update the metrics.
+    void update_past_use();
+    /// Store the past use if it has changed and environment::past_use_store_interval has passed.
+    void store_past_use();
+    /// Count a run that was placed or adopted in the present and past use of its team, or no longer
+    /// when it has ended.
+    void count_run(const workflow& owner, const resources& need);
+    void uncount_run(const workflow& owner, const resources& need);
+    /// @return the shift of the step's due time that follows from what its team has used
+    [[nodiscard]] milliseconds due_shift_of(const workflow& owner, std::uint32_t step_index) const;
+    /// Log the teams that have used most, and their shifts.
+    void log_past_use();
+
     // Measurement of how steps spend their time (coordinator_wait_states.cpp).
     /// Record in the step's time_tracker what the step waits for.
     void update_wait_state(workflow& owner, std::uint32_t step_index);
@@ -554,6 +578,7 @@
     [[nodiscard]] std::string record_prefix() const;
     [[nodiscard]] std::string placement_prefix() const;
     [[nodiscard]] std::string progress_prefix() const;
+    [[nodiscard]] std::string past_use_key() const;
 
     environment env;
     leadership& election;
@@ -594,6 +619,8 @@
     std::vector<std::string> inherited_placement_keys; ///< placement log of earlier coordinators
     std::vector<target_report> latest_reports;         ///< the platform's list as last read
     team_usage_tracker usage_by_team;
+    std::unique_ptr<usage_history> past_use; ///< null: it is not used
+    milliseconds past_use_stored_at{0};      ///< time since boot of its last write, or of its load
     zone_silence_detector silent_zones;
     target_loss_log target_losses;
     std::map<std::string, lost_life> lost_lives; ///< by target name
@@ -615,6 +642,7 @@
     std::size_t remembered_cancels = 0;      ///< workflows that were cancelled and not submitted
     std::uint64_t last_registration = 0;     ///< registration_id of the fleet_target added last
     std::unique_ptr<timer> load_retry_timer; ///< retries a page of records that could not be read
+    std::unique_ptr<timer> past_use_timer;   ///< retries its load, then updates and stores past_use
     timer scheduling_timer;
     timer check_timer;
     timer cleanup_timer;
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -174,7 +174,7 @@
                                          reported.task.step, reported.task.index, reported.run,
                                          target.report.name, target.report.born_ms});
     target.add_run(reported.task, placed);
-    this->usage_by_team.add_run(owner->record.team, placed.need, owner->urgent());
+    this->count_run(*owner, placed.need);
     ++owner->placed_count;
     owner->has_started = true;
     const bool unseen = task.current_phase == workflow_task::phase::awaiting_target;
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -226,7 +226,7 @@
     auto* owner = found->second.owner;
     if (owner != nullptr) {
         this->placements.mark_run_ended(found->second.batch);
-        this->usage_by_team.remove_run(owner->record.team, found->second.need, owner->urgent());
+        this->uncount_run(*owner, found->second.need);
         --owner->placed_count;
     }
     target.remove_run(task);
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -72,6 +72,7 @@
         if (step.ready_since.count() == 0)
             step.ready_since = boot_time();
         step.rank = this->rank_of(owner, step_index);
+        step.due_shift = this->due_shift_of(owner, step_index);
         this->ready_steps.insert(this->ready_key_of(owner, step_index));
     }
 }
@@ -101,7 +102,9 @@
 void coordinator::update_rank(workflow& owner, std::uint32_t step_index)
 {
     this->ready_steps.erase(this->ready_key_of(owner, step_index));
-    owner.steps[step_index].rank = this->rank_of(owner, step_index);
+    auto& step = owner.steps[step_index];
+    step.rank = this->rank_of(owner, step_index);
+    step.due_shift = this->due_shift_of(owner, step_index);
     this->ready_steps.insert(this->ready_key_of(owner, step_index));
 }
 
@@ -117,7 +120,8 @@
         auto* owner = this->find_workflow(id);
         if (owner == nullptr)
             continue;
-        if (this->rank_of(*owner, step_index) != rank)
+        if (this->rank_of(*owner, step_index) != rank ||
+            this->due_shift_of(*owner, step_index) != owner->steps[step_index].due_shift)
             reranked.emplace_back(owner, step_index);
         most -= this->schedule_step(*owner, step_index) ? 1 : 0;
     }
@@ -163,7 +167,8 @@
 coordinator::ready_key coordinator::ready_key_of(const workflow& owner,
                                                  std::uint32_t step_index) const
 {
-    return {owner.priority, owner.steps[step_index].rank, owner.due_at.count(), owner.record.id,
+    const auto& step = owner.steps[step_index];
+    return {owner.priority, step.rank, (owner.due_at + step.due_shift).count(), owner.record.id,
             step_index};
 }
 
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -54,7 +54,7 @@
         task.run = spec.gang ? gang_run : std::max(task.run, owner.run_number_base) + 1;
         --step.waiting_count;
         ++owner.placed_count;
-        this->usage_by_team.add_run(owner.record.team, spec.need, owner.urgent());
+        this->count_run(owner, spec.need);
         const auto batch = this->placements.add({owner.record.id, 0, step_index, index, task.run,
                                                  target->report.name, target->report.born_ms});
         const bool suspect = spec.gang ? suspect_gang : suspects;
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -221,6 +221,7 @@
     this->deferred_calls.clear();
     for (const auto& run_action : actions)
         run_action();
+    this->load_past_use();
     this->request_scheduling_pass();
 }
 
--- a/src/libverbenalever/coordinator/coordinator_wait_states.cpp
+++ b/src/libverbenalever/coordinator/coordinator_wait_states.cpp
@@ -134,6 +134,7 @@
                          {"wait_processors", waiting(state::processors)},
                          {"wait_memory", waiting(state::memory)},
                          {"record_wait_ms", this->chain.expected_commit_delay().count()}});
+    this->log_past_use();
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -83,6 +83,9 @@
     /// Whether it was last found to exceed its team's limit, or all targets, by itself.
     bool too_large = false;
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
+    /// Shift of the due time in its key in ready_steps, see coordinator::due_shift_of(). Stored,
+    /// since the key must be the same when the step is removed.
+    milliseconds due_shift{0};
     /// Estimated time from the start of the step to the end of the workflow.
     milliseconds time_to_workflow_end{0};
     int stalled_runs = 0;      ///< runs that were stopped because they seemed stalled
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -48,6 +48,8 @@
         milliseconds task_lease{0};
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0};    ///< how long ended workflows stay in the store
+        /// See coordinator::environment::usage_half_life.
+        milliseconds usage_half_life{0};
     };
     /// Implementations of what is outside the process; they outlive this object.
     struct ports {
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -43,6 +43,8 @@
                                  .task_lease = this->task_lease,
                                  .longest_task_lease = this->task_lease,
                                  .ended_retention = milliseconds(60'000),
+                                 .usage_half_life = this->usage_half_life,
+                                 .past_use_store_interval = this->past_use_store_interval,
                                  .all_members_answered_within =
                                      [this](milliseconds) { return this->all_members_connected; },
                                  .forget_departed_members = [](milliseconds) {},
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -49,6 +49,8 @@
                                                             this->targets, this->configuration,
                                                             this->log, vm));
         this->processes.back()->task_lease = this->task_lease;
+        this->processes.back()->usage_half_life = this->usage_half_life;
+        this->processes.back()->past_use_store_interval = this->past_use_store_interval;
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->active_coordinator, nullptr);
         return *this->processes.back();
@@ -73,11 +75,11 @@
 
     /// Submit a workflow; its outcome is stored in this->outcomes.
     void submit(process& to, const std::string& id, std::vector<step_spec> steps,
-                const std::string& queue = "urgent")
+                const std::string& queue = "urgent", const std::string& team = "team")
     {
         this->targets.need_by_workflow[id] = steps.front().need;
         to.active_coordinator->submit(
-            {id, queue, "team", {.payload = "p", .steps = std::move(steps)}},
+            {id, queue, team, {.payload = "p", .steps = std::move(steps)}},
             [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
     }
 
@@ -94,7 +96,9 @@
     fake_targets targets{this->loop};
     event_log log{"test"};
     std::shared_ptr<fleet_configuration> configuration;
-    milliseconds task_lease{1500}; ///< of processes that are elected from now on
+    milliseconds task_lease{1500};                ///< of processes that are elected from now on
+    milliseconds usage_half_life{0};              ///< the same
+    milliseconds past_use_store_interval{10'000}; ///< the same
     std::map<std::string, call_outcome> outcomes;
     std::vector<std::unique_ptr<process>> processes;
 };
--- a/src/libverbenalever/testing/fake_store.cpp
+++ b/src/libverbenalever/testing/fake_store.cpp
@@ -101,12 +101,13 @@
     std::optional<store_item> item;
     if (const auto found = this->items.find(key); found != this->items.end())
         item = found->second;
-    this->call_later([done = std::move(done), item, down = this->down] {
-        if (down)
-            done(absl::UnavailableError("down"));
-        else
-            done(item);
-    });
+    this->call_later(
+        [done = std::move(done), item, down = this->down || key == this->unreadable_key] {
+            if (down)
+                done(absl::UnavailableError("down"));
+            else
+                done(item);
+        });
 }
 
 void fake_store::list(const std::string& prefix, const std::string& after,
--- a/src/libverbenalever/testing/fake_store.h
+++ b/src/libverbenalever/testing/fake_store.h
@@ -40,6 +40,9 @@
     /// their timeout. Watches go on, and leases can still be revoked.
     bool down = false;
 
+    /// Reads of this key fail as UNAVAILABLE.
+    std::string unreadable_key;
+
     /// Whether an ended lease of a write is noticed before a condition that fails.
     bool lease_check_first = false;
 
