Tool: config check finds entries that never match, contradicting limits and differences

Cause: a configuration could be valid and yet hold a route that another one hides, a team that nobody can call as, or limits that keep all work out; this was seen only once it was in force.

Change: configuration_findings looks for these in the entries' configuration and in the operators' document of the users' platform, which config check now reads as well. The verb then prints what differs from the version in force, when the entry can be asked. Exit codes 6, 7 and 8 tell the three apart from errors (2). A valid file that differs from the version in force used to end with 0.

--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -2,11 +2,15 @@
 
 #include "access/key_digest.h"
 #include "change_report.h"
+#include "configuration/configuration_findings.h"
 #include "configuration/configuration_merge.h"
+#include "configuration/operator_configuration.h"
 #include "exit_codes.h"
 #include "flags.h"
 #include "line_difference.h"
 #include "loop/unique_id.h"
+#include "platform/configuration_decoder.h"
+#include "platform/json_reader.h"
 #include "session.h"
 #include "settings/yaml_file.h"
 #include "table.h"
@@ -17,11 +21,14 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <optional>
+#include <set>
 
 namespace tool {
 
 namespace {
 
+using verbenalever::configuration_finding;
 using verbenalever::configuration_source;
 
 constexpr std::size_t key_bytes = 24;
@@ -53,20 +60,106 @@
     return verbenalever::merge_configuration(*base, *overlay);
 }
 
+/// @param current configuration as the entry answers it
+/// @return the lines in which @p text differs; both are normalized, so that comments and whitespace
+///         are no differences
+std::string difference_from(const nlohmann::json& current, const std::string& text)
+{
+    return line_difference(normalized_yaml(current.value("text", "")), normalized_yaml(text));
+}
+
 int report_usage_error(const absl::Status& status)
 {
     fmt::print(stderr, "{}\n", std::string(status.message()));
     return exit_usage;
 }
 
+void print_findings(std::string_view file, std::span<const configuration_finding> findings)
+{
+    for (const auto& finding : findings)
+        fmt::print("{}: {}: {}\n", file, finding.path, finding.message);
+}
+
+/// @param differs whether the configuration differs from the version in force
+int check_exit_code(std::span<const configuration_finding> findings, bool differs)
+{
+    using kind = configuration_finding::kind;
+    if (contains_kind(findings, kind::never_matches))
+        return exit_never_matches;
+    if (contains_kind(findings, kind::contradictory_limits))
+        return exit_contradiction;
+    return differs ? exit_differs : exit_ok;
+}
+
+/// @return the operators' document of the users' platform that the file is; nullopt when the file
+///         is no such document
+std::optional<nlohmann::json> read_platform_document(const std::string& file)
+{
+    const auto text = verbenalever::read_file(file);
+    if (!text.ok())
+        return std::nullopt;
+    auto document = nlohmann::json::parse(*text, nullptr, /*allow_exceptions=*/false);
+    if (!document.is_object() || (!document.contains("routes") && !document.contains("tenants")))
+        return std::nullopt;
+    return document;
+}
+
+int check_platform_document(std::string_view file, const nlohmann::json& document)
+{
+    const auto configuration =
+        verbenalever::platform::decode_configuration({.configuration = document.dump()});
+    if (!configuration.ok())
+        return report_usage_error(configuration.status());
+    std::set<std::string> pools;
+    if (const auto services = document.find("services");
+        services != document.end() && services->is_array()) {
+        for (const auto& service : *services)
+            pools.insert(verbenalever::platform::get_string(service, "name"));
+    }
+    const auto findings = find_mistakes(*configuration, pools);
+    print_findings(file, findings);
+    if (findings.empty())
+        fmt::print("{}: nothing found; not compared with the version in force\n", file);
+    return check_exit_code(findings, false);
+}
+
+/// Print what differs from the configuration that the entry has; a note when it cannot be asked.
+/// @return whether anything differs
+bool report_difference(session& current_session, const std::string& text)
+{
+    const auto result = current_session.call("GET", "/v1/admin/configuration");
+    const auto current = nlohmann::json::parse(result.body, nullptr, /*allow_exceptions=*/false);
+    if (!result.success() || !current.is_object()) {
+        fmt::print(stderr, "not compared with the version in force: {}\n",
+                   result.transport.ok() ? fmt::format("HTTP status {}", result.status)
+                                         : std::string(result.transport.message()));
+        return false;
+    }
+    const auto difference = difference_from(current, text);
+    if (!difference.empty())
+        fmt::print("# against revision {}\n{}", current.value("revision", 0), difference);
+    return !difference.empty();
+}
+
 } // namespace
 
-int run_config_check(session&, std::span<const std::string> arguments)
+int run_config_check(session& current_session, std::span<const std::string> arguments)
 {
-    if (const auto text = read_merged_configuration(arguments); !text.ok())
+    if (arguments.size() == 1) {
+        if (const auto document = read_platform_document(arguments[0]))
+            return check_platform_document(arguments[0], *document);
+    }
+    const auto text = read_merged_configuration(arguments);
+    if (!text.ok())
         return report_usage_error(text.status());
-    fmt::print("{}: the configuration is valid\n", arguments[0]);
-    return exit_ok;
+    const auto configuration = verbenalever::operator_configuration::parse(*text, arguments[0]);
+    if (!configuration.ok())
+        return report_usage_error(configuration.status());
+    const auto findings = find_mistakes(*configuration);
+    print_findings(arguments[0], findings);
+    if (findings.empty())
+        fmt::print("{}: the configuration is valid\n", arguments[0]);
+    return check_exit_code(findings, report_difference(current_session, *text));
 }
 
 int run_config_show(session& current_session, std::span<const std::string>)
@@ -96,9 +189,7 @@
     if (!result.success())
         return report_failure(result);
     const auto current = nlohmann::json::parse(result.body);
-    // Both texts are normalized, so that comments and whitespace are not reported as differences.
-    const auto difference =
-        line_difference(normalized_yaml(current.value("text", "")), normalized_yaml(*text));
+    const auto difference = difference_from(current, *text);
     fmt::print("# against revision {}\n{}", current.value("revision", 0), difference);
     return difference.empty() ? exit_ok : exit_failed;
 }
--- a/src/verbenalever/exit_codes.h
+++ b/src/verbenalever/exit_codes.h
@@ -10,6 +10,10 @@
     exit_not_run = 3,     ///< rejected: it has not run and will not run
     exit_unknown = 4,     ///< no response: it may have run
     exit_unreachable = 5, ///< no entry could be reached
+    // Of "config check", for a valid configuration; the first that applies.
+    exit_never_matches = 6, ///< an entry that no work or caller can match
+    exit_contradiction = 7, ///< limits that contradict each other
+    exit_differs = 8,       ///< it differs from the version in force
 };
 
 } // namespace tool
--- a/testsuite/operators-configuration/run.py
+++ b/testsuite/operators-configuration/run.py
@@ -70,6 +70,28 @@
             again = cluster.apply(with_team("late"), base, won[0])
             self.assertEqual(again.status, 409, again)
 
+    def test_a_check_compares_with_the_version_in_force(self):
+        with Cluster(zones=1, entries=1, targets=1) as cluster:
+            path = cluster.folder / "checked.yaml"
+
+            def check(text, entry=cluster.entry("entry-a1"), key=OPERATOR_KEY):
+                path.write_text(text)
+                return cluster.tool("--entry", entry, "--key", key, "config", "check", str(path))
+
+            same = check(default_configuration())
+            self.assertEqual(same.returncode, 0, same)
+            changed = check(with_team("third"))
+            self.assertEqual(changed.returncode, 8, changed)
+            self.assertIn("third", changed.stdout)
+            without_keys = check(with_team("third", keys=[]))
+            self.assertEqual(without_keys.returncode, 6, without_keys)
+            refused = check(with_team("third"), key="wrong")
+            self.assertEqual(refused.returncode, 0, refused)
+            self.assertIn("not compared with the version in force", refused.stderr)
+            unreachable = check(default_configuration(), "127.0.0.1:1")
+            self.assertEqual(unreachable.returncode, 0, unreachable)
+            self.assertEqual(check("teams: {red: {colour: 1}}").returncode, 2)
+
     def test_a_lost_reply_is_resolved(self):
         with Cluster(zones=2, entries=1, targets=1) as cluster:
             base = revision(cluster, "entry-a1")
