Advice: keep VMs of the advisor for urgent work alone

Under a burst of batch work urgent steps found no VM to ask through (wait_advisor_busy 233 of 438 ready steps in one second) and became late.

Cause: a question of batch work that takes 180 ms counts as short, like one of urgent work of 12 ms, and used the VMs that are reserved for short questions.

--- a/src/libverbenalever/coordinator/advice_dispatcher_test.cpp
+++ b/src/libverbenalever/coordinator/advice_dispatcher_test.cpp
@@ -18,9 +18,9 @@
         });
     }
 
-    bool ask(const std::string& workflow, milliseconds cost)
+    bool ask(const std::string& workflow, milliseconds cost, bool urgent = true)
     {
-        return this->desk.ask({.workflow = workflow}, cost, [](const advice_answer&) {});
+        return this->desk.ask({.workflow = workflow}, cost, urgent, [](const advice_answer&) {});
     }
 
     advice_dispatcher desk;
@@ -61,6 +61,27 @@
         << "four times the three busy VMs are reserved for short questions";
 }
 
+// Load pattern: a burst of batch work, whose questions count as short but take 180 ms, beside
+// urgent work. Urgent questions used to find all VMs busy with them.
+TEST_F(advice_dispatcher_test, questions_of_batch_work_leave_vms_for_urgent_work)
+{
+    constexpr int vms = 20;
+    for (int vm = 0; vm < vms; ++vm)
+        this->add("vm-" + std::to_string(vm));
+    // 500 questions of 12 ms within the averaging time of 2 s keep three VMs busy on average.
+    for (int quote = 0; quote < 500; ++quote) {
+        ASSERT_TRUE(this->ask("quote", milliseconds(12)));
+        this->pending_answers.back()({});
+    }
+    int accepted = 0;
+    for (int batch = 0; batch < vms; ++batch)
+        accepted += this->ask("batch", milliseconds(180), false) ? 1 : 0;
+    EXPECT_GE(accepted, vms - 6)
+        << "no more than twice the three busy VMs are kept for urgent work";
+    for (int quote = 0; quote < 4; ++quote)
+        EXPECT_TRUE(this->ask("quote", milliseconds(12)));
+}
+
 TEST_F(advice_dispatcher_test, two_vms_stay_reserved_without_short_questions)
 {
     for (int vm = 0; vm < 20; ++vm)
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -135,7 +135,7 @@
     if (add_claims)
         this->add_gang_claims(question, order);
     const bool accepted =
-        this->dispatcher.ask(question, advisor_time(queue, targets_to_ask.size()),
+        this->dispatcher.ask(question, advisor_time(queue, targets_to_ask.size()), owner.urgent(),
                              [this, alive = this->alive, id = owner.record.id, step_index,
                               add_claims, order, question](const advice_answer& answer) {
                                  if (!*alive)
