Config check: read the platform's document in the adapter

The tool named fields of the platform's document. The adapter now tells whether a file is such a document and which pools it defines. No behaviour changes.

--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -10,7 +10,6 @@
 #include "line_difference.h"
 #include "loop/unique_id.h"
 #include "platform/configuration_decoder.h"
-#include "platform/json_reader.h"
 #include "session.h"
 #include "settings/yaml_file.h"
 #include "table.h"
@@ -21,8 +20,6 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
-#include <optional>
-#include <set>
 
 namespace tool {
 
@@ -91,32 +88,13 @@
     return differs ? exit_differs : exit_ok;
 }
 
-/// @return the operators' document of the users' platform that the file is; nullopt when the file
-///         is no such document
-std::optional<nlohmann::json> read_platform_document(const std::string& file)
-{
-    const auto text = verbenalever::read_file(file);
-    if (!text.ok())
-        return std::nullopt;
-    auto document = nlohmann::json::parse(*text, nullptr, /*allow_exceptions=*/false);
-    if (!document.is_object() || (!document.contains("routes") && !document.contains("tenants")))
-        return std::nullopt;
-    return document;
-}
-
-int check_platform_document(std::string_view file, const nlohmann::json& document)
+int check_platform_document(std::string_view file, const std::string& text)
 {
     const auto configuration =
-        verbenalever::platform::decode_configuration({.configuration = document.dump()});
+        verbenalever::platform::decode_configuration({.configuration = text});
     if (!configuration.ok())
         return report_usage_error(configuration.status());
-    std::set<std::string> pools;
-    if (const auto services = document.find("services");
-        services != document.end() && services->is_array()) {
-        for (const auto& service : *services)
-            pools.insert(verbenalever::platform::get_string(service, "name"));
-    }
-    const auto findings = find_mistakes(*configuration, pools);
+    const auto findings = find_mistakes(*configuration, verbenalever::platform::decode_pools(text));
     print_findings(file, findings);
     if (findings.empty())
         fmt::print("{}: nothing found; not compared with the version in force\n", file);
@@ -146,7 +124,8 @@
 int run_config_check(session& current_session, std::span<const std::string> arguments)
 {
     if (arguments.size() == 1) {
-        if (const auto document = read_platform_document(arguments[0]))
+        const auto document = verbenalever::read_file(arguments[0]);
+        if (document.ok() && verbenalever::platform::is_configuration_document(*document))
             return check_platform_document(arguments[0], *document);
     }
     const auto text = read_merged_configuration(arguments);
