--- a/src/libverbenalever/coordinator/run_length_model.cpp
+++ b/src/libverbenalever/coordinator/run_length_model.cpp
@@ -38,9 +38,14 @@
         (estimate_deviation * duration_deviation * (1 - new_run_weight) - this->covariance);
 }
 
+bool run_length_model::has_learned() const
+{
+    return this->total_weight >= min_runs;
+}
+
 milliseconds run_length_model::predict(milliseconds estimated) const
 {
-    if (this->total_weight < min_runs)
+    if (!this->has_learned())
         return estimated;
     const double slope = this->estimate_variance < min_variance
                              ? 0
--- a/src/libverbenalever/coordinator/run_length_model.h
+++ b/src/libverbenalever/coordinator/run_length_model.h
@@ -19,6 +19,9 @@
     /// have ended
     [[nodiscard]] milliseconds predict(milliseconds estimated) const;
 
+    /// @return whether enough runs have ended for a prediction of its own
+    [[nodiscard]] bool has_learned() const;
+
 private:
     double total_weight = 0;      ///< of the runs in the means below
     double mean_log_estimate = 0; ///< mean logarithm of the estimate in milliseconds
--- a/src/libverbenalever/coordinator/team_usage_tracker.cpp
+++ b/src/libverbenalever/coordinator/team_usage_tracker.cpp
@@ -110,6 +110,16 @@
     return max_runs_beside(counted, limit, need, wanted);
 }
 
+std::int64_t team_usage_tracker::processors_in_use(std::string_view team, bool urgent) const
+{
+    const auto found = this->usage_by_team.find(team);
+    if (found == this->usage_by_team.end())
+        return 0;
+    const auto& usage = found->second;
+    return urgent ? usage.urgent.processors_milli
+                  : usage.used.processors_milli + usage.possible.processors_milli;
+}
+
 void team_usage_tracker::decay_urgent_peaks()
 {
     for (auto& [team, usage] : this->usage_by_team) {
--- a/src/libverbenalever/coordinator/team_usage_tracker.h
+++ b/src/libverbenalever/coordinator/team_usage_tracker.h
@@ -50,6 +50,11 @@
     [[nodiscard]] bool exceeds_share(std::string_view team, double weight, double all_weights,
                                      const resources& fleet) const;
 
+    /// @param urgent whether to count only urgent runs
+    /// @return processors in use by the team's runs, in thousandths; runs that may exist on targets
+    /// not polled yet are included unless only urgent ones are counted
+    [[nodiscard]] std::int64_t processors_in_use(std::string_view team, bool urgent) const;
+
     static constexpr int peak_decay_interval_ms = 200;
 
 private:
