Refuse submissions that would end too late, and spread the return of callers

Cause: work was accepted however long the queue of its team was. Refusals for a store that does not answer asked for a return after one second: the four retries of a caller were over before an outage of several seconds ended, and callers came back together.

Change: with the setting `admission: deadline` the coordinator refuses a submission that admission_forecast predicts to be of no use. The sums of waiting work are changed with each change of a workflow, so that a submission costs a few look-ups. member_reply has a last field for the delay, which earlier builds ignore; it reaches the caller as Retry-After. Refusals for a stalled store, for too many waiting records and without a coordinator have a delay that is spread, with either setting. A known id is never refused by the forecast.

Work that is too late, failures, cancels and the random faults of coordinator_faults_test leave the sums at zero.

--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -38,8 +38,11 @@
     int outcome = 0;           ///< a call_outcome
     int state = 0;             ///< a workflow_state
     std::int64_t count = 0;    ///< for a queue: number of workflows of which no task has started
+    /// With call_outcome::refused: recommended delay before a retry in seconds; 0: not known, or an
+    /// earlier build.
+    std::int64_t retry_after_s = 0;
 
-    MSGPACK_DEFINE(coordinating, outcome, state, count)
+    MSGPACK_DEFINE(coordinating, outcome, state, count, retry_after_s)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/advice_dispatcher.h
+++ b/src/libverbenalever/coordinator/advice_dispatcher.h
@@ -43,6 +43,12 @@
     /// @return number of VMs that would send a long question to the advisor without waiting
     [[nodiscard]] std::size_t free_long_vms() const;
 
+    /// @return number of VMs that can reach the advisor
+    [[nodiscard]] std::size_t vm_count() const
+    {
+        return this->vms.size();
+    }
+
     /// A question that takes longer than this is long: it would use up much of the latency
     /// objective of an urgent job.
     static constexpr milliseconds long_question{250};
--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -53,7 +53,7 @@
     this->env.directory.stop();
     const auto unanswered = std::move(this->pending_replies);
     for (const auto& [reply_id, reply] : unanswered)
-        reply(call_outcome::unknown);
+        reply(call_outcome::unknown, 0);
 }
 
 void coordinator::start()
@@ -78,15 +78,16 @@
     this->request_scheduling_pass();
 }
 
-void coordinator::submit(workflow_submission submission, std::function<void(call_outcome)> reply)
+void coordinator::submit(workflow_submission submission, submit_callback reply)
 {
     const auto reply_id = this->register_reply(std::move(reply));
     if (!this->loaded) {
         this->deferred_calls.push_back(
             [this, submission = std::move(submission), reply_id]() mutable {
-                this->submit(std::move(submission), [this, reply_id](call_outcome outcome) {
-                    this->send_reply(reply_id, outcome);
-                });
+                this->submit(std::move(submission),
+                             [this, reply_id](call_outcome outcome, std::int64_t retry_after_s) {
+                                 this->send_reply(reply_id, outcome, retry_after_s);
+                             });
             });
         return;
     }
@@ -99,14 +100,21 @@
         return;
     }
     const auto* queue = this->configuration->queue(submission.queue);
-    if (queue == nullptr || this->overloaded()) {
+    if (queue == nullptr) {
         this->send_reply(reply_id, call_outcome::refused);
         return;
     }
+    if (this->overloaded()) {
+        this->send_reply(reply_id, call_outcome::refused,
+                         this->retry_after_stall(queue->pool, queue->priority));
+        return;
+    }
     if (existing != nullptr) {
         this->accept_cancelled(*existing, std::move(submission), *queue, reply_id);
         return;
     }
+    if (this->refuse_by_forecast(submission, *queue, reply_id))
+        return;
     workflow_record record{.id = std::move(submission.id),
                            .queue = std::move(submission.queue),
                            .pool = queue->pool,
@@ -141,8 +149,9 @@
                          std::function<void(call_outcome, workflow_state)> reply)
 {
     if (!this->loaded) {
-        const auto reply_id = this->register_reply(
-            [reply](call_outcome outcome) { reply(outcome, workflow_state::queued); });
+        const auto reply_id = this->register_reply([reply](call_outcome outcome, std::int64_t) {
+            reply(outcome, workflow_state::queued);
+        });
         this->deferred_calls.push_back([this, id, reply_id, reply = std::move(reply)]() mutable {
             this->pending_replies.erase(reply_id);
             this->status(id, std::move(reply));
@@ -167,7 +176,8 @@
 
 void coordinator::cancel(const std::string& id, std::function<void(call_outcome)> reply)
 {
-    const auto reply_id = this->register_reply(std::move(reply));
+    const auto reply_id = this->register_reply(
+        [reply = std::move(reply)](call_outcome outcome, std::int64_t) { reply(outcome); });
     if (!this->loaded) {
         this->deferred_calls.push_back([this, id, reply_id] {
             this->cancel(id, [this, reply_id](call_outcome outcome) {
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordinator/admission_forecast.h"
+#include "coordinator/admission_policy.h"
 #include "coordinator/advice_dispatcher.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
@@ -9,6 +11,7 @@
 #include "coordinator/run_length_model.h"
 #include "coordinator/target_loss_log.h"
 #include "coordinator/team_usage_tracker.h"
+#include "coordinator/waiting_work.h"
 #include "coordinator/workflow.h"
 #include "coordinator/zone_silence_detector.h"
 #include "loop/timer.h"
@@ -22,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -82,6 +86,7 @@
         milliseconds task_lease{0}; ///< a task stops when its lease was not renewed this long
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0}; ///< how long records of ended workflows stay in the store
+        admission_policy admission = admission_policy::none;
         /// @return whether every recently seen member is connected to this process and has
         /// answered a heartbeat that was sent to it within the given time, so that none of them had
         /// been elected instead before that
@@ -107,11 +112,15 @@
     /// Uses a new configuration from the next scheduling pass on.
     void apply_configuration(std::shared_ptr<const fleet_configuration> configuration);
 
+    /// Called with the outcome of a submission and, when it is refused, with the recommended delay
+    /// before a retry in seconds; 0: none is known.
+    using submit_callback = std::function<void(call_outcome, std::int64_t retry_after_s)>;
+
     /// Accepts a workflow and replies once its record is stored. Submitting a known id again
     /// starts nothing new and gets the reply of the first submission; one that was cancelled before
     /// its submission arrived is accepted as cancelled. Before the store has been read the call is
     /// deferred, as are status() and cancel().
-    void submit(workflow_submission submission, std::function<void(call_outcome)> reply);
+    void submit(workflow_submission submission, submit_callback reply);
 
     /// Replies with the state of a workflow.
     void status(const std::string& id, std::function<void(call_outcome, workflow_state)> reply);
@@ -124,6 +133,12 @@
     /// @return number of stored workflows of the queue of which no task has started
     [[nodiscard]] std::int64_t count_waiting(std::string_view queue) const;
 
+    /// @return sums of the waiting work of all open workflows
+    [[nodiscard]] const waiting_work& waiting() const
+    {
+        return this->work_ahead;
+    }
+
     /// @return the dispatcher, for adding and removing the VMs that can reach the advisor
     [[nodiscard]] advice_dispatcher& advice_dispatch()
     {
@@ -431,6 +446,28 @@
     [[nodiscard]] double expected_grant_rate(const workflow& owner, std::uint32_t step_index) const;
     /// @return whether the record of a new workflow would wait too long until the store has it
     [[nodiscard]] bool overloaded();
+
+    // Admission (coordinator_admission.cpp).
+    /// Count the present waiting work of a workflow in work_ahead; to be called after a change of
+    /// its waiting tasks, ready steps, advice or state. Work that is too late to be of use does not
+    /// count, since other work goes first.
+    void update_waiting_work(workflow& owner);
+    void replace_waiting_work(workflow& owner, const waiting_work::amount& after);
+    /// @return waiting work and capacity of the targets of a pool, for work of this priority
+    [[nodiscard]] admission_forecast::bottleneck fleet_bottleneck(std::string_view pool,
+                                                                  int priority) const;
+    [[nodiscard]] admission_forecast::conditions
+    admission_conditions(const workflow_submission& submission, const queue_definition& queue);
+    /// Refuses a submission, unless admission_policy::none is set, when it would probably end too
+    /// late to be of use. @return whether it was refused
+    [[nodiscard]] bool refuse_by_forecast(const workflow_submission& submission,
+                                          const queue_definition& queue, std::uint64_t reply_id);
+    /// @return delay in seconds before the retry of a submission that the store cannot take now
+    [[nodiscard]] std::int64_t retry_after_stall(std::string_view pool, int priority);
+    /// @return a random number from 0 to less than 1, to spread the retries of callers
+    [[nodiscard]] double next_spread();
+    /// Learn how long the advisor takes for the first question about a step of the queue.
+    void learn_question_time(const std::string& queue, milliseconds time);
     /// Sends the start orders of placements that are now in the store, but those that may not start
     /// any more.
     void send_start_orders(const std::vector<placement_entry>& stored_placements);
@@ -532,10 +569,19 @@
 
     // Records (coordinator_records.cpp).
     /// Store a reply to a caller that is sent later. @return its id, for send_reply()
-    std::uint64_t register_reply(std::function<void(call_outcome)> reply);
-    void send_reply(std::uint64_t number, call_outcome outcome);
+    std::uint64_t register_reply(submit_callback reply);
+    /// @param retry_after_s with call_outcome::refused: recommended delay; 0: none is known
+    void send_reply(std::uint64_t number, call_outcome outcome, std::int64_t retry_after_s = 0);
     /// While the store does not answer, refuse the workflows whose records were not sent to it.
     void refuse_unsent_submissions();
+    /// @return latency objective of a workflow of the queue whose longest chain of steps takes
+    /// @p longest_chain
+    [[nodiscard]] static milliseconds objective_of(const queue_definition& queue,
+                                                   milliseconds longest_chain);
+    /// @return for each step the predicted time in milliseconds from its start to the end of all
+    /// steps after it
+    [[nodiscard]] static std::vector<std::int64_t>
+    remaining_times(const workflow_spec& spec, const run_length_model& run_lengths);
     workflow& add_workflow(workflow_record record);
     /// Adds an unknown workflow as cancelled and stores it. @return the workflow
     workflow& remember_cancel(const std::string& id);
@@ -603,6 +649,17 @@
     milliseconds earliest_next_pass{0}; ///< time since boot; ends the pause after the last pass
     resources fleet_capacity;     ///< total capacity of the usable targets in zones in service
     double total_team_weight = 0; ///< sum over the teams in the configuration
+    /// The usable targets of a pool in zones in service.
+    struct pool_capacity {
+        std::int64_t processors_milli = 0;
+        std::int64_t used_milli = 0; ///< part of it that runs use
+    };
+    std::map<std::string, pool_capacity, std::less<>> capacity_by_pool;
+    waiting_work work_ahead; ///< of all open workflows
+    /// Moving average of the time that the advisor takes for the first question about a step, in
+    /// milliseconds, by queue.
+    std::map<std::string, double, std::less<>> question_time;
+    std::minstd_rand spread_random{std::random_device{}()};
     /// Assumed grant rate of a queue for which the advisor has not answered yet.
     static constexpr double initial_grant_rate = 0.5;
     /// Moving average of the fraction of targets that the advisor allows, by queue.
@@ -610,7 +667,7 @@
     std::map<std::string, run_length_model, std::less<>> run_length_models; ///< by queue
     std::vector<std::function<void()>> deferred_calls; ///< calls made before the store was read
     /// Replies not sent yet, by reply id.
-    std::map<std::uint64_t, std::function<void(call_outcome)>> pending_replies;
+    std::map<std::uint64_t, submit_callback> pending_replies;
     std::uint64_t last_reply_id = 0;
     std::size_t remembered_cancels = 0;      ///< workflows that were cancelled and not submitted
     std::uint64_t last_registration = 0;     ///< registration_id of the fleet_target added last
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -109,13 +109,18 @@
         const auto efficient_parts = question_count(targets_to_ask.size(), efficient_question_size);
         parts = std::max(min_parts, std::min(efficient_parts, this->dispatcher.free_long_vms()));
     }
+    const bool first_question = step.advice.empty() && step.open_questions == 0;
     bool accepted = false;
+    milliseconds time{0};
     for (std::size_t part = 0; part < parts; ++part) {
         const auto begin = targets_to_ask.size() * part / parts;
         const auto end = targets_to_ask.size() * (part + 1) / parts;
         const auto targets = std::span(targets_to_ask).subspan(begin, end - begin);
+        time += advisor_time(queue, targets.size());
         accepted = this->send_question(owner, step_index, queue, targets, add_claims) || accepted;
     }
+    if (accepted && first_question)
+        this->learn_question_time(queue.name, time);
     if (!accepted)
         step.next_question_at = boot_time() + advice_retry_delay;
     return accepted;
@@ -215,6 +220,7 @@
     const auto valid_until = boot_time() + milliseconds(answer.valid_ms);
     for (const auto& grant : answer.granted)
         step.advice[grant.target] = {true, grant.ticket, valid_until};
+    this->update_waiting_work(*owner);
     // The step is scheduled at once, before others take the capacity that it asked about.
     if (step.in_ready_list)
         this->schedule_step(*owner, step_index);
--- a/src/libverbenalever/coordinator/coordinator_faults_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_faults_test.cpp
@@ -192,7 +192,7 @@
             this->configuration->queues[static_cast<std::size_t>(this->pick(3))].name.c_str();
         current_leader->active_coordinator->submit(
             {id, queue, "team", {.payload = "p", .steps = std::move(all)}},
-            [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
+            [this, id](call_outcome outcome, std::int64_t) { this->outcomes[id] = outcome; });
         if (this->chance(0.1))
             current_leader->active_coordinator->cancel(
                 id, [this, id](call_outcome) { this->cancelled.insert(id); });
@@ -343,6 +343,8 @@
         }
     }
     EXPECT_GT(accepted, 50);
+    // Uncounted changes of waiting work would in time make the coordinator refuse all submissions.
+    EXPECT_EQ(current_leader->active_coordinator->waiting().ahead(2), waiting_work::amount{});
 }
 
 /// @return how many seeds to run; VERBENALEVER_FAULT_SEEDS overrides the default
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -330,7 +330,7 @@
         const auto spec = this->tasks(count, 2);
         this->targets.need_by_workflow[id] = spec.need;
         first.active_coordinator->submit({id, "slow", "others", {.payload = "p", .steps = {spec}}},
-                                         [](call_outcome) {});
+                                         [](call_outcome, std::int64_t) {});
     };
     submit_for_others("filling", 4);
     this->run_for(milliseconds(300));
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -78,6 +78,7 @@
         // A gang starts only when all its tasks wait.
         if (step.waiting_count == 0 || owner->record.spec.steps[name.step].gang)
             this->remove_from_ready(*owner, name.step);
+        this->update_waiting_work(*owner);
     }
 }
 
--- a/src/libverbenalever/coordinator/coordinator_load_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_load_test.cpp
@@ -153,7 +153,7 @@
                                           "urgent",
                                           "hot",
                                           {.payload = "p", .steps = {this->tasks(1, 1)}}},
-                                         [](call_outcome) {});
+                                         [](call_outcome, std::int64_t) {});
     this->run_for(milliseconds(600));
     this->submit(first, "other", {this->tasks(1, 1)}, "slow");
     this->run_for(milliseconds(500));
@@ -218,7 +218,7 @@
     this->submit(first, "next", {this->tasks(3, 1)});
     first.active_coordinator->submit(
         {"others", "urgent", "other", {.payload = "p", .steps = {this->tasks(3, 1)}}},
-        [](call_outcome) {});
+        [](call_outcome, std::int64_t) {});
     this->run_for(milliseconds(400));
     EXPECT_EQ(this->targets.running("others"), 3);
     EXPECT_EQ(this->targets.running("next"), 0);
@@ -260,7 +260,7 @@
         this->targets.need_by_workflow[id] = {.processors_milli = 1000, .memory_mb = 100};
         first.active_coordinator->submit(
             {id, "urgent", "team", {.payload = "p", .steps = {this->tasks(1, 1)}}},
-            [&accepted_after, sent = boot_time()](call_outcome outcome) {
+            [&accepted_after, sent = boot_time()](call_outcome outcome, std::int64_t) {
                 EXPECT_EQ(outcome, call_outcome::accepted);
                 accepted_after.push_back(boot_time() - sent);
             });
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -199,6 +199,7 @@
         this->usage_by_team.remove_possible_run(owner->record.team, placed.need);
     else if (--step.waiting_count == 0)
         this->remove_from_ready(*owner, reported.task.step);
+    this->update_waiting_work(*owner);
     if (step.waiting_count == 0)
         step.time_tracker.enter(step_time_tracker::state::run, boot_time());
 }
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -12,38 +12,20 @@
 
 namespace verbenalever {
 
-namespace {
-
-/// @return for each step the predicted time from its start to the end of all steps after it
-std::vector<std::int64_t> remaining_times(const workflow_spec& spec,
-                                          const run_length_model& run_lengths)
-{
-    std::vector<std::int64_t> remaining(spec.steps.size(), 0);
-    for (std::size_t number = spec.steps.size(); number-- > 0;) {
-        remaining[number] +=
-            run_lengths.predict(milliseconds(spec.steps[number].estimated_ms)).count();
-        for (const auto earlier : spec.steps[number].after)
-            remaining[earlier] = std::max(remaining[earlier], remaining[number]);
-    }
-    return remaining;
-}
-
-} // namespace
-
-std::uint64_t coordinator::register_reply(std::function<void(call_outcome)> reply)
+std::uint64_t coordinator::register_reply(submit_callback reply)
 {
     this->pending_replies.emplace(++this->last_reply_id, std::move(reply));
     return this->last_reply_id;
 }
 
-void coordinator::send_reply(std::uint64_t number, call_outcome outcome)
+void coordinator::send_reply(std::uint64_t number, call_outcome outcome, std::int64_t retry_after_s)
 {
     const auto found = this->pending_replies.find(number);
     if (found == this->pending_replies.end())
         return;
     const auto reply = std::move(found->second);
     this->pending_replies.erase(found);
-    reply(outcome);
+    reply(outcome, retry_after_s);
 }
 
 workflow* coordinator::find_workflow(const std::string& id)
@@ -67,6 +49,26 @@
     return this->env.prefix + "e/";
 }
 
+std::vector<std::int64_t> coordinator::remaining_times(const workflow_spec& spec,
+                                                       const run_length_model& run_lengths)
+{
+    std::vector<std::int64_t> remaining(spec.steps.size(), 0);
+    for (std::size_t number = spec.steps.size(); number-- > 0;) {
+        remaining[number] +=
+            run_lengths.predict(milliseconds(spec.steps[number].estimated_ms)).count();
+        for (const auto earlier : spec.steps[number].after)
+            remaining[earlier] = std::max(remaining[earlier], remaining[number]);
+    }
+    return remaining;
+}
+
+milliseconds coordinator::objective_of(const queue_definition& queue, milliseconds longest_chain)
+{
+    return queue.latency_objective +
+           milliseconds(static_cast<std::int64_t>(queue.stretch *
+                                                  static_cast<double>(longest_chain.count())));
+}
+
 workflow& coordinator::add_workflow(workflow_record record)
 {
     auto added = std::make_unique<workflow>();
@@ -85,9 +87,7 @@
     if (const auto* queue = this->configuration->queue(added->record.queue)) {
         added->priority = queue->priority;
         added->attempts = static_cast<std::uint32_t>(std::max(1, queue->attempts));
-        added->objective =
-            queue->latency_objective +
-            milliseconds(static_cast<std::int64_t>(queue->stretch * static_cast<double>(longest)));
+        added->objective = objective_of(*queue, milliseconds(longest));
     }
     const auto age = wall_microseconds() / 1000 - added->record.accepted_ms;
     added->accepted_at = boot_time() - milliseconds(age);
@@ -167,9 +167,12 @@
             this->release_reservation(step);
         for (std::uint32_t step = 0; step < candidate.steps.size(); ++step)
             this->remove_from_ready(candidate, step);
+        const auto retry_after_s =
+            this->retry_after_stall(candidate.record.pool, candidate.priority);
+        this->replace_waiting_work(candidate, {});
         this->workflows.erase(id);
         for (const auto number : waiters)
-            this->send_reply(number, call_outcome::refused);
+            this->send_reply(number, call_outcome::refused, retry_after_s);
         // Whether another attempt of the submission was accepted elsewhere is not known here.
         for (const auto number : cancels)
             this->send_reply(number, call_outcome::unknown);
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -183,6 +183,7 @@
         return false;
     if (step.waiting_count == 0)
         this->remove_from_ready(owner, name.step);
+    this->update_waiting_work(owner);
     if (step.done_count < step.tasks.size())
         return true;
     step.time_tracker.enter(step_time_tracker::state::idle, boot_time());
@@ -303,6 +304,7 @@
     for (auto& step : owner.steps)
         step.time_tracker.enter(step_time_tracker::state::idle, boot_time());
     owner.ended_at = boot_time();
+    this->update_waiting_work(owner);
     this->stop_workflow(owner);
     owner.record.spec = {};
     this->env.metrics.add(state == workflow_state::completed ? "workflows_completed"
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -74,6 +74,7 @@
         step.rank = this->rank_of(owner, step_index);
         this->ready_steps.insert(this->ready_key_of(owner, step_index));
     }
+    this->update_waiting_work(owner);
 }
 
 void coordinator::remove_from_ready(workflow& owner, std::uint32_t step_index)
@@ -103,6 +104,7 @@
     this->ready_steps.erase(this->ready_key_of(owner, step_index));
     owner.steps[step_index].rank = this->rank_of(owner, step_index);
     this->ready_steps.insert(this->ready_key_of(owner, step_index));
+    this->update_waiting_work(owner);
 }
 
 std::optional<coordinator::ready_key>
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -70,6 +70,7 @@
     }
     if (step.waiting_count == 0)
         this->remove_from_ready(owner, step_index);
+    this->update_waiting_work(owner);
 }
 
 bool coordinator::ticket_valid(const workflow& owner, std::uint32_t step_index,
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -239,9 +239,14 @@
     const auto now = boot_time();
     this->evaluation_time = now; // for in_unusable_zone()
     this->fleet_capacity = {};
+    this->capacity_by_pool.clear();
     for (const auto& [name, target] : this->targets) {
-        if (target->usable(now) && !this->in_unusable_zone(*target))
-            this->fleet_capacity += target->report.capacity;
+        if (!target->usable(now) || this->in_unusable_zone(*target))
+            continue;
+        this->fleet_capacity += target->report.capacity;
+        auto& pool = this->capacity_by_pool[target->report.pool];
+        pool.processors_milli += target->report.capacity.processors_milli;
+        pool.used_milli += target->used.processors_milli;
     }
     this->total_team_weight = 0;
     for (const auto& team : this->configuration->teams)
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -3,6 +3,7 @@
 #include "coordinator/crash_history.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/step_time_tracker.h"
+#include "coordinator/waiting_work.h"
 #include "loop/clock.h"
 #include "workflows/workflow_record.h"
 
@@ -85,6 +86,8 @@
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
     /// Estimated time from the start of the step to the end of the workflow.
     milliseconds time_to_workflow_end{0};
+    /// Predicted run time of one of its tasks; 0: no run of the queue has ended yet.
+    milliseconds predicted_run{0};
     int stalled_runs = 0;      ///< runs that were stopped because they seemed stalled
     bool crashes_seen = false; ///< a target has crashed under a task of the step
     /// Time since boot since when suspects of crashes wait for a target; 0: none waits.
@@ -125,6 +128,7 @@
         return this->priority * ranks + this->steps[step].rank;
     }
 
+    waiting_work::amount counted_work; ///< what coordinator::work_ahead counts for it
     /// Runs that are placed on a target and not known to have ended.
     std::uint32_t placed_count = 0;
     /// Ids of the replies to send once the record is stored.
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -312,6 +312,7 @@
             .task_lease = this->own_settings.task_lease,
             .longest_task_lease = this->own_settings.longest_task_lease,
             .ended_retention = this->own_settings.ended_retention,
+            .admission = this->own_settings.admission,
             .all_members_answered_within =
                 [this](milliseconds span) { return this->hub.all_members_answered_within(span); },
             .forget_departed_members =
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,7 @@
         milliseconds task_lease{0};
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
         milliseconds ended_retention{0};    ///< how long ended workflows stay in the store
+        admission_policy admission = admission_policy::none;
     };
     /// Implementations of what is outside the process; they outlive this object.
     struct ports {
@@ -176,6 +178,7 @@
     timer join_timer;
     std::vector<pending_call> pending_calls;
     timer retry_timer;
+    std::minstd_rand retry_random{std::random_device{}()}; ///< spreads the retries of callers
     bool retired = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/libverbenalever/daemon/cluster_entry_calls.cpp
+++ b/src/libverbenalever/daemon/cluster_entry_calls.cpp
@@ -6,18 +6,23 @@
 #include "coordination/member_messages.h"
 #include "membership/message_codec.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 namespace {
 
 /// Interval at which calls without a reply are sent again.
 constexpr milliseconds retry_interval{100};
+/// Recommended delay before a retry when the coordinator names none.
+constexpr std::int64_t min_retry_after_s = 1;
 
 gateway_reply to_gateway_reply(const member_reply& from)
 {
     gateway_reply reply{.state = static_cast<workflow_state>(from.state),
                         .waiting_count = from.count,
-                        .from_coordinator = true};
+                        .from_coordinator = true,
+                        .retry_after_s = std::max(min_retry_after_s, from.retry_after_s)};
     switch (static_cast<call_outcome>(from.outcome)) {
     case call_outcome::accepted:
         reply.how = gateway_reply::outcome::accepted;
@@ -151,7 +156,15 @@
         {peer_topic::submit,
          pack_message(workflow_submission{std::move(id), admission.queue->name, admission.team,
                                           std::move(spec)}),
-         boot_time() + timeout, std::move(done)});
+         boot_time() + timeout,
+         [this, priority = admission.queue->priority, done = std::move(done)](gateway_reply reply) {
+             // The store may be away, so that no coordinator can be elected for some seconds.
+             if (reply.how == gateway_reply::outcome::refused && !reply.from_coordinator)
+                 reply.retry_after_s = admission_forecast::retry_after_stall(
+                     priority, milliseconds(0),
+                     std::uniform_real_distribution<>(0, 1)(this->retry_random));
+             done(reply);
+         }});
 }
 
 void cluster_entry::status(const caller_identity& caller, std::string id, milliseconds timeout,
--- a/src/libverbenalever/daemon/cluster_entry_serve.cpp
+++ b/src/libverbenalever/daemon/cluster_entry_serve.cpp
@@ -12,10 +12,13 @@
 namespace {
 
 std::string pack_reply(call_outcome outcome, workflow_state state = workflow_state::queued,
-                       std::int64_t count = 0)
+                       std::int64_t count = 0, std::int64_t retry_after_s = 0)
 {
-    return pack_message(
-        member_reply{true, static_cast<int>(outcome), static_cast<int>(state), count});
+    return pack_message(member_reply{.coordinating = true,
+                                     .outcome = static_cast<int>(outcome),
+                                     .state = static_cast<int>(state),
+                                     .count = count,
+                                     .retry_after_s = retry_after_s});
 }
 
 } // namespace
@@ -58,8 +61,10 @@
         reply(pack_reply(call_outcome::invalid));
         return;
     }
-    this->active_coordinator->submit(*std::move(submission),
-                                     [reply](call_outcome outcome) { reply(pack_reply(outcome)); });
+    this->active_coordinator->submit(
+        *std::move(submission), [reply](call_outcome outcome, std::int64_t retry_after_s) {
+            reply(pack_reply(outcome, workflow_state::queued, 0, retry_after_s));
+        });
 }
 
 void cluster_entry::serve_status(std::string_view payload, const peer_channel::replier& reply)
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -43,6 +43,7 @@
                                  .task_lease = this->task_lease,
                                  .longest_task_lease = this->task_lease,
                                  .ended_retention = milliseconds(60'000),
+                                 .admission = this->admission,
                                  .all_members_answered_within =
                                      [this](milliseconds) { return this->all_members_connected; },
                                  .forget_departed_members = [](milliseconds) {},
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -32,9 +32,10 @@
     coordinating_process& operator=(const coordinating_process&) = delete;
 
     counters metrics;
-    std::unique_ptr<coordinator> active_coordinator; ///< null while not elected
-    bool all_members_connected = false;              ///< reported to the coordinator
-    milliseconds task_lease{1500};                   ///< used by the next coordinator
+    std::unique_ptr<coordinator> active_coordinator;     ///< null while not elected
+    bool all_members_connected = false;                  ///< reported to the coordinator
+    milliseconds task_lease{1500};                       ///< used by the next coordinator
+    admission_policy admission = admission_policy::none; ///< the same
 
 private:
     void start_coordinator(std::int64_t term, commit_chain& chain);
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -49,6 +49,7 @@
                                                             this->targets, this->configuration,
                                                             this->log, vm));
         this->processes.back()->task_lease = this->task_lease;
+        this->processes.back()->admission = this->admission;
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->active_coordinator, nullptr);
         return *this->processes.back();
@@ -78,7 +79,7 @@
         this->targets.need_by_workflow[id] = steps.front().need;
         to.active_coordinator->submit(
             {id, queue, "team", {.payload = "p", .steps = std::move(steps)}},
-            [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
+            [this, id](call_outcome outcome, std::int64_t) { this->outcomes[id] = outcome; });
     }
 
     workflow_state state(process& of, const std::string& id)
@@ -95,6 +96,7 @@
     event_log log{"test"};
     std::shared_ptr<fleet_configuration> configuration;
     milliseconds task_lease{1500}; ///< of processes that are elected from now on
+    admission_policy admission = admission_policy::none; ///< the same
     std::map<std::string, call_outcome> outcomes;
     std::vector<std::unique_ptr<process>> processes;
 };
--- a/src/libverbenalever/testing/loaded_fleet.cpp
+++ b/src/libverbenalever/testing/loaded_fleet.cpp
@@ -94,7 +94,7 @@
     this->targets.need_by_workflow[id] = step.need;
     this->process->active_coordinator->submit(
         {id, from.queue, "team", {.payload = "p", .steps = {step}}},
-        [this](call_outcome outcome) { ++this->outcomes[outcome]; });
+        [this](call_outcome outcome, std::int64_t) { ++this->outcomes[outcome]; });
 }
 
 void loaded_fleet::load(const std::vector<caller_class>& classes, double factor, milliseconds span)
--- a/testsuite/harness/platform_entries.py
+++ b/testsuite/harness/platform_entries.py
@@ -18,7 +18,7 @@
 
 
 class Entries:
-    def __init__(self, platform, count, build=BUILD):
+    def __init__(self, platform, count, build=BUILD, settings=""):
         self.platform = platform
         self.subnet = Subnet()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="verbenalever-platform-"))
@@ -42,6 +42,7 @@
 task_lease_limit: "6s"
 stop_grace: "6s"
 finished_rest: "120s"
+{settings}
 """)
             self.start(name, build)
 
