--- a/src/libverbenalever/coordinator/coordinator_admission_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_admission_test.cpp
@@ -114,6 +114,41 @@
     EXPECT_EQ(this->refused(), 0);
 }
 
+// Steps that wait for the advisor were not counted, although it serves few questions at a time.
+TEST_F(coordinator_admission_test, a_long_queue_of_the_advisor_refuses_submissions)
+{
+    this->configuration->queues.push_back({.name = "advised",
+                                           .pool = "pool",
+                                           .priority = 0,
+                                           .attempts = 3,
+                                           .latency_objective = milliseconds(100),
+                                           .needs_advice = true,
+                                           .advice_base_ms = 200});
+    this->admission = admission_policy::deadline;
+    auto& only = this->elect("vm-1");
+    bool answers = true;
+    only.active_coordinator->advice_dispatch().add_vm(
+        "vm-1", [&answers](const advice_question& question, milliseconds,
+                           const advice_dispatcher::answer_callback& done) {
+            advice_answer answer{.answered = true, .valid_ms = 10'000};
+            answer.granted.push_back({question.targets.front(), "ticket"});
+            if (answers)
+                done(answer);
+        });
+    for (int number = 0; number < 12; ++number) {
+        this->submit_for(only, "team", "learn-" + std::to_string(number), "advised");
+        this->run_for(milliseconds(200));
+    }
+    answers = false;
+    for (int number = 0; number < 40; ++number)
+        this->submit_for(only, "team", "w" + std::to_string(number), "advised");
+    EXPECT_GT(this->refused(), 0);
+    EXPECT_EQ(only.metrics.value("submissions_refused_deadline_advisor"), this->refused());
+    const auto before = this->refused();
+    this->submit_for(only, "team", "needs-no-advice");
+    EXPECT_EQ(this->refused(), before);
+}
+
 // Work that is too late to be of use does not go first: while it counted, a backlog of it kept
 // submissions out that could have been served in time.
 TEST_F(coordinator_admission_test, work_that_is_too_late_does_not_count)
