--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -75,6 +75,7 @@
         step.due_shift = this->due_shift_of(owner, step_index);
         this->ready_steps.insert(this->ready_key_of(owner, step_index));
     }
+    this->update_waiting_work(owner);
 }
 
 void coordinator::remove_from_ready(workflow& owner, std::uint32_t step_index)
@@ -106,6 +107,7 @@
     step.rank = this->rank_of(owner, step_index);
     step.due_shift = this->due_shift_of(owner, step_index);
     this->ready_steps.insert(this->ready_key_of(owner, step_index));
+    this->update_waiting_work(owner);
 }
 
 std::optional<coordinator::ready_key>
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -51,6 +51,7 @@
         this->processes.back()->task_lease = this->task_lease;
         this->processes.back()->usage_half_life = this->usage_half_life;
         this->processes.back()->past_use_store_interval = this->past_use_store_interval;
+        this->processes.back()->admission = this->admission;
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->active_coordinator, nullptr);
         return *this->processes.back();
@@ -80,7 +81,7 @@
         this->targets.need_by_workflow[id] = steps.front().need;
         to.active_coordinator->submit(
             {id, queue, team, {.payload = "p", .steps = std::move(steps)}},
-            [this, id](call_outcome outcome) { this->outcomes[id] = outcome; });
+            [this, id](call_outcome outcome, std::int64_t) { this->outcomes[id] = outcome; });
     }
 
     workflow_state state(process& of, const std::string& id)
@@ -99,6 +100,7 @@
     milliseconds task_lease{1500};                ///< of processes that are elected from now on
     milliseconds usage_half_life{0};              ///< the same
     milliseconds past_use_store_interval{10'000}; ///< the same
+    admission_policy admission = admission_policy::none; ///< the same
     std::map<std::string, call_outcome> outcomes;
     std::vector<std::unique_ptr<process>> processes;
 };
