Election: a process that retires while its claim is in flight gives the place back

A process that was told to stop while the store carried out its claim became coordinator and kept the place until it ended.

Cause: the answer to a claim did not look at whether the process had retired.

Change: it ends the lease at once and logs claim_returned. An answer to the end of a lease that fails is logged (lease_end_unanswered).

Test failed before: a_process_that_retires_while_its_claim_is_in_flight_does_not_coordinate.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -336,6 +336,12 @@
     this->replaced_revision = 0;
     this->replaced_fence_revision = 0;
     this->suspected.reset();
+    if (this->retired) {
+        // The process retired while its claim was in flight. Others must not wait for the lease.
+        this->log.write("coordination", "claim_returned", {{"term", term}});
+        this->end_lease(lease, [] {});
+        return;
+    }
     this->ending_lease = false;
     this->last_renewal_answer = boot_time();
     this->lease = lease;
@@ -422,12 +428,24 @@
         return;
     this->ending_lease = true;
     this->renew_timer.stop();
-    // A lease that is not ended now expires within lease_time, since it is not renewed any more.
-    this->store.revoke_lease(this->key_lease,
-                             [this, alive = this->alive, tenure = this->tenure](const auto&) {
-                                 if (*alive && this->leads() && tenure == this->tenure)
-                                     this->step_down("handed over");
-                             });
+    this->end_lease(this->key_lease, [this, tenure = this->tenure] {
+        if (this->leads() && tenure == this->tenure)
+            this->step_down("handed over");
+    });
+}
+
+void leadership::end_lease(std::int64_t ended, std::function<void()> done)
+{
+    this->store.revoke_lease(
+        ended, [this, alive = this->alive, done = std::move(done)](const absl::Status& status) {
+            if (!*alive)
+                return;
+            // It expires within lease_time, since it is not renewed any more.
+            if (!status.ok() && !absl::IsNotFound(status))
+                this->log.write("coordination", "lease_end_unanswered",
+                                {{"reason", std::string(status.message())}});
+            done();
+        });
 }
 
 bool leadership::may_become_candidate() const
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -147,6 +147,8 @@
     void become_coordinator(std::int64_t lease, std::int64_t term);
     void renew();
     void restore_key();
+    /// @param done called when the store has answered or the call has timed out
+    void end_lease(std::int64_t ended, std::function<void()> done);
     void step_down(std::string_view reason);
 
     event_loop& loop;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -271,5 +271,18 @@
     EXPECT_FALSE(this->second.election.leads());
 }
 
+// A process that retired while its claim was in flight used to coordinate until it ended.
+TEST_F(leadership_test, a_process_that_retires_while_its_claim_is_in_flight_does_not_coordinate)
+{
+    this->second.election.retire();
+    this->store.commit_delay = milliseconds(200);
+    this->run_for(milliseconds(150));
+    ASSERT_TRUE(this->store.items.contains("v/leader"));
+    this->first.election.retire();
+    this->run_for(milliseconds(300));
+    EXPECT_TRUE(this->first.terms.empty());
+    EXPECT_FALSE(this->store.items.contains("v/leader")) << "others must not wait for its lease";
+}
+
 } // namespace
 } // namespace verbenalever
