Election: end both leases when a hand-over meets a key that is being restored

A coordinator whose lease had ended writes the leader key under a new one. A hand-over before the answer ended the old lease only; the key stayed for up to 1.2 s and named a process that did not coordinate.

Change: the newer lease is ended as well.

Test failed before: a_hand_over_ends_the_lease_under_which_the_key_is_being_restored.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -428,6 +428,9 @@
         return;
     this->ending_lease = true;
     this->renew_timer.stop();
+    // A key that is being restored may already be under the newer lease.
+    if (this->lease != this->key_lease)
+        this->end_lease(this->lease, [] {});
     this->end_lease(this->key_lease, [this, tenure = this->tenure] {
         if (this->leads() && tenure == this->tenure)
             this->step_down("handed over");
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -284,5 +284,22 @@
     EXPECT_FALSE(this->store.items.contains("v/leader")) << "others must not wait for its lease";
 }
 
+// The restored key used to stay until the end of its lease and name a process that did not
+// coordinate any more.
+TEST_F(leadership_test, a_hand_over_ends_the_lease_under_which_the_key_is_being_restored)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    this->member().election.retire();
+    this->store.commit_delay = milliseconds(300);
+    this->store.expire(this->store.lease_of_key["v/leader"]);
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->store.items.contains("v/leader")) << "restored, without an answer yet";
+    leader.election.hand_over(milliseconds(5000));
+    this->run_for(milliseconds(50));
+    EXPECT_FALSE(leader.election.leads());
+    EXPECT_FALSE(this->store.items.contains("v/leader"));
+}
+
 } // namespace
 } // namespace verbenalever
