Election: the pause after a hand-over does not leave a fleet without a coordinator

A process that had handed over became no candidate for 15 s. When its successor was stopped and no other was left, nobody coordinated for that long.

Cause: one time limit served both to accept no hand-over and to be no candidate.

Change: it accepts no hand-over for the pause and hands over to nobody in it. It leaves 2 s to a successor, and is a candidate 0.4 s after others once one was seen.

Tests failed before: a_process_that_handed_over_replaces_its_successor, a_process_that_handed_over_to_nobody_coordinates_again.

--- a/src/libverbenalever/coordination/hand_over_policy.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy.cpp
@@ -22,6 +22,8 @@
 std::optional<hand_over_decision> decide_hand_over(const coordinator_condition& own,
                                                    std::span<const member_condition> members)
 {
+    if (own.paused)
+        return std::nullopt;
     const auto find = [members](const auto& matches) -> const member_condition* {
         const auto found = std::ranges::find_if(members, [&matches](const auto& member) {
             return member.can_coordinate && matches(member);
--- a/src/libverbenalever/coordination/hand_over_policy.h
+++ b/src/libverbenalever/coordination/hand_over_policy.h
@@ -13,6 +13,7 @@
 /// What the coordinator knows of itself when it decides whether to hand over.
 struct coordinator_condition {
     vm_fitness fitness;
+    bool paused = false;            ///< it handed over lately, and no successor is left
     milliseconds loop_lag{0};       ///< how late its event loop runs
     milliseconds since_change{0};   ///< since it was elected or last began a hand-over
     milliseconds writes_stalled{0}; ///< how long its transaction has had no answer
@@ -25,7 +26,7 @@
     std::string vm;
     vm_fitness fitness;
     milliseconds loop_lag{0};
-    bool can_coordinate = false; ///< it reaches the store and would become a candidate
+    bool can_coordinate = false; ///< it reaches the store and accepts a hand-over
 };
 
 /// A hand-over to be made.
@@ -39,7 +40,8 @@
 /// A weak coordinator hands over as soon as a stronger member could take over, since all that it
 /// does meanwhile is slow. One that makes no progress although the store answers it hands over to
 /// any member. A late event loop is a reason only some time after the election, since a new
-/// coordinator is busy at first and a hand-over costs time itself.
+/// coordinator is busy at first and a hand-over costs time itself. After a hand-over there is none
+/// for some time, so that two VMs do not hand over to each other in turn.
 /// @return nothing while it goes on coordinating
 [[nodiscard]] std::optional<hand_over_decision>
 decide_hand_over(const coordinator_condition& own, std::span<const member_condition> members);
--- a/src/libverbenalever/coordination/hand_over_policy_test.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -38,6 +38,11 @@
     EXPECT_EQ(reason({.fitness = weak}, {away, member(strong, milliseconds(400))}), "");
 }
 
+TEST(hand_over_policy_test, nothing_is_handed_over_in_the_pause_after_a_hand_over)
+{
+    EXPECT_EQ(reason({.fitness = weak, .paused = true}, {member(strong)}), "");
+}
+
 // A coordinator whose writes or reads never finished used to keep the leader key.
 TEST(hand_over_policy_test, a_stalled_coordinator_resigns_while_the_store_answers_it)
 {
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -30,6 +30,10 @@
 /// How long others wait for a coordinator whose key is gone, but whose connection is alive, to
 /// restore the key before they become candidates.
 constexpr milliseconds key_restore_time{800};
+/// A process that handed over leaves at least this long to a successor; longer than weak VMs wait.
+constexpr milliseconds successor_wait{2000};
+/// It becomes a candidate this much later than others until its pause has ended.
+constexpr milliseconds paused_candidacy_delay{400};
 /// A suspicion that no further refused connection confirms within this time starts again. Refused
 /// connections are repeated several times in it.
 constexpr milliseconds suspicion_age_limit{1000};
@@ -162,6 +166,8 @@
     this->notify.coordinator_changed(stored_record);
     if (stored_record) {
         this->candidacy_timer.stop();
+        if (stored_record->vm != this->self.vm)
+            this->no_candidacy_before = milliseconds(0); // the successor
         // The key names this VM and address although this process is not coordinator: an earlier
         // process here wrote it and has terminated.
         if (stored_record->vm == this->self.vm && stored_record->address == this->self.address)
@@ -231,9 +237,13 @@
 
 void leadership::schedule_candidacy(milliseconds wait)
 {
-    if (!this->retired && !this->candidacy_pending && !this->leads())
-        this->candidacy_timer.start_once(std::max(wait + this->notify.candidacy_delay(),
-                                                  this->no_candidacy_before - boot_time()));
+    if (this->retired || this->candidacy_pending || this->leads())
+        return;
+    const auto now = boot_time();
+    wait += this->notify.candidacy_delay();
+    if (now < this->pause_end)
+        wait += paused_candidacy_delay;
+    this->candidacy_timer.start_once(std::max(wait, this->no_candidacy_before - now));
 }
 
 void leadership::start_candidacy()
@@ -423,7 +433,8 @@
 
 void leadership::hand_over(milliseconds pause)
 {
-    this->no_candidacy_before = boot_time() + pause;
+    this->pause_end = boot_time() + pause;
+    this->no_candidacy_before = boot_time() + std::min(pause, successor_wait);
     if (!this->leads() || this->ending_lease)
         return;
     this->ending_lease = true;
@@ -451,9 +462,9 @@
         });
 }
 
-bool leadership::may_become_candidate() const
+bool leadership::accepts_hand_over() const
 {
-    return !this->retired && boot_time() >= this->no_candidacy_before;
+    return !this->retired && boot_time() >= this->pause_end;
 }
 
 bool leadership::renewals_answered() const
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -89,7 +89,9 @@
 
     /// Step down by ending the lease of the leader key, so that another process can win. That is a
     /// small call of its own, which does not wait for pending writes.
-    /// @param pause how long this process does not become a candidate again
+    /// @param pause how long this process accepts no hand-over and lets others become candidates
+    /// first. It waits for a successor, but replaces one that ends, so that the last VM
+    /// coordinates.
     void hand_over(milliseconds pause);
 
     /// @return whether this process is about to step down
@@ -98,8 +100,8 @@
         return this->ending_lease;
     }
 
-    /// @return whether this process would become a candidate now
-    [[nodiscard]] bool may_become_candidate() const;
+    /// @return whether a coordinator may hand over to this process
+    [[nodiscard]] bool accepts_hand_over() const;
 
     /// @return whether the store has answered a renewal of the leader key's lease lately
     [[nodiscard]] bool renewals_answered() const;
@@ -187,6 +189,7 @@
     bool candidacy_pending = false;
     bool retired = false;
     milliseconds no_candidacy_before{0}; ///< time since boot
+    milliseconds pause_end{0};           ///< time since boot; see hand_over()
     bool watch_pending = false;
     bool last_read_answered = false; ///< by the last read or watch
     std::uint64_t watch_round = 0;   ///< answers to watches of earlier rounds are ignored
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -301,5 +301,33 @@
     EXPECT_FALSE(this->store.items.contains("v/leader"));
 }
 
+// The pause after a hand-over used to keep a fleet of two VMs without a coordinator for 15 s when
+// the successor was stopped.
+TEST_F(leadership_test, a_process_that_handed_over_replaces_its_successor)
+{
+    this->run_for(milliseconds(400));
+    auto& former = this->coordinator();
+    auto& successor = this->member();
+    former.election.hand_over(milliseconds(15'000));
+    this->run_for(milliseconds(300));
+    ASSERT_TRUE(successor.election.leads());
+    successor.election.retire();
+    this->run_for(milliseconds(1000));
+    EXPECT_TRUE(former.election.leads());
+    EXPECT_FALSE(former.election.accepts_hand_over());
+}
+
+TEST_F(leadership_test, a_process_that_handed_over_to_nobody_coordinates_again)
+{
+    this->run_for(milliseconds(400));
+    auto& former = this->coordinator();
+    this->member().election.retire();
+    former.election.hand_over(milliseconds(15'000));
+    this->run_for(milliseconds(1000));
+    EXPECT_FALSE(former.election.leads()) << "others may still become candidates";
+    this->run_for(milliseconds(2000));
+    EXPECT_TRUE(former.election.leads());
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -24,7 +24,7 @@
     bool leaving = false; ///< the process stops soon and relays no more orders
     double link_mbps = 0; ///< bandwidth of its VM's link; 0: not known, or an earlier build
     double strongest_link_mbps = 0; ///< the same of the VM that strongest_share is of
-    /// It would become a candidate if there were no coordinator. An earlier build sends nothing.
+    /// The coordinator may hand over to it. An earlier build sends nothing.
     bool may_coordinate = true;
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -32,7 +32,8 @@
 constexpr milliseconds strongest_absence_limit{30'000};
 /// Wait before the fitness of the strongest VM is read again after a failure.
 constexpr milliseconds join_retry_wait{250};
-/// A coordinator that handed over is no candidate for this long.
+/// A process that handed over takes coordination from no other, and hands it to none, for this
+/// long.
 constexpr milliseconds candidacy_pause{15'000};
 
 } // namespace
@@ -226,7 +227,7 @@
                                         .leaving = this->retired,
                                         .link_mbps = this->own_settings.link_mbps,
                                         .strongest_link_mbps = this->strongest().link_mbps,
-                                        .may_coordinate = this->election.may_become_candidate()});
+                                        .may_coordinate = this->election.accepts_hand_over()});
 }
 
 void cluster_entry::apply_heartbeat(const member_greeting& member)
@@ -344,6 +345,7 @@
             members.push_back(member);
     }
     const coordinator_condition own{.fitness = this->own_fitness(),
+                                    .paused = !this->election.accepts_hand_over(),
                                     .loop_lag = this->loop_lag.lag(),
                                     .since_change = boot_time() - this->last_role_change,
                                     .writes_stalled = this->election.time_without_answer(),
