Election: give up a claim against a coordinator when the store does not answer

A claim that had no answer was repeated when the store was back, with evidence from before the outage, and deposed an idle coordinator that was alive.

Change: when the claim has no answer and the leader key cannot be read, the replacement is cancelled (store_away).

Test failed before: a_claim_that_the_store_does_not_answer_is_given_up.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -324,6 +324,11 @@
     this->store.read(this->leader_key, [this, alive = this->alive, lease, tenure](auto item) {
         if (!*alive)
             return;
+        if (!item.ok() && this->replaced_revision != 0) {
+            this->candidacy_pending = false;
+            this->cancel_replacement("store_away");
+            return;
+        }
         if (!item.ok()) {
             this->finish_claim(lease, tenure, {.how = store_result::outcome::rejected});
             return;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -329,5 +329,25 @@
     EXPECT_TRUE(former.election.leads());
 }
 
+// A claim without an answer used to be repeated after an outage of the store, although the evidence
+// was older than the outage.
+TEST_F(leadership_test, a_claim_that_the_store_does_not_answer_is_given_up)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    this->store.transactions_to_delay = 1;
+    this->refuse_connections(other, milliseconds(250));
+    ASSERT_EQ(this->store.transactions_to_delay, 0) << "the claim was sent";
+    this->run_for(milliseconds(750)); // it times out after 1 s
+    this->store.down = true;
+    this->run_for(milliseconds(300));
+    this->store.down = false;
+    this->run_for(milliseconds(600));
+    EXPECT_TRUE(leader.election.leads());
+    EXPECT_EQ(leader.losses, 0);
+    EXPECT_TRUE(other.terms.empty());
+}
+
 } // namespace
 } // namespace verbenalever
