Election: make a claim again at once when the leader key has expired

The platform's answer to a failed condition contains only keys that exist; the in-memory store of the tests listed missing ones too. A claim on a key that had expired was repeated unchanged until the watch answered, up to 6 s later.

Change: a missing leader key counts as expired. The leader key is judged before the fence, so that the victory of another process is not logged as coordinator_writes. The in-memory store answers as the platform does.

Test failed before: a_claim_on_a_key_that_has_expired_is_made_again_without_it.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -301,24 +301,10 @@
     }
     if (result.how != store_result::outcome::unknown) {
         this->candidacy_pending = false;
-        for (const auto& item : result.current) {
-            if (item.key == this->fence_key && this->replaced_fence_revision != 0 &&
-                item.revision != this->replaced_fence_revision) {
-                this->cancel_replacement("coordinator_writes");
-                return;
-            }
-        }
-        for (const auto& item : result.current) {
-            if (item.key != this->leader_key)
-                continue;
-            if (item.revision != 0)
-                this->apply_record(item);
-            else
-                this->replaced_revision = 0; // the key has expired since
-        }
-        if (this->known_coordinator)
-            return;
-        this->schedule_candidacy(retry_wait + random_jitter());
+        if (result.how == store_result::outcome::conflict)
+            this->handle_conflict(result);
+        else
+            this->schedule_candidacy(retry_wait + random_jitter());
         return;
     }
     this->store.read(this->leader_key, [this, alive = this->alive, lease, tenure](auto item) {
@@ -345,6 +331,28 @@
     });
 }
 
+void leadership::handle_conflict(const store_result& result)
+{
+    const auto leader = std::ranges::find(result.current, this->leader_key, &store_item::key);
+    const auto fence = std::ranges::find(result.current, this->fence_key, &store_item::key);
+    // The answer contains only keys that exist.
+    if (leader == result.current.end() || leader->revision == 0) {
+        this->replaced_revision = 0; // the key has expired
+        this->replaced_fence_revision = 0;
+        if (!this->known_coordinator)
+            this->schedule_candidacy(random_jitter());
+        return;
+    }
+    if (leader->revision == this->replaced_revision && fence != result.current.end() &&
+        fence->revision != this->replaced_fence_revision) {
+        this->cancel_replacement("coordinator_writes");
+        return;
+    }
+    this->apply_record(*leader);
+    if (!this->known_coordinator)
+        this->schedule_candidacy(retry_wait + random_jitter());
+}
+
 void leadership::become_coordinator(std::int64_t lease, std::int64_t term)
 {
     this->candidacy_pending = false;
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -146,6 +146,9 @@
     /// Give up a candidacy that would replace the coordinator, and read who coordinates.
     void cancel_replacement(std::string_view reason);
     void finish_claim(std::int64_t lease, const std::string& tenure, const store_result& result);
+    /// A condition of the claim has failed: another process has won, the coordinator writes, or the
+    /// key has expired.
+    void handle_conflict(const store_result& result);
     void become_coordinator(std::int64_t lease, std::int64_t term);
     void renew();
     void restore_key();
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -349,5 +349,24 @@
     EXPECT_TRUE(other.terms.empty());
 }
 
+// The store's answer to a claim that fails names only keys that exist. A claim on a key that had
+// expired used to be repeated unchanged until the next answer to the watch, up to 6 s later.
+TEST_F(leadership_test, a_claim_on_a_key_that_has_expired_is_made_again_without_it)
+{
+    this->first.election.retire();
+    this->second.election.retire();
+    auto former = std::make_unique<candidate>(this->loop, this->store, this->log, "vm-3");
+    this->run_for(milliseconds(600));
+    ASSERT_TRUE(former->election.leads());
+    candidate other(this->loop, this->store, this->log, "vm-4");
+    this->run_for(milliseconds(50));
+    former.reset();
+    this->store.watches_silent = true;
+    other.election.replace_coordinator(coordinator_loss::process_replaced);
+    this->store.expire(this->store.lease_of_key["v/leader"]);
+    this->run_for(milliseconds(800));
+    EXPECT_TRUE(other.election.leads());
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/testing/fake_store.cpp
+++ b/src/libverbenalever/testing/fake_store.cpp
@@ -34,8 +34,8 @@
         const auto found = this->items.find(condition.key);
         const auto current_revision = found == this->items.end() ? 0 : found->second.revision;
         conditions_hold = conditions_hold && current_revision == condition.revision;
-        conflict.current.push_back(found == this->items.end() ? store_item{.key = condition.key}
-                                                              : found->second);
+        if (found != this->items.end())
+            conflict.current.push_back(found->second);
     }
     const bool lease_ended = std::ranges::any_of(change.writes, [this](const auto& write) {
         return write.lease != 0 && !this->leases.contains(write.lease);
@@ -148,6 +148,8 @@
 void fake_store::notify_watchers(const store_item& item)
 {
     this->history.push_back(item);
+    if (this->watches_silent)
+        return;
     std::vector<watcher> notified_watchers;
     std::erase_if(this->watchers, [&](auto& waiting) {
         if (!item.key.starts_with(waiting.prefix))
--- a/src/libverbenalever/testing/fake_store.h
+++ b/src/libverbenalever/testing/fake_store.h
@@ -43,6 +43,9 @@
     /// Whether an ended lease of a write is noticed before a condition that fails.
     bool lease_check_first = false;
 
+    /// Watches are not answered.
+    bool watches_silent = false;
+
     /// Time until a transaction is answered.
     milliseconds commit_delay{1};
 
