Election: reading the leader key again does not postpone a candidacy

Each read of the missing leader key restarted the delay of a candidacy. A weak VM, which waits 1 s and more, never became a candidate when its watches failed oftener.

Change: an earlier time that was scheduled stays.

Test failed before: reading_the_leader_key_again_does_not_postpone_a_candidacy.

--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -243,7 +243,12 @@
     wait += this->notify.candidacy_delay();
     if (now < this->pause_end)
         wait += paused_candidacy_delay;
-    this->candidacy_timer.start_once(std::max(wait, this->no_candidacy_before - now));
+    const auto due = std::max(now + wait, this->no_candidacy_before);
+    // The leader key may be read often while there is none.
+    if (this->candidacy_timer.active() && this->candidacy_due <= due)
+        return;
+    this->candidacy_due = due;
+    this->candidacy_timer.start_once(due - now);
 }
 
 void leadership::start_candidacy()
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -138,6 +138,8 @@
     void read_coordinator();
     void watch();
     void apply_record(const store_item& item);
+    /// Become a candidate after @p wait and the delays of this VM, or earlier if that was
+    /// scheduled.
     void schedule_candidacy(milliseconds wait);
     void start_candidacy();
     void write_claim(std::int64_t lease);
@@ -192,6 +194,7 @@
     bool candidacy_pending = false;
     bool retired = false;
     milliseconds no_candidacy_before{0}; ///< time since boot
+    milliseconds candidacy_due{0};       ///< time since boot at which candidacy_timer ends
     milliseconds pause_end{0};           ///< time since boot; see hand_over()
     bool watch_pending = false;
     bool last_read_answered = false; ///< by the last read or watch
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -368,5 +368,17 @@
     EXPECT_TRUE(other.election.leads());
 }
 
+// Each read of the missing leader key used to restart the delay of a weak VM, so that one whose
+// watches failed never became a candidate.
+TEST_F(leadership_test, reading_the_leader_key_again_does_not_postpone_a_candidacy)
+{
+    this->first.election.retire();
+    this->second.candidacy_delay = milliseconds(300);
+    timer reads(this->loop, [this] { this->second.election.reload_coordinator(); });
+    reads.start_repeating(milliseconds(100));
+    this->run_for(milliseconds(700));
+    EXPECT_TRUE(this->second.election.leads());
+}
+
 } // namespace
 } // namespace verbenalever
