Chain: do not resend a transaction before the link can have carried it

While a large value was being sent over a narrow link, each answer to a renewal of the lease made the chain send it again with a short timeout, and the answer to the earlier attempt was ignored: the transaction was never finished.

Change: a transaction has the time that the link needs for its values, for its timeout and before another attempt. Nothing changes where the link is not known.

Test failed before: a_transaction_is_not_resent_before_the_link_can_have_carried_it.

--- a/src/libverbenalever/coordination/commit_chain.cpp
+++ b/src/libverbenalever/coordination/commit_chain.cpp
@@ -49,14 +49,14 @@
                       max_transaction_bytes);
 }
 
-/// @return the shortest timeout of a transaction: longer on a link on which one takes long to send
-milliseconds transaction_timeout(double link_mbps)
+/// @return how long the link takes to carry values of so many bytes; 0: its bandwidth is not known
+milliseconds sending_time(std::size_t bytes, double link_mbps)
 {
     if (link_mbps <= 0)
-        return min_timeout;
-    const auto bytes = static_cast<double>(transaction_bytes(link_mbps)) * encoding_overhead;
-    const auto send_ms = bytes / (link_mbps * bytes_per_megabit) * 1000;
-    return min_timeout + milliseconds(static_cast<std::int64_t>(send_ms));
+        return milliseconds(0);
+    const auto seconds =
+        static_cast<double>(bytes) * encoding_overhead / (link_mbps * bytes_per_megabit);
+    return milliseconds(static_cast<std::int64_t>(seconds * 1000));
 }
 
 } // namespace
@@ -67,6 +67,7 @@
     std::string fence_value;
     std::vector<callback> done;
     std::vector<callback> leased_done; ///< the same for writes with a lease
+    milliseconds sending_time{0};      ///< that the link needs for it; 0: not known
     std::string_view last_answer;      ///< other than a result, for the log
     milliseconds first_sent{0};
     milliseconds last_sent{0};
@@ -76,11 +77,11 @@
                            std::string fence_key, std::string holder, std::int64_t fence_revision,
                            std::function<void()> on_fence_lost, double link_mbps)
     : store(store), log(log), fence_key(std::move(fence_key)), holder(std::move(holder)),
-      fence_revision(fence_revision), on_fence_lost(std::move(on_fence_lost)),
+      fence_revision(fence_revision), on_fence_lost(std::move(on_fence_lost)), link_mbps(link_mbps),
       bytes_per_transaction(transaction_bytes(link_mbps)),
-      shortest_timeout(transaction_timeout(link_mbps)), last_confirmed(boot_time()),
-      last_commit_duration(transaction_gap), timeout(this->shortest_timeout),
-      flush_timer(loop, [this] { this->flush(); }),
+      shortest_timeout(min_timeout + sending_time(this->bytes_per_transaction, link_mbps)),
+      last_confirmed(boot_time()), last_commit_duration(transaction_gap),
+      timeout(this->shortest_timeout), flush_timer(loop, [this] { this->flush(); }),
       resend_timer(loop, [this] { this->send_transaction(); }), alive(std::make_shared<bool>(true))
 {
 }
@@ -187,6 +188,8 @@
         key_queue.pop_front();
         ++entries;
     }
+    // A single value may be larger than bytes_per_transaction.
+    this->in_flight->sending_time = sending_time(bytes, this->link_mbps);
 }
 
 void commit_chain::send_transaction()
@@ -195,7 +198,7 @@
         return;
     this->in_flight->last_sent = boot_time();
     auto change = this->in_flight->change;
-    change.timeout = this->timeout;
+    change.timeout = std::max(this->timeout, min_timeout + this->in_flight->sending_time);
     this->store.transact(std::move(change), [this, alive = this->alive,
                                              attempt = ++this->last_attempt](store_result result) {
         // The answer to the latest attempt also shows whether an earlier one took effect.
@@ -208,6 +211,9 @@
 {
     if (this->closed || !this->stalled() || this->in_flight->last_sent >= answered_call_sent_at)
         return;
+    // The answer to the other, smaller call may have overtaken it.
+    if (boot_time() - this->in_flight->last_sent < this->in_flight->sending_time)
+        return;
     this->timeout = this->shortest_timeout;
     this->resend_timer.stop();
     this->send_transaction();
--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -39,9 +39,8 @@
     /// @param holder         unique name of this tenure: one term of one process
     /// @param fence_revision revision of the fence key as written by this tenure
     /// @param on_fence_lost  called once when another process has written the fence key
-    /// @param link_mbps      bandwidth of this VM's link, which bounds the size of a transaction;
-    /// 0:
-    ///                       not known
+    /// @param link_mbps      bandwidth of this VM's link, which bounds the size of a transaction
+    ///                       and its timeout; 0: not known
     commit_chain(event_loop& loop, metadata_store& store, const event_log& log,
                  std::string fence_key, std::string holder, std::int64_t fence_revision,
                  std::function<void()> on_fence_lost, double link_mbps = 0);
@@ -124,6 +123,7 @@
     std::string holder;
     std::int64_t fence_revision;
     std::function<void()> on_fence_lost;
+    double link_mbps;                  ///< 0: not known
     std::size_t bytes_per_transaction; ///< values are added to a transaction until they reach this
     milliseconds shortest_timeout;     ///< after which a transaction is resent
 
--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -192,5 +192,23 @@
     EXPECT_FALSE(this->store.items.contains("unsent"));
 }
 
+// The store answers small calls while a large transaction is still being sent over a narrow link.
+// Each of those answers used to make the chain send it again, so that it was never finished.
+TEST_F(commit_chain_test, a_transaction_is_not_resent_before_the_link_can_have_carried_it)
+{
+    constexpr double link_mbps = 10;
+    commit_chain narrow(
+        this->loop, this->store, this->log, "fence", "me", 1, [] {}, link_mbps);
+    this->store.commit_delay = milliseconds(900);
+    narrow.put(
+        "a", [] { return std::string(std::size_t{1} << 20, 'a'); }, true,
+        [this] { ++this->writes_done; });
+    timer answers(this->loop, [&narrow] { narrow.resend_if_stalled(boot_time()); });
+    answers.start_repeating(milliseconds(300));
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->writes_done, 1);
+    EXPECT_FALSE(narrow.busy());
+}
+
 } // namespace
 } // namespace verbenalever
