Fitness: a strong VM that leaves late in a term counts for 30 s

Later than 30 s after an election a strong VM that disconnected was forgotten at once, and the stored fitness was lowered within 0.2 s: after its restart together with weak VMs these did not wait. A restarted process at the address of a former coordinator could lower what members know.

Change: strongest_vm_record keeps the fitness for 30 s after the VM was last seen; members believe only a process that coordinates.

--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -28,8 +28,6 @@
 constexpr milliseconds weak_candidacy_delay_after_start{1000};
 /// Each further level of weakness adds this much.
 constexpr milliseconds weakness_level_delay{200};
-/// A stronger VM that has not connected within this time of a term counts as gone.
-constexpr milliseconds strongest_absence_limit{30'000};
 /// Wait before the fitness of the strongest VM is read again after a failure.
 constexpr milliseconds join_retry_wait{250};
 /// A process that handed over takes coordination from no other, and hands it to none, for this
@@ -126,7 +124,7 @@
            .candidacy_delay = [this] { return this->candidacy_delay(); }},
           this->own_settings.link_mbps),
       former_coordinator_timer(loop, [this] { this->former_coordinator.reset(); }), loop_lag(loop),
-      strongest_known(default_strongest),
+      strongest_record(default_strongest),
       hand_over_timer(loop, [this] { this->check_hand_over(); }),
       join_timer(loop, [this] { this->join_election(); }),
       retry_timer(loop, [this] { this->retry_pending_calls(); })
@@ -165,7 +163,8 @@
         }
         if (*stored) {
             if (const auto read = unpack_message<vm_fitness>((*stored)->value); read.ok())
-                this->strongest_known = fitter(this->strongest_known, *read);
+                this->strongest_record.set(fitter(this->strongest_record.value(), *read),
+                                           boot_time());
             else
                 this->log.write("coordination", "strongest_unreadable", {{"key", (*stored)->key}});
         }
@@ -245,8 +244,11 @@
 
 void cluster_entry::handle_coordinator_heartbeat(const member_greeting& greeting)
 {
-    this->strongest_known = {.processor_share = greeting.strongest_share,
-                             .link_mbps = greeting.strongest_link_mbps};
+    // A process that was restarted at the former coordinator's address knows less.
+    if (greeting.coordinating)
+        this->strongest_record.set({.processor_share = greeting.strongest_share,
+                                    .link_mbps = greeting.strongest_link_mbps},
+                                   boot_time());
     this->coordinator_lease_certain = greeting.certain;
     this->send_snapshot_if_behind(greeting, this->link.channel());
     // A restarted process listens at the former coordinator's address without coordinating. A
@@ -268,12 +270,12 @@
 
 vm_fitness cluster_entry::strongest() const
 {
-    // Right after an election hardly any member is connected.
-    const bool members_known = this->active_coordinator != nullptr &&
-                               boot_time() - this->elected_at > strongest_absence_limit;
+    return fitter(this->strongest_present(), this->strongest_record.value());
+}
+
+vm_fitness cluster_entry::strongest_present() const
+{
     auto strongest = this->own_fitness();
-    if (!members_known)
-        strongest = fitter(strongest, this->strongest_known);
     for (const auto& [vm, member] : this->member_conditions)
         strongest = fitter(strongest, member.fitness);
     return strongest;
@@ -281,7 +283,7 @@
 
 milliseconds cluster_entry::candidacy_delay() const
 {
-    const int weakness = this->own_fitness().weakness_beside(this->strongest_known);
+    const int weakness = this->own_fitness().weakness_beside(this->strongest_record.value());
     if (weakness == 0)
         return milliseconds(0);
     return (this->coordinator_ever_heard ? weak_candidacy_delay
@@ -291,7 +293,8 @@
 
 void cluster_entry::store_strongest()
 {
-    const auto strongest = this->strongest();
+    this->strongest_record.update(this->strongest_present(), boot_time());
+    const auto strongest = this->strongest_record.value();
     if (this->chain == nullptr || strongest == this->strongest_stored)
         return;
     this->strongest_stored = strongest;
@@ -323,7 +326,8 @@
     this->hub.for_each_member(
         [this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
     this->chain = &chain;
-    this->elected_at = boot_time();
+    // Right after an election hardly any member is connected.
+    this->strongest_record.set(this->strongest(), boot_time());
     this->strongest_stored = {};
     this->active_coordinator->start();
     this->last_role_change = boot_time();
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -5,6 +5,7 @@
 #include "coordination/leadership.h"
 #include "coordination/member_hub.h"
 #include "coordination/snapshot_send_policy.h"
+#include "coordination/strongest_vm_record.h"
 #include "coordination/vm_fitness.h"
 #include "coordinator/coordinator.h"
 #include "gateway/workflow_gateway.h"
@@ -123,6 +124,8 @@
     [[nodiscard]] vm_fitness own_fitness() const;
     /// @return the fitness of the strongest VM that this process knows
     [[nodiscard]] vm_fitness strongest() const;
+    /// @return the same of this VM and those of the connected members
+    [[nodiscard]] vm_fitness strongest_present() const;
     /// @return how long to let stronger VMs become candidates first
     [[nodiscard]] milliseconds candidacy_delay() const;
     void handle_coordinator_heartbeat(const member_greeting& greeting);
@@ -165,10 +168,9 @@
     /// Successive heartbeats in which the coordinator's VM says that it does not coordinate.
     int non_coordinating_heartbeats = 0;
     bool coordinator_ever_heard = false;
-    vm_fitness strongest_known;    ///< as read from the store, or from the coordinator's heartbeats
+    strongest_vm_record strongest_record;
     vm_fitness strongest_stored;   ///< as last written by this process
     commit_chain* chain = nullptr; ///< while coordinating
-    milliseconds elected_at{0};    ///< time since boot
     /// The value of member_greeting::certain in the coordinator's last heartbeat.
     bool coordinator_lease_certain = true;
     milliseconds last_role_change{0}; ///< time since boot of the election or start of a hand-over
