Hand-over: a page that a narrow link carries slowly is no stall

A page of the store takes 3.7 s at 3 Mbit/s. Each coordinator with such a link handed over after 3 s, before its first page, to one that was no faster.

Change: the load counts as stalled after twice the time of a page, at least 3 s. At 10 Mbit/s and more the limit is 3 s as before.

Test: a_page_that_the_link_carries_slowly_is_no_stall.

--- a/src/libverbenalever/coordination/hand_over_policy.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy.cpp
@@ -17,6 +17,19 @@
 /// few attempts that are lost, shorter than callers wait for an answer.
 constexpr milliseconds max_stall{3000};
 
+/// A page of stored items: up to a megabyte of values, encoded as base64 text in JSON.
+constexpr double page_megabits = 1.4 * 8;
+
+/// @return time without a page of the stored state that counts as a stall: at least what two pages
+/// take over the link, since another VM with such a link would not be faster
+milliseconds max_load_stall(double link_mbps)
+{
+    if (link_mbps <= 0)
+        return max_stall;
+    const auto seconds = 2 * page_megabits / link_mbps;
+    return std::max(max_stall, milliseconds(static_cast<std::int64_t>(seconds * 1000)));
+}
+
 } // namespace
 
 std::optional<hand_over_decision> decide_hand_over(const coordinator_condition& own,
@@ -36,7 +49,8 @@
     if (stronger != nullptr)
         return hand_over_decision{"weak", stronger->vm};
     // While the store does not answer this process, another one may not reach it either.
-    if (own.store_answers && std::max(own.writes_stalled, own.load_stalled) >= max_stall) {
+    const bool load_stalled = own.load_stalled >= max_load_stall(own.fitness.link_mbps);
+    if (own.store_answers && (own.writes_stalled >= max_stall || load_stalled)) {
         const auto* other =
             find([](const member_condition& member) { return member.loop_lag < max_loop_lag; });
         if (other != nullptr)
--- a/src/libverbenalever/coordination/hand_over_policy_test.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -67,5 +67,16 @@
     EXPECT_EQ(reason(own, {member(strong, milliseconds(200))}), "");
 }
 
+// On a link that carries a page in 3.7 s, each coordinator used to hand over before its first page.
+TEST(hand_over_policy_test, a_page_that_the_link_carries_slowly_is_no_stall)
+{
+    coordinator_condition own{.fitness = {.processor_share = 0.5, .link_mbps = 3},
+                              .load_stalled = milliseconds(5000),
+                              .store_answers = true};
+    EXPECT_EQ(reason(own, {member(own.fitness)}), "");
+    own.load_stalled = milliseconds(8000);
+    EXPECT_EQ(reason(own, {member(own.fitness)}), "load_stalled");
+}
+
 } // namespace
 } // namespace verbenalever
