Hand-over: a member's fresh call shows that the store answers

A stalled coordinator resigned only while its own renewals were answered. On a saturated link these answers are late too, so that it kept the leader key. What members report of the store may be 6 s old, the time of a watch.

Change: after 1.5 s without progress the coordinator asks members in its heartbeat (store_check_wanted); they read the fence key and report the answer (store_checked). Earlier builds ignore both fields.

Tests: a_stalled_coordinator_resigns_while_the_store_answers_it (extended), a_check_shows_whether_the_store_answers_now.

--- a/src/libverbenalever/coordination/hand_over_policy.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy.cpp
@@ -48,11 +48,12 @@
     });
     if (stronger != nullptr)
         return hand_over_decision{"weak", stronger->vm};
-    // While the store does not answer this process, another one may not reach it either.
+    // While the store answers neither this process nor a member's fresh call, it may be away.
     const bool load_stalled = own.load_stalled >= max_load_stall(own.fitness.link_mbps);
-    if (own.store_answers && (own.writes_stalled >= max_stall || load_stalled)) {
-        const auto* other =
-            find([](const member_condition& member) { return member.loop_lag < max_loop_lag; });
+    if (own.writes_stalled >= max_stall || load_stalled) {
+        const auto* other = find([&own](const member_condition& member) {
+            return member.loop_lag < max_loop_lag && (own.store_answers || member.store_checked);
+        });
         if (other != nullptr)
             return hand_over_decision{
                 own.writes_stalled >= max_stall ? "writes_stalled" : "load_stalled", other->vm};
--- a/src/libverbenalever/coordination/hand_over_policy.h
+++ b/src/libverbenalever/coordination/hand_over_policy.h
@@ -26,6 +26,7 @@
     std::string vm;
     vm_fitness fitness;
     milliseconds loop_lag{0};
+    bool store_checked = false;  ///< the store has answered a call of it since this stall began
     bool can_coordinate = false; ///< it reaches the store and accepts a hand-over
 };
 
--- a/src/libverbenalever/coordination/hand_over_policy_test.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -55,6 +55,10 @@
     EXPECT_EQ(reason(own, {}), "") << "nobody could take over";
     own.store_answers = false;
     EXPECT_EQ(reason(own, {member(weak)}), "") << "the store may be away for all";
+    // On a saturated link the answers to renewals are late too: only a member can tell.
+    auto checked = member(weak);
+    checked.store_checked = true;
+    EXPECT_EQ(reason(own, {member(weak), checked}), "load_stalled");
 }
 
 TEST(hand_over_policy_test, a_late_loop_is_a_reason_only_some_time_after_the_election)
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace verbenalever {
 
@@ -37,8 +38,8 @@
 /// A suspicion that no further refused connection confirms within this time starts again. Refused
 /// connections are repeated several times in it.
 constexpr milliseconds suspicion_age_limit{1000};
-/// A renewal answered within this time shows that the store can be reached.
-constexpr milliseconds renewal_answer_age_limit{1000};
+/// A call answered within this time shows that the store can be reached.
+constexpr milliseconds answer_age_limit{1000};
 
 milliseconds random_jitter()
 {
@@ -487,7 +488,27 @@
 
 bool leadership::renewals_answered() const
 {
-    return this->leads() && boot_time() - this->last_renewal_answer < renewal_answer_age_limit;
+    return this->leads() && boot_time() - this->last_renewal_answer < answer_age_limit;
+}
+
+void leadership::check_store()
+{
+    if (std::exchange(this->check_pending, true))
+        return;
+    this->store.read(this->fence_key, [this, alive = this->alive](const auto& fence) {
+        if (!*alive)
+            return;
+        this->check_pending = false;
+        this->last_read_answered = fence.ok();
+        if (fence.ok())
+            this->last_check_answer = boot_time();
+    });
+}
+
+bool leadership::store_checked() const
+{
+    return this->last_check_answer.count() != 0 &&
+           boot_time() - this->last_check_answer < answer_age_limit;
 }
 
 milliseconds leadership::time_without_answer() const
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -106,6 +106,12 @@
     /// @return whether the store has answered a renewal of the leader key's lease lately
     [[nodiscard]] bool renewals_answered() const;
 
+    /// Make a small call to see whether the store answers this process.
+    void check_store();
+
+    /// @return whether the store has answered check_store() lately
+    [[nodiscard]] bool store_checked() const;
+
     /// @return how long the coordinator's transaction has had no answer
     [[nodiscard]] milliseconds time_without_answer() const;
 
@@ -188,7 +194,9 @@
     std::int64_t key_lease = 0; ///< the one under which the leader key was last written
     milliseconds last_renewal{0};
     milliseconds last_renewal_answer{0}; ///< time since boot
-    bool ending_lease = false;           ///< between hand_over() and its end
+    milliseconds last_check_answer{0};   ///< time since boot; 0: none
+    bool check_pending = false;
+    bool ending_lease = false; ///< between hand_over() and its end
     double link_mbps;
     bool restoring_key = false;
     bool candidacy_pending = false;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -380,5 +380,20 @@
     EXPECT_TRUE(this->second.election.leads());
 }
 
+// The answer to a watch may be six seconds old, so a stalled coordinator asks for a fresh one.
+TEST_F(leadership_test, a_check_shows_whether_the_store_answers_now)
+{
+    this->run_for(milliseconds(400));
+    auto& election = this->member().election;
+    EXPECT_FALSE(election.store_checked());
+    election.check_store();
+    this->run_for(milliseconds(20));
+    EXPECT_TRUE(election.store_checked());
+    this->store.down = true;
+    election.check_store();
+    this->run_for(milliseconds(20));
+    EXPECT_FALSE(election.store_answers());
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -26,10 +26,15 @@
     double strongest_link_mbps = 0; ///< the same of the VM that strongest_share is of
     /// The coordinator may hand over to it. An earlier build sends nothing.
     bool may_coordinate = true;
+    /// From the coordinator: it makes no progress, and members should see if the store answers
+    /// them.
+    bool store_check_wanted = false;
+    bool store_checked = false; ///< the store has answered such a call within the last second
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
                    processor_share, strongest_share, store_answers, coordinating, certain, leaving,
-                   link_mbps, strongest_link_mbps, may_coordinate)
+                   link_mbps, strongest_link_mbps, may_coordinate, store_check_wanted,
+                   store_checked)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds weakness_level_delay{200};
 /// Wait before the fitness of the strongest VM is read again after a failure.
 constexpr milliseconds join_retry_wait{250};
+/// A coordinator that has made no progress for this long asks members whether the store answers
+/// them, early enough that their answers arrive before it would hand over.
+constexpr milliseconds store_check_after{1500};
 /// A process that handed over takes coordination from no other, and hands it to none, for this
 /// long.
 constexpr milliseconds candidacy_pause{15'000};
@@ -212,21 +215,23 @@
 
 std::string cluster_entry::greeting() const
 {
-    return pack_message(member_greeting{.vm = this->own_settings.vm,
-                                        .availability_zone = this->own_settings.availability_zone,
-                                        .configuration_revision = this->configuration->revision,
-                                        .configuration_digest = this->configuration->digest,
-                                        .lag_ms = this->loop_lag.lag().count(),
-                                        .processor_share = this->own_settings.processor_share,
-                                        .strongest_share = this->strongest().processor_share,
-                                        .store_answers = this->election.store_answers(),
-                                        .coordinating = this->active_coordinator != nullptr &&
-                                                        !this->election.handing_over(),
-                                        .certain = this->election.is_lease_valid(),
-                                        .leaving = this->retired,
-                                        .link_mbps = this->own_settings.link_mbps,
-                                        .strongest_link_mbps = this->strongest().link_mbps,
-                                        .may_coordinate = this->election.accepts_hand_over()});
+    return pack_message(member_greeting{
+        .vm = this->own_settings.vm,
+        .availability_zone = this->own_settings.availability_zone,
+        .configuration_revision = this->configuration->revision,
+        .configuration_digest = this->configuration->digest,
+        .lag_ms = this->loop_lag.lag().count(),
+        .processor_share = this->own_settings.processor_share,
+        .strongest_share = this->strongest().processor_share,
+        .store_answers = this->election.store_answers(),
+        .coordinating = this->active_coordinator != nullptr && !this->election.handing_over(),
+        .certain = this->election.is_lease_valid(),
+        .leaving = this->retired,
+        .link_mbps = this->own_settings.link_mbps,
+        .strongest_link_mbps = this->strongest().link_mbps,
+        .may_coordinate = this->election.accepts_hand_over(),
+        .store_check_wanted = this->time_without_progress() >= store_check_after,
+        .store_checked = this->election.store_checked()});
 }
 
 void cluster_entry::apply_heartbeat(const member_greeting& member)
@@ -235,6 +240,7 @@
         .vm = member.vm,
         .fitness = {.processor_share = member.processor_share, .link_mbps = member.link_mbps},
         .loop_lag = milliseconds(member.lag_ms),
+        .store_checked = member.store_checked,
         .can_coordinate = member.store_answers && member.may_coordinate && !member.leaving};
     if (member.leaving)
         this->orders.remove_relay(member.vm);
@@ -250,6 +256,8 @@
                                     .link_mbps = greeting.strongest_link_mbps},
                                    boot_time());
     this->coordinator_lease_certain = greeting.certain;
+    if (greeting.store_check_wanted)
+        this->election.check_store();
     this->send_snapshot_if_behind(greeting, this->link.channel());
     // A restarted process listens at the former coordinator's address without coordinating. A
     // newly elected coordinator may report it one heartbeat late.
@@ -262,6 +270,14 @@
         this->election.replace_coordinator(coordinator_loss::process_replaced);
 }
 
+milliseconds cluster_entry::time_without_progress() const
+{
+    if (!this->active_coordinator)
+        return milliseconds(0);
+    return std::max(this->election.time_without_answer(),
+                    this->active_coordinator->time_without_load_progress());
+}
+
 vm_fitness cluster_entry::own_fitness() const
 {
     return {.processor_share = this->own_settings.processor_share,
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -121,6 +121,8 @@
     /// Store the fitness of the strongest known VM when it has changed, for processes that start.
     void store_strongest();
     [[nodiscard]] std::string strongest_key() const;
+    /// @return how long the coordinator's transaction has had no answer, or its load no page
+    [[nodiscard]] milliseconds time_without_progress() const;
     [[nodiscard]] vm_fitness own_fitness() const;
     /// @return the fitness of the strongest VM that this process knows
     [[nodiscard]] vm_fitness strongest() const;
