--- a/testsuite/harness/platform_entries.py
+++ b/testsuite/harness/platform_entries.py
@@ -18,7 +18,8 @@
 
 
 class Entries:
-    def __init__(self, platform, count, build=BUILD):
+    def __init__(self, platform, count, build=BUILD, vms=()):
+        """vms: settings of each entry that differ, as {setting: value}."""
         self.platform = platform
         self.subnet = Subnet()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="verbenalever-platform-"))
@@ -30,6 +31,7 @@
             host = self.subnet.address(1 + number // 200, 1 + number % 200)
             self.addresses[name] = {"callers": f"{host}:7000", "ready": f"{host}:7001",
                                     "peers": f"{host}:7002", "metrics": f"{host}:7003"}
+            settings = dict(vms[number]) if vms else {}
             (self.folder / f"{name}.yaml").write_text(f"""
 vm: "{name}"
 availability_zone: "z1"
@@ -37,12 +39,12 @@
 readiness: "{self.addresses[name]['ready']}"
 peers: "{self.addresses[name]['peers']}"
 metrics: "{self.addresses[name]['metrics']}"
-store: "{platform.store_address}"
+store: "{settings.pop('store', platform.store_address)}"
 advisor: "{platform.advice_address}"
 task_lease_limit: "6s"
 stop_grace: "6s"
 finished_rest: "120s"
-""")
+""" + "".join(f"{setting}: {value}\n" for setting, value in settings.items()))
             self.start(name, build)
 
     def start(self, name, build=BUILD):
@@ -84,9 +86,9 @@
                     headers={"Host": HOST, "Time-Remaining": str(int(timeout * 1000))},
                     timeout=timeout)
 
-    def submit(self, job, steps, tries=20):
+    def submit(self, job, steps, tries=20, spec="x"):
         """Submit a job, and again with the same id until it is accepted, as callers do."""
-        body = {"spec": "x", "steps": steps}
+        body = {"spec": spec, "steps": steps}
         self.platform.fleet.jobs[job] = body
         for _ in range(tries):
             answer = self.job("POST", job, body)
--- a/testsuite/harness/platform_standin.py
+++ b/testsuite/harness/platform_standin.py
@@ -21,6 +21,25 @@
 SHRINK_ALLOWANCE_S = 5.5  # for starts that were on their way when a target shrank
 
 
+class NarrowLink:
+    """A link of a fixed bandwidth that all answers of one address share."""
+
+    PIECE = 16_000  # bytes; answers that are sent at the same time alternate in pieces
+
+    def __init__(self, mbps):
+        self.bytes_per_s = mbps * 125_000
+        self.free_at = 0.0
+
+    async def carry(self, size):
+        """Wait for as long as an answer of so many bytes takes."""
+        while size > 0:
+            piece = min(size, self.PIECE)
+            size -= piece
+            now = time.monotonic()
+            self.free_at = max(now, self.free_at) + piece / self.bytes_per_s
+            await asyncio.sleep(self.free_at - now)
+
+
 class Store:
     """The key-value store, with the faults that the platform's store can show."""
 
@@ -33,6 +52,7 @@
         self.refusing = False  # 503 to all
         self.answers_to_lose = 0
         self.answer_delay_s = 0
+        self.page_items, self.page_bytes = 50, 1 << 20  # the values of a page end at either
 
     def _record_event(self, event):
         self.history.append((event["revision"], event))
@@ -105,9 +125,14 @@
         if name == "kv-range":
             keys = sorted(k for k in self.items
                           if k.startswith(query["prefix"]) and k > query.get("after", ""))
-            page = keys[:50]
-            return 200, {"items": [self.item(key) for key in page], "hasMore": len(keys) > 50,
-                         "currentRev": self.revision}
+            page, size = [], 0
+            for key in keys[:self.page_items]:
+                size += len(self.items[key][0])
+                if page and size > self.page_bytes:
+                    break
+                page.append(key)
+            return 200, {"items": [self.item(key) for key in page],
+                         "hasMore": len(keys) > len(page), "currentRev": self.revision}
         if name == "kv-watch":
             return await self.watch(query["prefix"], int(query["after"]), int(query["waitMs"]))
         if name == "kv-lease":
@@ -486,7 +511,12 @@
             "capacity": {"cpu": target.cpu, "memMb": 64000, "gpu": 0}, "labels": ["a"],
             "born": target.born, "seq": beat}).encode())
 
-    async def _serve(self, handler):
+    def store_behind(self, mbps):
+        """Returns a further address of the store, whose answers share a narrow link."""
+        return self.run(self._serve(lambda m, p, q, b: self.fleet.store.handle(m, p, q, b),
+                                    NarrowLink(mbps)))
+
+    async def _serve(self, handler, link=None):
         async def connection(reader, writer):
             try:
                 while True:
@@ -508,6 +538,8 @@
                         break
                     status, body = answer
                     text = json.dumps(body).encode()
+                    if link:
+                        await link.carry(len(text))
                     writer.write(f"HTTP/1.1 {status} {STATUS_TEXT[status]}\r\n"
                                  f"Content-Type: application/json\r\n"
                                  f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
