--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -25,6 +25,7 @@
 CONTACT_S = 5.0  # after an unplanned disruption of an entry its requests may be cut off
 CANCEL_S = 3.0  # nothing of a job may start later than this after its cancel was acknowledged
 SETTLE_S = 60.0  # time for all jobs to end once all faults have ended
+VM_KINDS = [(0.5, 200), (0.5, 200), (0.3, 10), (0.12, 10)]  # (cores, Mbit/s)
 RANK = {"queued": 0, "running": 1, "completed": 2, "failed": 2, "cancelled": 2}
 
 
@@ -53,7 +54,8 @@
         self.platform = Platform(self.fleet, targets=options.targets)
         self.version = 3
         configure(self.platform)
-        self.entries = Entries(self.platform, options.entries, build)
+        self.began = time.monotonic()
+        self.entries = Entries(self.platform, options.entries, build, self.draw_vms())
         self.names = sorted(self.entries.processes)
         self.jobs, self.problems = {}, []
         self.went_back = set()  # jobs whose state was seen to go back
@@ -64,7 +66,6 @@
         self.stopping = threading.Event()
         self.settling = threading.Event()
         self.counts = {}
-        self.began = time.monotonic()
         self.workers = []
 
     def note(self, what):
@@ -79,6 +80,20 @@
         if self.options.verbose:
             print(f"{time.monotonic() - self.began:7.2f} {text}", flush=True)
 
+    def draw_vms(self):
+        """Returns the settings in which entries differ; none without the option."""
+        if not self.options.uneven_vms:
+            return ()
+        # A generator of its own: what else a seed draws does not depend on the option.
+        rng = random.Random(self.options.seed + 2)
+        vms = []
+        for _ in range(self.options.entries):
+            share, mbps = rng.choice(VM_KINDS)
+            vms.append({"processor_share": share, "link_mbps": mbps,
+                        "store": self.platform.store_behind(mbps)})
+        self.log(f"VMs {[(vm['processor_share'], vm['link_mbps']) for vm in vms]}")
+        return vms
+
     def build_of(self, _):
         return BUILD
 
@@ -530,6 +545,8 @@
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--deadly", action="store_true",
                         help="some tasks crash each target that starts them")
+    parser.add_argument("--uneven-vms", action="store_true",
+                        help="entries have processor shares and links drawn by the seed")
     parser.add_argument("--late-after-restart", action="store_true",
                         help="a target may carry out late what its life before was sent")
     parser.add_argument("--shrink", action="store_true",
