--- a/src/libverbenalever/coordination/hand_over_policy_test.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -38,6 +38,11 @@
     EXPECT_EQ(reason({.fitness = weak}, {away, member(strong, milliseconds(400))}), "");
 }
 
+TEST(hand_over_policy_test, nothing_is_handed_over_in_the_pause_after_a_hand_over)
+{
+    EXPECT_EQ(reason({.fitness = weak, .paused = true}, {member(strong)}), "");
+}
+
 // A coordinator whose writes or reads never finished used to keep the leader key.
 TEST(hand_over_policy_test, a_stalled_coordinator_resigns_while_the_store_answers_it)
 {
@@ -50,6 +55,10 @@
     EXPECT_EQ(reason(own, {}), "") << "nobody could take over";
     own.store_answers = false;
     EXPECT_EQ(reason(own, {member(weak)}), "") << "the store may be away for all";
+    // On a saturated link the answers to renewals are late too: only a member can tell.
+    auto checked = member(weak);
+    checked.store_checked = true;
+    EXPECT_EQ(reason(own, {member(weak), checked}), "load_stalled");
 }
 
 TEST(hand_over_policy_test, a_late_loop_is_a_reason_only_some_time_after_the_election)
@@ -62,5 +71,16 @@
     EXPECT_EQ(reason(own, {member(strong, milliseconds(200))}), "");
 }
 
+// On a link that carries a page in 3.7 s, each coordinator used to hand over before its first page.
+TEST(hand_over_policy_test, a_page_that_the_link_carries_slowly_is_no_stall)
+{
+    coordinator_condition own{.fitness = {.processor_share = 0.5, .link_mbps = 3},
+                              .load_stalled = milliseconds(5000),
+                              .store_answers = true};
+    EXPECT_EQ(reason(own, {member(own.fitness)}), "");
+    own.load_stalled = milliseconds(8000);
+    EXPECT_EQ(reason(own, {member(own.fitness)}), "load_stalled");
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordination/leadership.cpp
+++ b/src/libverbenalever/coordination/leadership.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace verbenalever {
 
@@ -30,11 +31,15 @@
 /// How long others wait for a coordinator whose key is gone, but whose connection is alive, to
 /// restore the key before they become candidates.
 constexpr milliseconds key_restore_time{800};
+/// A process that handed over leaves at least this long to a successor; longer than weak VMs wait.
+constexpr milliseconds successor_wait{2000};
+/// It becomes a candidate this much later than others until its pause has ended.
+constexpr milliseconds paused_candidacy_delay{400};
 /// A suspicion that no further refused connection confirms within this time starts again. Refused
 /// connections are repeated several times in it.
 constexpr milliseconds suspicion_age_limit{1000};
-/// A renewal answered within this time shows that the store can be reached.
-constexpr milliseconds renewal_answer_age_limit{1000};
+/// A call answered within this time shows that the store can be reached.
+constexpr milliseconds answer_age_limit{1000};
 
 milliseconds random_jitter()
 {
@@ -162,6 +167,8 @@
     this->notify.coordinator_changed(stored_record);
     if (stored_record) {
         this->candidacy_timer.stop();
+        if (stored_record->vm != this->self.vm)
+            this->no_candidacy_before = milliseconds(0); // the successor
         // The key names this VM and address although this process is not coordinator: an earlier
         // process here wrote it and has terminated.
         if (stored_record->vm == this->self.vm && stored_record->address == this->self.address)
@@ -231,9 +238,18 @@
 
 void leadership::schedule_candidacy(milliseconds wait)
 {
-    if (!this->retired && !this->candidacy_pending && !this->leads())
-        this->candidacy_timer.start_once(std::max(wait + this->notify.candidacy_delay(),
-                                                  this->no_candidacy_before - boot_time()));
+    if (this->retired || this->candidacy_pending || this->leads())
+        return;
+    const auto now = boot_time();
+    wait += this->notify.candidacy_delay();
+    if (now < this->pause_end)
+        wait += paused_candidacy_delay;
+    const auto due = std::max(now + wait, this->no_candidacy_before);
+    // The leader key may be read often while there is none.
+    if (this->candidacy_timer.active() && this->candidacy_due <= due)
+        return;
+    this->candidacy_due = due;
+    this->candidacy_timer.start_once(due - now);
 }
 
 void leadership::start_candidacy()
@@ -291,29 +307,20 @@
     }
     if (result.how != store_result::outcome::unknown) {
         this->candidacy_pending = false;
-        for (const auto& item : result.current) {
-            if (item.key == this->fence_key && this->replaced_fence_revision != 0 &&
-                item.revision != this->replaced_fence_revision) {
-                this->cancel_replacement("coordinator_writes");
-                return;
-            }
-        }
-        for (const auto& item : result.current) {
-            if (item.key != this->leader_key)
-                continue;
-            if (item.revision != 0)
-                this->apply_record(item);
-            else
-                this->replaced_revision = 0; // the key has expired since
-        }
-        if (this->known_coordinator)
-            return;
-        this->schedule_candidacy(retry_wait + random_jitter());
+        if (result.how == store_result::outcome::conflict)
+            this->handle_conflict(result);
+        else
+            this->schedule_candidacy(retry_wait + random_jitter());
         return;
     }
     this->store.read(this->leader_key, [this, alive = this->alive, lease, tenure](auto item) {
         if (!*alive)
             return;
+        if (!item.ok() && this->replaced_revision != 0) {
+            this->candidacy_pending = false;
+            this->cancel_replacement("store_away");
+            return;
+        }
         if (!item.ok()) {
             this->finish_claim(lease, tenure, {.how = store_result::outcome::rejected});
             return;
@@ -330,12 +337,40 @@
     });
 }
 
+void leadership::handle_conflict(const store_result& result)
+{
+    const auto leader = std::ranges::find(result.current, this->leader_key, &store_item::key);
+    const auto fence = std::ranges::find(result.current, this->fence_key, &store_item::key);
+    // The answer contains only keys that exist.
+    if (leader == result.current.end() || leader->revision == 0) {
+        this->replaced_revision = 0; // the key has expired
+        this->replaced_fence_revision = 0;
+        if (!this->known_coordinator)
+            this->schedule_candidacy(random_jitter());
+        return;
+    }
+    if (leader->revision == this->replaced_revision && fence != result.current.end() &&
+        fence->revision != this->replaced_fence_revision) {
+        this->cancel_replacement("coordinator_writes");
+        return;
+    }
+    this->apply_record(*leader);
+    if (!this->known_coordinator)
+        this->schedule_candidacy(retry_wait + random_jitter());
+}
+
 void leadership::become_coordinator(std::int64_t lease, std::int64_t term)
 {
     this->candidacy_pending = false;
     this->replaced_revision = 0;
     this->replaced_fence_revision = 0;
     this->suspected.reset();
+    if (this->retired) {
+        // The process retired while its claim was in flight. Others must not wait for the lease.
+        this->log.write("coordination", "claim_returned", {{"term", term}});
+        this->end_lease(lease, [] {});
+        return;
+    }
     this->ending_lease = false;
     this->last_renewal_answer = boot_time();
     this->lease = lease;
@@ -417,27 +452,63 @@
 
 void leadership::hand_over(milliseconds pause)
 {
-    this->no_candidacy_before = boot_time() + pause;
+    this->pause_end = boot_time() + pause;
+    this->no_candidacy_before = boot_time() + std::min(pause, successor_wait);
     if (!this->leads() || this->ending_lease)
         return;
     this->ending_lease = true;
     this->renew_timer.stop();
-    // A lease that is not ended now expires within lease_time, since it is not renewed any more.
-    this->store.revoke_lease(this->key_lease,
-                             [this, alive = this->alive, tenure = this->tenure](const auto&) {
-                                 if (*alive && this->leads() && tenure == this->tenure)
-                                     this->step_down("handed over");
-                             });
+    // A key that is being restored may already be under the newer lease.
+    if (this->lease != this->key_lease)
+        this->end_lease(this->lease, [] {});
+    this->end_lease(this->key_lease, [this, tenure = this->tenure] {
+        if (this->leads() && tenure == this->tenure)
+            this->step_down("handed over");
+    });
+}
+
+void leadership::end_lease(std::int64_t ended, std::function<void()> done)
+{
+    this->store.revoke_lease(
+        ended, [this, alive = this->alive, done = std::move(done)](const absl::Status& status) {
+            if (!*alive)
+                return;
+            // It expires within lease_time, since it is not renewed any more.
+            if (!status.ok() && !absl::IsNotFound(status))
+                this->log.write("coordination", "lease_end_unanswered",
+                                {{"reason", std::string(status.message())}});
+            done();
+        });
 }
 
-bool leadership::may_become_candidate() const
+bool leadership::accepts_hand_over() const
 {
-    return !this->retired && boot_time() >= this->no_candidacy_before;
+    return !this->retired && boot_time() >= this->pause_end;
 }
 
 bool leadership::renewals_answered() const
 {
-    return this->leads() && boot_time() - this->last_renewal_answer < renewal_answer_age_limit;
+    return this->leads() && boot_time() - this->last_renewal_answer < answer_age_limit;
+}
+
+void leadership::check_store()
+{
+    if (std::exchange(this->check_pending, true))
+        return;
+    this->store.read(this->fence_key, [this, alive = this->alive](const auto& fence) {
+        if (!*alive)
+            return;
+        this->check_pending = false;
+        this->last_read_answered = fence.ok();
+        if (fence.ok())
+            this->last_check_answer = boot_time();
+    });
+}
+
+bool leadership::store_checked() const
+{
+    return this->last_check_answer.count() != 0 &&
+           boot_time() - this->last_check_answer < answer_age_limit;
 }
 
 milliseconds leadership::time_without_answer() const
--- a/src/libverbenalever/coordination/leadership.h
+++ b/src/libverbenalever/coordination/leadership.h
@@ -89,7 +89,9 @@
 
     /// Step down by ending the lease of the leader key, so that another process can win. That is a
     /// small call of its own, which does not wait for pending writes.
-    /// @param pause how long this process does not become a candidate again
+    /// @param pause how long this process accepts no hand-over and lets others become candidates
+    /// first. It waits for a successor, but replaces one that ends, so that the last VM
+    /// coordinates.
     void hand_over(milliseconds pause);
 
     /// @return whether this process is about to step down
@@ -98,12 +100,18 @@
         return this->ending_lease;
     }
 
-    /// @return whether this process would become a candidate now
-    [[nodiscard]] bool may_become_candidate() const;
+    /// @return whether a coordinator may hand over to this process
+    [[nodiscard]] bool accepts_hand_over() const;
 
     /// @return whether the store has answered a renewal of the leader key's lease lately
     [[nodiscard]] bool renewals_answered() const;
 
+    /// Make a small call to see whether the store answers this process.
+    void check_store();
+
+    /// @return whether the store has answered check_store() lately
+    [[nodiscard]] bool store_checked() const;
+
     /// @return how long the coordinator's transaction has had no answer
     [[nodiscard]] milliseconds time_without_answer() const;
 
@@ -136,6 +144,8 @@
     void read_coordinator();
     void watch();
     void apply_record(const store_item& item);
+    /// Become a candidate after @p wait and the delays of this VM, or earlier if that was
+    /// scheduled.
     void schedule_candidacy(milliseconds wait);
     void start_candidacy();
     void write_claim(std::int64_t lease);
@@ -144,9 +154,14 @@
     /// Give up a candidacy that would replace the coordinator, and read who coordinates.
     void cancel_replacement(std::string_view reason);
     void finish_claim(std::int64_t lease, const std::string& tenure, const store_result& result);
+    /// A condition of the claim has failed: another process has won, the coordinator writes, or the
+    /// key has expired.
+    void handle_conflict(const store_result& result);
     void become_coordinator(std::int64_t lease, std::int64_t term);
     void renew();
     void restore_key();
+    /// @param done called when the store has answered or the call has timed out
+    void end_lease(std::int64_t ended, std::function<void()> done);
     void step_down(std::string_view reason);
 
     event_loop& loop;
@@ -179,12 +194,16 @@
     std::int64_t key_lease = 0; ///< the one under which the leader key was last written
     milliseconds last_renewal{0};
     milliseconds last_renewal_answer{0}; ///< time since boot
-    bool ending_lease = false;           ///< between hand_over() and its end
+    milliseconds last_check_answer{0};   ///< time since boot; 0: none
+    bool check_pending = false;
+    bool ending_lease = false; ///< between hand_over() and its end
     double link_mbps;
     bool restoring_key = false;
     bool candidacy_pending = false;
     bool retired = false;
     milliseconds no_candidacy_before{0}; ///< time since boot
+    milliseconds candidacy_due{0};       ///< time since boot at which candidacy_timer ends
+    milliseconds pause_end{0};           ///< time since boot; see hand_over()
     bool watch_pending = false;
     bool last_read_answered = false; ///< by the last read or watch
     std::uint64_t watch_round = 0;   ///< answers to watches of earlier rounds are ignored
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -271,5 +271,129 @@
     EXPECT_FALSE(this->second.election.leads());
 }
 
+// A process that retired while its claim was in flight used to coordinate until it ended.
+TEST_F(leadership_test, a_process_that_retires_while_its_claim_is_in_flight_does_not_coordinate)
+{
+    this->second.election.retire();
+    this->store.commit_delay = milliseconds(200);
+    this->run_for(milliseconds(150));
+    ASSERT_TRUE(this->store.items.contains("v/leader"));
+    this->first.election.retire();
+    this->run_for(milliseconds(300));
+    EXPECT_TRUE(this->first.terms.empty());
+    EXPECT_FALSE(this->store.items.contains("v/leader")) << "others must not wait for its lease";
+}
+
+// The restored key used to stay until the end of its lease and name a process that did not
+// coordinate any more.
+TEST_F(leadership_test, a_hand_over_ends_the_lease_under_which_the_key_is_being_restored)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    this->member().election.retire();
+    this->store.commit_delay = milliseconds(300);
+    this->store.expire(this->store.lease_of_key["v/leader"]);
+    this->run_for(milliseconds(100));
+    ASSERT_TRUE(this->store.items.contains("v/leader")) << "restored, without an answer yet";
+    leader.election.hand_over(milliseconds(5000));
+    this->run_for(milliseconds(50));
+    EXPECT_FALSE(leader.election.leads());
+    EXPECT_FALSE(this->store.items.contains("v/leader"));
+}
+
+// The pause after a hand-over used to keep a fleet of two VMs without a coordinator for 15 s when
+// the successor was stopped.
+TEST_F(leadership_test, a_process_that_handed_over_replaces_its_successor)
+{
+    this->run_for(milliseconds(400));
+    auto& former = this->coordinator();
+    auto& successor = this->member();
+    former.election.hand_over(milliseconds(15'000));
+    this->run_for(milliseconds(300));
+    ASSERT_TRUE(successor.election.leads());
+    successor.election.retire();
+    this->run_for(milliseconds(1000));
+    EXPECT_TRUE(former.election.leads());
+    EXPECT_FALSE(former.election.accepts_hand_over());
+}
+
+TEST_F(leadership_test, a_process_that_handed_over_to_nobody_coordinates_again)
+{
+    this->run_for(milliseconds(400));
+    auto& former = this->coordinator();
+    this->member().election.retire();
+    former.election.hand_over(milliseconds(15'000));
+    this->run_for(milliseconds(1000));
+    EXPECT_FALSE(former.election.leads()) << "others may still become candidates";
+    this->run_for(milliseconds(2000));
+    EXPECT_TRUE(former.election.leads());
+}
+
+// A claim without an answer used to be repeated after an outage of the store, although the evidence
+// was older than the outage.
+TEST_F(leadership_test, a_claim_that_the_store_does_not_answer_is_given_up)
+{
+    this->run_for(milliseconds(400));
+    auto& leader = this->coordinator();
+    auto& other = this->member();
+    this->store.transactions_to_delay = 1;
+    this->refuse_connections(other, milliseconds(250));
+    ASSERT_EQ(this->store.transactions_to_delay, 0) << "the claim was sent";
+    this->run_for(milliseconds(750)); // it times out after 1 s
+    this->store.down = true;
+    this->run_for(milliseconds(300));
+    this->store.down = false;
+    this->run_for(milliseconds(600));
+    EXPECT_TRUE(leader.election.leads());
+    EXPECT_EQ(leader.losses, 0);
+    EXPECT_TRUE(other.terms.empty());
+}
+
+// The store's answer to a claim that fails names only keys that exist. A claim on a key that had
+// expired used to be repeated unchanged until the next answer to the watch, up to 6 s later.
+TEST_F(leadership_test, a_claim_on_a_key_that_has_expired_is_made_again_without_it)
+{
+    this->first.election.retire();
+    this->second.election.retire();
+    auto former = std::make_unique<candidate>(this->loop, this->store, this->log, "vm-3");
+    this->run_for(milliseconds(600));
+    ASSERT_TRUE(former->election.leads());
+    candidate other(this->loop, this->store, this->log, "vm-4");
+    this->run_for(milliseconds(50));
+    former.reset();
+    this->store.watches_silent = true;
+    other.election.replace_coordinator(coordinator_loss::process_replaced);
+    this->store.expire(this->store.lease_of_key["v/leader"]);
+    this->run_for(milliseconds(800));
+    EXPECT_TRUE(other.election.leads());
+}
+
+// Each read of the missing leader key used to restart the delay of a weak VM, so that one whose
+// watches failed never became a candidate.
+TEST_F(leadership_test, reading_the_leader_key_again_does_not_postpone_a_candidacy)
+{
+    this->first.election.retire();
+    this->second.candidacy_delay = milliseconds(300);
+    timer reads(this->loop, [this] { this->second.election.reload_coordinator(); });
+    reads.start_repeating(milliseconds(100));
+    this->run_for(milliseconds(700));
+    EXPECT_TRUE(this->second.election.leads());
+}
+
+// The answer to a watch may be six seconds old, so a stalled coordinator asks for a fresh one.
+TEST_F(leadership_test, a_check_shows_whether_the_store_answers_now)
+{
+    this->run_for(milliseconds(400));
+    auto& election = this->member().election;
+    EXPECT_FALSE(election.store_checked());
+    election.check_store();
+    this->run_for(milliseconds(20));
+    EXPECT_TRUE(election.store_checked());
+    this->store.down = true;
+    election.check_store();
+    this->run_for(milliseconds(20));
+    EXPECT_FALSE(election.store_answers());
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordination/member_messages.h
+++ b/src/libverbenalever/coordination/member_messages.h
@@ -24,12 +24,17 @@
     bool leaving = false; ///< the process stops soon and relays no more orders
     double link_mbps = 0; ///< bandwidth of its VM's link; 0: not known, or an earlier build
     double strongest_link_mbps = 0; ///< the same of the VM that strongest_share is of
-    /// It would become a candidate if there were no coordinator. An earlier build sends nothing.
+    /// The coordinator may hand over to it. An earlier build sends nothing.
     bool may_coordinate = true;
+    /// From the coordinator: it makes no progress, and members should see if the store answers
+    /// them.
+    bool store_check_wanted = false;
+    bool store_checked = false; ///< the store has answered such a call within the last second
 
     MSGPACK_DEFINE(vm, availability_zone, configuration_revision, configuration_digest, lag_ms,
                    processor_share, strongest_share, store_answers, coordinating, certain, leaving,
-                   link_mbps, strongest_link_mbps, may_coordinate)
+                   link_mbps, strongest_link_mbps, may_coordinate, store_check_wanted,
+                   store_checked)
 };
 
 /// The coordinator's reply to a call about a workflow or a queue.
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -28,11 +28,13 @@
 constexpr milliseconds weak_candidacy_delay_after_start{1000};
 /// Each further level of weakness adds this much.
 constexpr milliseconds weakness_level_delay{200};
-/// A stronger VM that has not connected within this time of a term counts as gone.
-constexpr milliseconds strongest_absence_limit{30'000};
 /// Wait before the fitness of the strongest VM is read again after a failure.
 constexpr milliseconds join_retry_wait{250};
-/// A coordinator that handed over is no candidate for this long.
+/// A coordinator that has made no progress for this long asks members whether the store answers
+/// them, early enough that their answers arrive before it would hand over.
+constexpr milliseconds store_check_after{1500};
+/// A process that handed over takes coordination from no other, and hands it to none, for this
+/// long.
 constexpr milliseconds candidacy_pause{15'000};
 
 } // namespace
@@ -125,7 +127,7 @@
            .candidacy_delay = [this] { return this->candidacy_delay(); }},
           this->own_settings.link_mbps),
       former_coordinator_timer(loop, [this] { this->former_coordinator.reset(); }), loop_lag(loop),
-      strongest_known(default_strongest),
+      strongest_record(default_strongest),
       hand_over_timer(loop, [this] { this->check_hand_over(); }),
       join_timer(loop, [this] { this->join_election(); }),
       retry_timer(loop, [this] { this->retry_pending_calls(); })
@@ -164,7 +166,8 @@
         }
         if (*stored) {
             if (const auto read = unpack_message<vm_fitness>((*stored)->value); read.ok())
-                this->strongest_known = fitter(this->strongest_known, *read);
+                this->strongest_record.set(fitter(this->strongest_record.value(), *read),
+                                           boot_time());
             else
                 this->log.write("coordination", "strongest_unreadable", {{"key", (*stored)->key}});
         }
@@ -212,21 +215,23 @@
 
 std::string cluster_entry::greeting() const
 {
-    return pack_message(member_greeting{.vm = this->own_settings.vm,
-                                        .availability_zone = this->own_settings.availability_zone,
-                                        .configuration_revision = this->configuration->revision,
-                                        .configuration_digest = this->configuration->digest,
-                                        .lag_ms = this->loop_lag.lag().count(),
-                                        .processor_share = this->own_settings.processor_share,
-                                        .strongest_share = this->strongest().processor_share,
-                                        .store_answers = this->election.store_answers(),
-                                        .coordinating = this->active_coordinator != nullptr &&
-                                                        !this->election.handing_over(),
-                                        .certain = this->election.is_lease_valid(),
-                                        .leaving = this->retired,
-                                        .link_mbps = this->own_settings.link_mbps,
-                                        .strongest_link_mbps = this->strongest().link_mbps,
-                                        .may_coordinate = this->election.may_become_candidate()});
+    return pack_message(member_greeting{
+        .vm = this->own_settings.vm,
+        .availability_zone = this->own_settings.availability_zone,
+        .configuration_revision = this->configuration->revision,
+        .configuration_digest = this->configuration->digest,
+        .lag_ms = this->loop_lag.lag().count(),
+        .processor_share = this->own_settings.processor_share,
+        .strongest_share = this->strongest().processor_share,
+        .store_answers = this->election.store_answers(),
+        .coordinating = this->active_coordinator != nullptr && !this->election.handing_over(),
+        .certain = this->election.is_lease_valid(),
+        .leaving = this->retired,
+        .link_mbps = this->own_settings.link_mbps,
+        .strongest_link_mbps = this->strongest().link_mbps,
+        .may_coordinate = this->election.accepts_hand_over(),
+        .store_check_wanted = this->time_without_progress() >= store_check_after,
+        .store_checked = this->election.store_checked()});
 }
 
 void cluster_entry::apply_heartbeat(const member_greeting& member)
@@ -235,6 +240,7 @@
         .vm = member.vm,
         .fitness = {.processor_share = member.processor_share, .link_mbps = member.link_mbps},
         .loop_lag = milliseconds(member.lag_ms),
+        .store_checked = member.store_checked,
         .can_coordinate = member.store_answers && member.may_coordinate && !member.leaving};
     if (member.leaving)
         this->orders.remove_relay(member.vm);
@@ -244,9 +250,14 @@
 
 void cluster_entry::handle_coordinator_heartbeat(const member_greeting& greeting)
 {
-    this->strongest_known = {.processor_share = greeting.strongest_share,
-                             .link_mbps = greeting.strongest_link_mbps};
+    // A process that was restarted at the former coordinator's address knows less.
+    if (greeting.coordinating)
+        this->strongest_record.set({.processor_share = greeting.strongest_share,
+                                    .link_mbps = greeting.strongest_link_mbps},
+                                   boot_time());
     this->coordinator_lease_certain = greeting.certain;
+    if (greeting.store_check_wanted)
+        this->election.check_store();
     this->send_snapshot_if_behind(greeting, this->link.channel());
     // A restarted process listens at the former coordinator's address without coordinating. A
     // newly elected coordinator may report it one heartbeat late.
@@ -259,6 +270,14 @@
         this->election.replace_coordinator(coordinator_loss::process_replaced);
 }
 
+milliseconds cluster_entry::time_without_progress() const
+{
+    if (!this->active_coordinator)
+        return milliseconds(0);
+    return std::max(this->election.time_without_answer(),
+                    this->active_coordinator->time_without_load_progress());
+}
+
 vm_fitness cluster_entry::own_fitness() const
 {
     return {.processor_share = this->own_settings.processor_share,
@@ -267,12 +286,12 @@
 
 vm_fitness cluster_entry::strongest() const
 {
-    // Right after an election hardly any member is connected.
-    const bool members_known = this->active_coordinator != nullptr &&
-                               boot_time() - this->elected_at > strongest_absence_limit;
+    return fitter(this->strongest_present(), this->strongest_record.value());
+}
+
+vm_fitness cluster_entry::strongest_present() const
+{
     auto strongest = this->own_fitness();
-    if (!members_known)
-        strongest = fitter(strongest, this->strongest_known);
     for (const auto& [vm, member] : this->member_conditions)
         strongest = fitter(strongest, member.fitness);
     return strongest;
@@ -280,7 +299,7 @@
 
 milliseconds cluster_entry::candidacy_delay() const
 {
-    const int weakness = this->own_fitness().weakness_beside(this->strongest_known);
+    const int weakness = this->own_fitness().weakness_beside(this->strongest_record.value());
     if (weakness == 0)
         return milliseconds(0);
     return (this->coordinator_ever_heard ? weak_candidacy_delay
@@ -290,7 +309,8 @@
 
 void cluster_entry::store_strongest()
 {
-    const auto strongest = this->strongest();
+    this->strongest_record.update(this->strongest_present(), boot_time());
+    const auto strongest = this->strongest_record.value();
     if (this->chain == nullptr || strongest == this->strongest_stored)
         return;
     this->strongest_stored = strongest;
@@ -324,7 +344,8 @@
     this->hub.for_each_member(
         [this](const std::string& vm, peer_channel&) { this->add_advisor(vm); });
     this->chain = &chain;
-    this->elected_at = boot_time();
+    // Right after an election hardly any member is connected.
+    this->strongest_record.set(this->strongest(), boot_time());
     this->strongest_stored = {};
     this->active_coordinator->start();
     this->last_role_change = boot_time();
@@ -346,6 +367,7 @@
             members.push_back(member);
     }
     const coordinator_condition own{.fitness = this->own_fitness(),
+                                    .paused = !this->election.accepts_hand_over(),
                                     .loop_lag = this->loop_lag.lag(),
                                     .since_change = boot_time() - this->last_role_change,
                                     .writes_stalled = this->election.time_without_answer(),
