Hand-over: a weak coordinator stays while the store answers nobody

What members report of the store may be as old as a watch. A weak coordinator that ended its lease at the start of an outage left nobody to coordinate until the end of it.

--- a/src/libverbenalever/coordination/hand_over_policy.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy.cpp
@@ -43,12 +43,14 @@
         });
         return found == members.end() ? nullptr : &*found;
     };
+    // While the store answers neither this process nor a member's fresh call, it may be away, and
+    // nobody could be elected.
     const auto* stronger = find([&own](const member_condition& member) {
-        return own.fitness.is_weak_beside(member.fitness) && member.loop_lag < max_loop_lag;
+        return own.fitness.is_weak_beside(member.fitness) && member.loop_lag < max_loop_lag &&
+               (own.store_answers || member.store_checked);
     });
     if (stronger != nullptr)
         return hand_over_decision{"weak", stronger->vm};
-    // While the store answers neither this process nor a member's fresh call, it may be away.
     const bool load_stalled = own.load_stalled >= max_load_stall(own.fitness.link_mbps);
     if (own.writes_stalled >= max_stall || load_stalled) {
         const auto* other = find([&own](const member_condition& member) {
--- a/src/libverbenalever/coordination/hand_over_policy_test.cpp
+++ b/src/libverbenalever/coordination/hand_over_policy_test.cpp
@@ -26,21 +26,36 @@
 // of the day.
 TEST(hand_over_policy_test, a_weak_coordinator_hands_over_at_once)
 {
-    EXPECT_EQ(reason({.fitness = weak}, {member(weak), member(strong)}), "weak");
-    EXPECT_EQ(reason({.fitness = weak}, {member(weak)}), "");
-    EXPECT_EQ(reason({.fitness = strong}, {member(weak), member(strong)}), "");
+    const coordinator_condition own{.fitness = weak, .store_answers = true};
+    EXPECT_EQ(reason(own, {member(weak), member(strong)}), "weak");
+    EXPECT_EQ(reason(own, {member(weak)}), "");
+    EXPECT_EQ(reason({.fitness = strong, .store_answers = true}, {member(weak), member(strong)}),
+              "");
+}
+
+// At the start of an outage of the store members still report that it answers. A weak coordinator
+// that ended its lease then left nobody to coordinate until the store was back.
+TEST(hand_over_policy_test, a_weak_coordinator_stays_while_the_store_does_not_answer)
+{
+    EXPECT_EQ(reason({.fitness = weak, .store_answers = false}, {member(strong)}), "");
+    auto checked = member(strong);
+    checked.store_checked = true;
+    EXPECT_EQ(reason({.fitness = weak, .store_answers = false}, {checked}), "weak");
 }
 
 TEST(hand_over_policy_test, a_member_that_cannot_coordinate_or_is_late_takes_nothing)
 {
     auto away = member(strong);
     away.can_coordinate = false;
-    EXPECT_EQ(reason({.fitness = weak}, {away, member(strong, milliseconds(400))}), "");
+    EXPECT_EQ(
+        reason({.fitness = weak, .store_answers = true}, {away, member(strong, milliseconds(400))}),
+        "");
 }
 
 TEST(hand_over_policy_test, nothing_is_handed_over_in_the_pause_after_a_hand_over)
 {
-    EXPECT_EQ(reason({.fitness = weak, .paused = true}, {member(strong)}), "");
+    EXPECT_EQ(reason({.fitness = weak, .paused = true, .store_answers = true}, {member(strong)}),
+              "");
 }
 
 // A coordinator whose writes or reads never finished used to keep the leader key.
