Test the memory of an entry beside unfinished request bodies

The bounds are those of docs/design/18-contended-fleets.md: 96 MB at the peak, and at most 16 MB kept when the clients have left.

--- /dev/null
+++ b/testsuite/harness/unfinished_bodies.py
@@ -0,0 +1,126 @@
+"""Clients that send all but the last byte of a request body and keep the connection open."""
+
+import pathlib
+import select
+import socket
+import time
+
+from .platform_entries import HOST, KEY, PREFIX, Entries, configure
+from .platform_standin import Fleet, Platform
+
+BODY_BYTES = 262_000  # below the platform's limit of 262,144
+CLIENTS = 400
+RESIDENT_LIMIT_KB = 96 * 1024  # of 120 MB, the memory of the smallest VM
+RETAINED_LIMIT_KB = 16 * 1024  # above the resident memory before the clients came
+DESCRIPTOR_LIMIT = 3075  # of the smallest VM
+RELEASE_TIMEOUT_S = 30
+SEND_TIMEOUT_S = 60
+
+
+def resident_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    raise AssertionError("no resident memory")
+
+
+def descriptors(pid):
+    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+
+
+def headers(number, framing):
+    return (f"POST {PREFIX}{0xfeed0000 + number:016x} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Authorization: Bearer {KEY}\r\n{framing}\r\n\r\n").encode()
+
+
+def with_length(number, body_bytes=BODY_BYTES):
+    """A request that announces its length."""
+    return headers(number, f"Content-Length: {body_bytes}") + b"x" * (body_bytes - 1)
+
+
+def chunked(number, chunk_bytes, body_bytes=BODY_BYTES):
+    """A chunked request without the last chunk."""
+    chunk = f"{chunk_bytes:x}\r\n".encode() + b"x" * chunk_bytes + b"\r\n"
+    return headers(number, "Transfer-Encoding: chunked") + chunk * (body_bytes // chunk_bytes)
+
+
+class Clients:
+    """Non-blocking connections that send in turn, so that all bodies are open at once. A client
+    whose connection is closed is finished."""
+
+    def __init__(self, address, requests, observe):
+        host, port = address.rsplit(":", 1)
+        self.sockets, left = [], {}
+        for request in requests:
+            connection = socket.create_connection((host, int(port)), timeout=10)
+            connection.setblocking(False)
+            self.sockets.append(connection)
+            left[connection.fileno()] = [connection, memoryview(request)]
+        poll = select.poll()
+        for descriptor in left:
+            poll.register(descriptor, select.POLLOUT)
+        end = time.monotonic() + SEND_TIMEOUT_S
+        while left and time.monotonic() < end:
+            for descriptor, _ in poll.poll(100):
+                connection, rest = left[descriptor]
+                try:
+                    rest = rest[connection.send(rest[:65536]):]
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    rest = rest[:0]
+                left[descriptor][1] = rest
+                if not rest:
+                    poll.unregister(descriptor)
+                    del left[descriptor]
+            observe()
+
+    def close(self):
+        for connection in self.sockets:
+            connection.close()
+
+
+def run_case(request_of, clients=CLIENTS):
+    """Checks one entry daemon while the clients stay and after they have left.
+
+    @param request_of returns what the client with that number sends
+    @return resident memory in KB before, at the peak and after the clients, and open descriptors
+    """
+    platform = Platform(Fleet())
+    configure(platform)
+    entries = Entries(platform, 1)
+    try:
+        entries.wait_ready()
+        step = {"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 100}
+        entries.submit(f"{1:016x}", [step])
+        (name, process), = entries.processes.items()
+        before = resident_kb(process.pid)
+        peak = {"resident": before, "descriptors": 0}
+
+        def observe():
+            assert process.poll() is None, f"the entry ended with {process.returncode}"
+            peak["resident"] = max(peak["resident"], resident_kb(process.pid))
+            peak["descriptors"] = max(peak["descriptors"], descriptors(process.pid))
+
+        crowd = Clients(entries.addresses[name]["callers"], map(request_of, range(clients)),
+                        observe)
+        entries.submit(f"{2:016x}", [step])
+        observe()
+        crowd.close()
+        end = time.monotonic() + RELEASE_TIMEOUT_S
+        while resident_kb(process.pid) > before + RETAINED_LIMIT_KB and time.monotonic() < end:
+            time.sleep(0.2)
+        observe()
+        figures = {"before_kb": before, "peak_kb": peak["resident"],
+                   "after_kb": resident_kb(process.pid), "descriptors": peak["descriptors"]}
+        print(figures, flush=True)
+        entries.submit(f"{3:016x}", [step])
+        entries.wait_completed([f"{number:016x}" for number in (1, 2, 3)], 20)
+        assert figures["peak_kb"] < RESIDENT_LIMIT_KB, figures
+        assert figures["descriptors"] < DESCRIPTOR_LIMIT, figures
+        assert figures["after_kb"] < before + RETAINED_LIMIT_KB, figures
+        assert not platform.fleet.violations, platform.fleet.violations[:5]
+        entries.keep_folder = False
+        return figures
+    finally:
+        entries.close()
