Bound the memory of request bodies and connections

Bodies that were being received had no limit in sum, so that 400 clients that stop one byte short took over 100 MB, and much of it was kept when they had left. A budget (body_budget, without loop or socket) now decides which bodies get memory: small bodies have a reserve of their own, one address gets three quarters, and stalled bodies are ended first. Bodies and idle connections have time limits, and connections are ended before their number reaches its limit. A refusal is 503 with Retry-After, sent before the body is read where its length is announced.

The limits follow from the new settings memory_mb and max_descriptors. The buffer of a caller's connection is 8 KB instead of 32 KB, bodies are freed when their handler has returned, and freed memory is given back to the system. The ports for readiness and metrics have small limits of their own.

--- a/src/libverbenalever/http/http_client_test.cpp
+++ b/src/libverbenalever/http/http_client_test.cpp
@@ -145,4 +145,32 @@
     EXPECT_EQ(large.status, 413);
 }
 
+TEST(http_server, refuses_a_body_without_room_and_does_not_run_it)
+{
+    event_loop loop;
+    http_client client(loop);
+    int handled = 0;
+    const auto server = http_server::listen(
+        loop, {.address = "127.0.0.1"},
+        {.bodies = {.small_body_bytes = 10, .small_bytes = 100, .large_bytes = 100},
+         .refusal_body = R"({"error":"503"})"},
+        [&](const http_request&, const http_responder& respond) {
+            ++handled;
+            respond({.status = 200, .headers = {}, .body = {}});
+        });
+    ASSERT_TRUE(server.ok());
+    const auto url = fmt::format("http://127.0.0.1:{}/", (*server)->port());
+    const auto call = [&](std::size_t bytes) {
+        return call_and_wait(loop, client,
+                             {.method = "POST", .url = url, .body = std::string(bytes, 'x')});
+    };
+    EXPECT_EQ(call(75).status, 200);
+    const auto refused = call(500);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.body, R"({"error":"503"})");
+    EXPECT_EQ(find_header(refused.headers, "Retry-After"), "1");
+    EXPECT_EQ(call(75).status, 200);
+    EXPECT_EQ(handled, 2);
+}
+
 } // namespace
--- a/src/libverbenalever/http/http_server.h
+++ b/src/libverbenalever/http/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/http_load_event.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
 #include "http/http_server_limits.h"
@@ -28,10 +29,11 @@
 public:
     /// Listen on @p address and serve requests.
     /// @param handler called for each complete request
+    /// @param observer called for each refused body and, while connections are open, once a second
     /// @return UNAVAILABLE when the address cannot be bound
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<http_server>>
     listen(event_loop& loop, const endpoint& address, const http_server_limits& limits,
-           http_handler handler);
+           http_handler handler, http_load_observer observer = {});
 
     ~http_server();
     http_server(const http_server&) = delete;
