--- a/src/libverbenalever/http/body_budget.cpp
+++ b/src/libverbenalever/http/body_budget.cpp
@@ -9,7 +9,7 @@
 /// Fewer bytes than this do not count as progress, so that a client that sends single bytes is
 /// ended like one that sends nothing.
 constexpr std::size_t progress_bytes = 1024;
-/// Bodies that made progress within this time are not ended to make room for others.
+/// Connections that made progress within this time are not ended to make room for others.
 constexpr milliseconds min_stall{250};
 /// The clients of one address may use all memory but this part.
 constexpr std::size_t other_addresses_part = 4;
@@ -18,6 +18,9 @@
 /// Decrease of the number of connections after which their memory is given back.
 constexpr std::size_t trim_connections = 256;
 
+/// Part of the connections that is ended, where idle, when there are too many.
+constexpr std::size_t room_part = 8;
+
 constexpr std::size_t bytes_per_mb = 1U << 20U;
 /// Memory that the limits are derived from when the settings do not name it.
 constexpr std::size_t default_memory_mb = 160;
@@ -64,19 +67,30 @@
 
 body_budget::body_budget(const body_budget_limits& limits) : limits(limits) {}
 
-std::vector<body_budget::connection_id>
-body_budget::open(connection_id id, std::string_view address, monotonic_time now)
+void body_budget::open(connection_id id, std::string_view address, monotonic_time now)
 {
-    std::vector<connection_id> ended;
-    while (this->by_id.size() - this->ended_count >= this->limits.connections &&
-           !this->endable.empty() && now - this->endable.front().last_progress >= min_stall) {
-        ended.push_back(this->endable.front().id);
-        this->end(this->endable.begin());
-    }
     this->endable.push_back({.id = id, .address = std::string(address), .last_progress = now});
     this->by_id[id] = std::prev(this->endable.end());
     ++this->by_address[std::string(address)].connections;
     this->peak_connections = std::max(this->peak_connections, this->by_id.size());
+}
+
+bool body_budget::is_crowded() const
+{
+    return this->by_id.size() - this->ended_count >= this->limits.connections;
+}
+
+std::vector<body_budget::connection_id> body_budget::end_idle(monotonic_time now)
+{
+    std::vector<connection_id> ended;
+    if (!this->is_crowded())
+        return ended;
+    const auto wanted = this->limits.connections - this->limits.connections / room_part;
+    while (this->by_id.size() - this->ended_count >= wanted && !this->endable.empty() &&
+           now - this->endable.front().last_progress >= min_stall) {
+        ended.push_back(this->endable.front().id);
+        this->end(this->endable.begin());
+    }
     return ended;
 }
 
--- a/src/libverbenalever/http/body_budget.h
+++ b/src/libverbenalever/http/body_budget.h
@@ -31,9 +31,15 @@
 
     /// A client has connected.
     /// @param address of the client, for its part of the memory
-    /// @return connections to end because there are too many
-    [[nodiscard]] std::vector<connection_id> open(connection_id id, std::string_view address,
-                                                  monotonic_time now);
+    void open(connection_id id, std::string_view address, monotonic_time now);
+
+    /// @return whether there are so many connections that idle ones are to be ended
+    [[nodiscard]] bool is_crowded() const;
+
+    /// While it is crowded, end the connections that have been idle for longest, and more of them
+    /// than needed: a server without free connections does not learn of new clients.
+    /// @return connections to end
+    [[nodiscard]] std::vector<connection_id> end_idle(monotonic_time now);
 
     /// The headers of a request are complete.
     void start_body(connection_id id, monotonic_time now);
--- a/src/libverbenalever/http/body_budget_test.cpp
+++ b/src/libverbenalever/http/body_budget_test.cpp
@@ -11,7 +11,7 @@
 protected:
     void connect(body_budget::connection_id id, std::string_view address = "10.0.0.1")
     {
-        EXPECT_TRUE(this->budget.open(id, address, this->now).empty());
+        this->budget.open(id, address, this->now);
         this->budget.start_body(id, this->now);
     }
 
@@ -111,23 +111,25 @@
 TEST_F(body_budget_test, ends_the_connection_that_is_idle_for_longest_when_there_are_too_many)
 {
     for (body_budget::connection_id id = 1; id <= 20; ++id) {
-        EXPECT_TRUE(this->budget.open(id, "10.0.0.1", this->now).empty());
+        this->budget.open(id, "10.0.0.1", this->now);
         this->now += milliseconds(50);
     }
     this->budget.start_body(1, this->now);
-    EXPECT_EQ(this->budget.open(21, "10.0.0.2", this->now),
-              std::vector<body_budget::connection_id>{2});
-    this->budget.close(2);
-    EXPECT_EQ(this->budget.connections(), 20U);
+    const auto ended = this->budget.end_idle(this->now);
+    EXPECT_EQ(ended, (std::vector<body_budget::connection_id>{2, 3, 4}));
+    EXPECT_FALSE(this->budget.is_crowded());
+    for (const auto id : ended)
+        this->budget.close(id);
+    EXPECT_EQ(this->budget.connections(), 17U);
     this->now += seconds(20);
-    EXPECT_EQ(this->budget.end_overdue(this->now).size(), 20U);
+    EXPECT_EQ(this->budget.end_overdue(this->now).size(), 17U);
 }
 
 TEST(body_budget, memory_is_given_back_after_a_peak_and_only_once)
 {
     const monotonic_time now{seconds(100)};
     body_budget budget(body_budget_limits{});
-    EXPECT_TRUE(budget.open(1, "10.0.0.1", now).empty());
+    budget.open(1, "10.0.0.1", now);
     EXPECT_TRUE(budget.reserve(1, 8U << 20U, now).granted);
     EXPECT_FALSE(budget.take_trim_request());
     budget.close(1);
@@ -140,7 +142,7 @@
 {
     const auto smallest = body_budget_limits::of_vm(1, 64, 262'144);
     body_budget budget(smallest);
-    EXPECT_TRUE(budget.open(1, "10.0.0.1", {}).empty());
+    budget.open(1, "10.0.0.1", {});
     EXPECT_TRUE(budget.reserve(1, 262'144, {}).granted);
     const auto limits = body_budget_limits::of_vm(120, 3'000, 262'144);
     EXPECT_EQ(limits.large_bytes, 15U << 20U);
--- a/src/libverbenalever/http/http_server.cpp
+++ b/src/libverbenalever/http/http_server.cpp
@@ -31,6 +31,8 @@
 constexpr const char* refusal_retry_after_s = "1";
 /// Time limits of bodies are checked, and freed memory is given back, at this interval.
 constexpr milliseconds check_interval{1000};
+/// While there are too many connections, idle ones are ended at this interval.
+constexpr milliseconds room_interval{100};
 /// First buffer of a body without an announced length; a full buffer grows by growth_factor.
 constexpr std::size_t first_buffer_bytes = 1024;
 constexpr std::size_t growth_factor = 4;
@@ -152,7 +154,8 @@
                    http_load_observer observer)
         : loop(loop), limits(limits), handler(std::move(handler)), observer(std::move(observer)),
           budget(limits.bodies), run_timer(loop, [this] { this->run_daemon(); }),
-          check_timer(loop, [this] { this->check_connections(); })
+          check_timer(loop, [this] { this->check_connections(); }),
+          room_timer(loop, [this] { this->make_room(); })
     {
     }
 
@@ -252,8 +255,9 @@
         client->id = ++this->last_id;
         client->connection = connection;
         client->address = client_address(connection);
-        const auto ended = this->budget.open(client->id, client->address, monotonic_clock::now());
-        this->end_connections(ended, http_load_event::kind::refused);
+        this->budget.open(client->id, client->address, monotonic_clock::now());
+        if (this->budget.is_crowded() && !this->room_timer.active())
+            this->room_timer.start_once(room_interval);
         return this->clients.emplace(client->id, std::move(client)).first->second.get();
     }
 
@@ -387,6 +391,14 @@
                             .connections = this->budget.connections()});
     }
 
+    void make_room()
+    {
+        this->end_connections(this->budget.end_idle(monotonic_clock::now()),
+                              http_load_event::kind::refused);
+        if (this->budget.is_crowded())
+            this->room_timer.start_once(room_interval);
+    }
+
     void check_connections()
     {
         this->end_connections(this->budget.end_overdue(monotonic_clock::now()),
@@ -478,6 +490,7 @@
     std::unordered_map<body_budget::connection_id, std::unique_ptr<client_connection>> clients;
     timer run_timer;
     timer check_timer;
+    timer room_timer;
     std::unique_ptr<io_watcher> watcher;
     MHD_Daemon* daemon = nullptr;
     std::vector<MHD_Connection*> suspended_connections;
