Limit incomplete frames of all accepted connections in sum

Each connection that announced a frame of 4 MB could hold that much, and kept the buffer afterwards. Incomplete frames above 64 KB now share a limit of 16 MB for each listener; the connection that exceeds it closes. Empty buffers that one large frame has enlarged are freed.

--- a/src/libverbenalever/wire/frame_connection.cpp
+++ b/src/libverbenalever/wire/frame_connection.cpp
@@ -20,6 +20,16 @@
 
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t read_chunk_bytes = 65536;
+/// An empty buffer with more memory than this is freed, and an incomplete frame above it counts
+/// against the shared limit.
+constexpr std::size_t small_buffer_bytes = 65536;
+
+/// Free the memory that one large frame has left behind.
+void shrink_if_empty(std::string& buffer)
+{
+    if (buffer.empty() && buffer.capacity() > 2 * small_buffer_bytes)
+        std::string().swap(buffer);
+}
 
 std::uint32_t decode_length(std::string_view bytes)
 {
@@ -76,6 +86,8 @@
 frame_connection::~frame_connection()
 {
     *this->alive = false;
+    if (this->held_by_all)
+        *this->held_by_all -= this->held;
     this->watcher.reset();
     ::close(this->descriptor);
 }
@@ -138,7 +150,7 @@
         return false;
     this->last_received_at = monotonic_clock::now();
     this->input.append(chunk.data(), static_cast<std::size_t>(got));
-    return this->deliver_frames();
+    return this->deliver_frames() && this->count_input();
 }
 
 bool frame_connection::deliver_frames()
@@ -159,9 +171,26 @@
         consumed += length_bytes + length;
     }
     this->input.erase(0, consumed);
+    shrink_if_empty(this->input);
     return true;
 }
 
+void frame_connection::share_input_limit(std::shared_ptr<std::size_t> held, std::size_t limit)
+{
+    this->held_by_all = std::move(held);
+    this->held_limit = limit;
+}
+
+bool frame_connection::count_input()
+{
+    if (!this->held_by_all)
+        return true;
+    const auto size = this->input.size() > small_buffer_bytes ? this->input.size() : 0;
+    *this->held_by_all += size - this->held;
+    this->held = size;
+    return size == 0 || *this->held_by_all <= this->held_limit;
+}
+
 bool frame_connection::write_available()
 {
     const auto rest = std::string_view(this->output).substr(this->output_sent);
@@ -171,6 +200,7 @@
     this->output_sent += static_cast<std::size_t>(sent);
     if (this->output_sent == this->output.size()) {
         this->output.clear();
+        shrink_if_empty(this->output);
         this->output_sent = 0;
     }
     return true;
--- a/src/libverbenalever/wire/frame_connection.h
+++ b/src/libverbenalever/wire/frame_connection.h
@@ -44,6 +44,12 @@
     /// Queue one frame. A frame above frame_limit, or on a closed connection, is dropped.
     void send(std::string_view frame);
 
+    /// Count incomplete frames of this connection together with those of others. A connection that
+    /// exceeds the limit closes. Frames up to 64 KB are not counted.
+    /// @param held bytes of incomplete frames, shared by the connections
+    /// @param limit of that sum, in bytes
+    void share_input_limit(std::shared_ptr<std::size_t> held, std::size_t limit);
+
     /// @return when data was last received; before that, when this object was created
     [[nodiscard]] monotonic_time last_received() const;
 
@@ -56,6 +62,7 @@
     bool write_available();
     bool deliver_frames();
     void update_interest();
+    [[nodiscard]] bool count_input();
 
     int descriptor;
     std::unique_ptr<io_watcher> watcher;
@@ -64,6 +71,9 @@
     std::string input;
     std::string output;
     std::size_t output_sent = 0;
+    std::shared_ptr<std::size_t> held_by_all;
+    std::size_t held_limit = 0;
+    std::size_t held = 0; ///< part of held_by_all that is this connection's
     bool closed = false;
     monotonic_time last_received_at;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/libverbenalever/wire/frame_listener.cpp
+++ b/src/libverbenalever/wire/frame_listener.cpp
@@ -68,7 +68,9 @@
             ::accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (connection < 0)
             return;
-        this->on_accept(std::make_unique<frame_connection>(this->loop, connection));
+        auto accepted = std::make_unique<frame_connection>(this->loop, connection);
+        accepted->share_input_limit(this->held_bytes, held_limit);
+        this->on_accept(std::move(accepted));
     }
 }
 
--- a/src/libverbenalever/wire/frame_listener.h
+++ b/src/libverbenalever/wire/frame_listener.h
@@ -2,6 +2,7 @@
 
 #include "wire/frame_connection.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace verbenalever {
@@ -9,6 +10,9 @@
 /// Accepts TCP connections and passes each to a handler as a frame_connection.
 class frame_listener {
 public:
+    /// Limit of the incomplete frames of all accepted connections, in bytes.
+    static constexpr std::size_t held_limit = 4 * frame_connection::frame_limit;
+
     using accept_handler = std::function<void(std::unique_ptr<frame_connection>)>;
 
     /// @param on_accept called for each accepted connection
@@ -31,6 +35,7 @@
     int descriptor;
     accept_handler on_accept;
     std::unique_ptr<io_watcher> watcher;
+    std::shared_ptr<std::size_t> held_bytes = std::make_shared<std::size_t>(0);
 };
 
 } // namespace verbenalever
