--- a/testsuite/harness/unfinished_bodies.py
+++ b/testsuite/harness/unfinished_bodies.py
@@ -1,5 +1,6 @@
 """Clients that send all but the last byte of a request body and keep the connection open."""
 
+import json
 import pathlib
 import select
 import socket
@@ -124,3 +125,36 @@
         return figures
     finally:
         entries.close()
+
+
+def run_single_slow_body(is_chunked):
+    """Checks that one body of nearly the largest size, sent at a tenth of a 10 Mbit/s link, is
+    served when there are no other clients."""
+    part_bytes, pause_s = 6000, 0.05
+    platform = Platform(Fleet())
+    configure(platform)
+    entries = Entries(platform, 1)
+    try:
+        entries.wait_ready()
+        job, step = f"{0xfeed0000:016x}", {"count": 1, "cpu": 1000, "memMb": 100}
+        platform.fleet.jobs[job] = {"spec": "x", "steps": [step]}
+        shortest = len(json.dumps({"spec": "x", "steps": [step], "unknown": ""}))
+        body = json.dumps({"spec": "x", "steps": [step],
+                           "unknown": "x" * (BODY_BYTES - shortest)}).encode()
+        host, port = entries.addresses["entry-0"]["callers"].rsplit(":", 1)
+        with socket.create_connection((host, int(port)), timeout=10) as connection:
+            connection.sendall(headers(0, "Transfer-Encoding: chunked" if is_chunked
+                                       else f"Content-Length: {len(body)}"))
+            for start in range(0, len(body), part_bytes):
+                part = body[start:start + part_bytes]
+                connection.sendall(f"{len(part):x}\r\n".encode() + part + b"\r\n"
+                                   if is_chunked else part)
+                time.sleep(pause_s)
+            if is_chunked:
+                connection.sendall(b"0\r\n\r\n")
+            answer = connection.recv(1000)
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+        entries.wait_completed([job], 20)
+        entries.keep_folder = False
+    finally:
+        entries.close()
