--- a/src/libverbenalever/coordinator/run_length_model.cpp
+++ b/src/libverbenalever/coordinator/run_length_model.cpp
@@ -39,9 +39,14 @@
 }
 
 milliseconds run_length_model::predict(milliseconds estimated) const
+{
+    return this->learned(estimated).value_or(estimated);
+}
+
+std::optional<milliseconds> run_length_model::learned(milliseconds estimated) const
 {
     if (this->total_weight < min_runs)
-        return estimated;
+        return std::nullopt;
     const double slope = this->estimate_variance < min_variance
                              ? 0
                              : std::clamp(this->covariance / this->estimate_variance, 0.0, 1.0);
--- a/src/libverbenalever/coordinator/run_length_model.h
+++ b/src/libverbenalever/coordinator/run_length_model.h
@@ -2,6 +2,8 @@
 
 #include "loop/clock.h"
 
+#include <optional>
+
 namespace verbenalever {
 
 /// Predicts from its caller's estimate how long a run of one queue takes.
@@ -19,6 +21,9 @@
     /// have ended
     [[nodiscard]] milliseconds predict(milliseconds estimated) const;
 
+    /// @return as predict(); nothing until enough runs have ended
+    [[nodiscard]] std::optional<milliseconds> learned(milliseconds estimated) const;
+
 private:
     double total_weight = 0;      ///< of the runs in the means below
     double mean_log_estimate = 0; ///< mean logarithm of the estimate in milliseconds
