--- a/src/libverbenalever/coordinator/preemption_cost.cpp
+++ b/src/libverbenalever/coordinator/preemption_cost.cpp
@@ -143,6 +143,7 @@
         for (; counted < fit.end_count; ++counted)
             found.runs.push_back(targets[fit.target].ends[counted].run);
     }
+    found.wait += report_delay;
     return found;
 }
 
--- a/src/libverbenalever/coordinator/preemption_cost.h
+++ b/src/libverbenalever/coordinator/preemption_cost.h
@@ -46,7 +46,7 @@
 
 /// Expected ends of runs that make stops unnecessary.
 struct awaited_ends {
-    milliseconds wait{0};          ///< until the last of them
+    milliseconds wait{0};          ///< until the capacity of the last of them can be used
     std::vector<std::size_t> runs; ///< see capacity_forecast::run_end::run
 };
 
