--- a/src/libverbenalever/coordinator/coordinator_preemption_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption_test.cpp
@@ -83,6 +83,18 @@
     EXPECT_EQ(this->state(first, "urgent"), workflow_state::completed);
 }
 
+// Load pattern: several urgent steps at once. If all of them waited for the same runs, only the
+// first would get their capacity, and the others would have lost the time for a stop.
+TEST_F(coordinator_preemption_test, no_two_steps_wait_for_the_same_runs)
+{
+    auto& first = this->elect_with_known_times(milliseconds(50));
+    this->contend(first, run_time, milliseconds(100));
+    this->submit(first, "wide", {this->tasks(cores / 2, 1)});
+    this->run_for(milliseconds(250));
+    EXPECT_EQ(first.metrics.value("preemptions_avoided_ends_soon"), 1);
+    EXPECT_EQ(first.metrics.value("runs_reclaimed"), cores / 2);
+}
+
 // Load pattern: urgent work arrives again and again. The same batch task was stopped each time.
 TEST_F(coordinator_preemption_test, a_task_that_was_stopped_often_keeps_its_run)
 {
