--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -6,7 +6,6 @@
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
 #include "coordinator/placement_log.h"
-#include "coordinator/preemption_cost.h"
 #include "coordinator/progress_log.h"
 #include "coordinator/record_log.h"
 #include "coordinator/run_length_model.h"
@@ -45,7 +44,6 @@
 class metadata_store;
 class target_directory;
 struct preemption_plan;
-struct spared_runs;
 struct step_candidate;
 struct store_page;
 class usage_history;
@@ -399,38 +397,6 @@
     ///               has too little free capacity
     void preempt_run(fleet_target& target, const task_name& task, const workflow& preemptor,
                      std::string_view reason);
-    /// Why a step does not preempt runs.
-    enum class preemption_avoided : std::uint8_t {
-        too_late,  ///< it is late even if runs are stopped now
-        ends_soon, ///< enough runs end soon by themselves
-        spared,    ///< the runs that could be stopped were stopped often, or lose too much work
-    };
-    /// @return what is known about the step; nothing while the duration of its runs is not learned
-    [[nodiscard]] std::optional<preemptor_outlook> preemptor_of(const workflow& owner,
-                                                                std::uint32_t step_index) const;
-    /// Counts and logs that the step preempts nothing, and lets it examine runs again after @p
-    /// wait.
-    void avoid_preemption(workflow& owner, std::uint32_t step_index, preemption_avoided cause,
-                          milliseconds wait);
-    /// @return whether stops that start now come too late for the step; this is recorded
-    bool avoid_late_preemption(workflow& owner, std::uint32_t step_index);
-    /// Lets the step wait when enough runs on these targets are expected to end within its slack.
-    /// @param forecasts capacity of each target, with the ends of @p runs
-    /// @param tasks     that have to fit
-    /// @return whether it waits
-    bool await_ends(workflow& owner, std::uint32_t step_index,
-                    std::span<capacity_forecast> forecasts, std::span<placed_run* const> runs,
-                    const resources& need, std::uint32_t tasks);
-    /// Records why the step, for which too few runs can be stopped, has spared runs.
-    /// @param wait longest time until the step examines runs again
-    void record_spared(workflow& owner, std::uint32_t step_index, const spared_runs& spared,
-                       milliseconds wait);
-    /// @return the most work that may be lost for the step, see preemption_cost::lost_work()
-    [[nodiscard]] double max_lost_work(const workflow& owner, std::uint32_t step_index) const;
-    /// Stops the runs of the plans, in their order, until too much work would be lost.
-    /// @return whether the runs of at least one plan were stopped
-    bool preempt_plans(workflow& owner, std::uint32_t step_index,
-                       std::span<const preemption_plan> plans);
     /// Preempts less urgent runs of the same team until @p tasks of the urgent step fit its team's
     /// limit.
     void preempt_for_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t tasks);
@@ -445,13 +411,11 @@
     /// @return whether the gang now waits for stopped runs or for the advisor
     bool preempt_for_gang(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
                           std::uint32_t wanted);
-    /// @param spared receives the number of runs that are not stopped because of their cost
     /// @return plans for tasks of the gang on all targets that the advisor has allowed, in no
     /// particular order; fewer than @p wanted when not all tasks can be made to fit
     [[nodiscard]] std::vector<preemption_plan> plan_gang_preemptions(const workflow& owner,
                                                                      std::uint32_t step_index,
-                                                                     std::uint32_t wanted,
-                                                                     spared_runs& spared) const;
+                                                                     std::uint32_t wanted) const;
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
@@ -590,11 +554,6 @@
                              const order_result& result);
     void handle_refused_start(fleet_target& target, const task_name& task,
                               const order_result& result);
-    /// Records that the target has started the run now.
-    void mark_started(placed_run& placed, std::uint32_t step_index);
-    /// @return duration of a run of the step; nothing until enough runs of its queue have ended
-    [[nodiscard]] std::optional<milliseconds> learned_run_length(const workflow& owner,
-                                                                 std::uint32_t step_index) const;
     void resend_orders(fleet_target& target, milliseconds now);
     /// Adds those steps of the workflow that can be scheduled to ready_steps.
     void add_ready_steps(workflow& owner);
@@ -733,7 +692,6 @@
     /// Moving average of the fraction of targets that the advisor allows, by queue.
     std::map<std::string, double, std::less<>> grant_rate;
     std::map<std::string, run_length_model, std::less<>> run_length_models; ///< by queue
-    preemption_cost stop_cost;
     std::vector<std::function<void()>> deferred_calls; ///< calls made before the store was read
     /// Replies not sent yet, by reply id.
     std::map<std::uint64_t, submit_callback> pending_replies;
--- a/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
@@ -24,27 +24,13 @@
     auto& step = owner.steps[step_index];
     if (step.rank > 0 || this->evaluation_time < step.next_preemption_at)
         return false;
-    if (this->avoid_late_preemption(owner, step_index))
-        return false;
-    spared_runs spared;
-    auto plans = this->plan_gang_preemptions(owner, step_index, wanted, spared);
+    auto plans = this->plan_gang_preemptions(owner, step_index, wanted);
     if (plans.size() < wanted) {
         step.next_preemption_at = this->evaluation_time + retry_wait;
-        if (plans.size() + static_cast<std::size_t>(spared.ending + spared.stopped_often) >= wanted)
-            this->record_spared(owner, step_index, spared, retry_wait);
         return false;
     }
     std::ranges::stable_sort(plans, {}, &preemption_plan::lost_work);
     plans.resize(wanted);
-    double lost_work = 0;
-    for (const auto& plan : plans) {
-        for (const auto& run : plan.runs)
-            lost_work += run.lost_work;
-    }
-    if (lost_work > this->max_lost_work(owner, step_index)) {
-        this->avoid_preemption(owner, step_index, preemption_avoided::spared, retry_wait);
-        return false;
-    }
     std::vector<fleet_target*> chosen;
     bool tickets_valid = true;
     for (const auto& plan : plans) {
@@ -68,8 +54,7 @@
 
 std::vector<preemption_plan> coordinator::plan_gang_preemptions(const workflow& owner,
                                                                 std::uint32_t step_index,
-                                                                std::uint32_t wanted,
-                                                                spared_runs& spared) const
+                                                                std::uint32_t wanted) const
 {
     const auto& spec = owner.record.spec.steps[step_index];
     const auto per_target =
@@ -81,12 +66,10 @@
         const auto known = this->targets.find(name);
         if (known == this->targets.end() || !this->can_use(*known->second, owner, step_index))
             continue;
-        std::ranges::move(
-            plan_preemptions(
-                *known->second, spec.need,
-                {.priority = owner.priority, .only_harmless = true, .cost = &this->stop_cost},
-                per_target, spared),
-            std::back_inserter(plans));
+        std::ranges::move(plan_preemptions(*known->second, spec.need,
+                                           {.priority = owner.priority, .only_harmless = true},
+                                           per_target),
+                          std::back_inserter(plans));
     }
     return plans;
 }
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -76,7 +76,8 @@
     }
     placed.listed = true;
     if (!placed.started) {
-        this->mark_started(placed, reported.task.step);
+        placed.started = true;
+        placed.started_at = boot_time();
         update_isolation(target, placed);
         // Its start was not confirmed when the workflow ended, so that it was not stopped then.
         const bool workflow_over = placed.owner == nullptr || is_final(placed.owner->state);
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -63,9 +63,6 @@
     const bool current = found != target.tasks.end() && found->second.run == end.run;
     if (current && end.how == target_view::ending::done)
         this->learn_run_length(found->second, end.task);
-    if (current && end.how == target_view::ending::stopped &&
-        found->second.stopping_since.count() != 0)
-        this->stop_cost.learn_stop(boot_time() - found->second.stopping_since);
     const bool was_tracked = current && this->remove_run(target, end.task);
     auto* owner = this->find_workflow(end.task.workflow);
     const bool workflow_open = owner != nullptr && !is_final(owner->state) &&
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -229,7 +229,8 @@
     if (result.how != order_result::outcome::unknown)
         this->silent_zones.record_answer(target.report.availability_zone, boot_time());
     if (result.how == order_result::outcome::done) {
-        this->mark_started(placed, name.step);
+        placed.started = true;
+        placed.started_at = boot_time();
         update_isolation(target, placed);
         if (!placed.stopping)
             placed.order_confirmed_at = boot_time();
@@ -253,25 +254,6 @@
         this->handle_refused_start(target, name, result);
 }
 
-void coordinator::mark_started(placed_run& placed, std::uint32_t step_index)
-{
-    placed.started = true;
-    placed.started_at = boot_time();
-    if (placed.owner != nullptr && !is_final(placed.owner->state) &&
-        !placed.owner->record.spec.steps[step_index].long_running)
-        placed.predicted =
-            this->learned_run_length(*placed.owner, step_index).value_or(milliseconds(0));
-}
-
-std::optional<milliseconds> coordinator::learned_run_length(const workflow& owner,
-                                                            std::uint32_t step_index) const
-{
-    const auto model = this->run_length_models.find(owner.record.queue);
-    if (model == this->run_length_models.end())
-        return std::nullopt;
-    return model->second.learned(milliseconds(owner.record.spec.steps[step_index].estimated_ms));
-}
-
 void coordinator::handle_refused_start(fleet_target& target, const task_name& name,
                                        const order_result& result)
 {
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -306,8 +306,6 @@
                 this->requeue_task(*owner, task);
             return;
         }
-        if (found->second.stopping_since.count() == 0)
-            found->second.stopping_since = boot_time();
         found->second.stopping = true;
         found->second.order_confirmed_at = milliseconds(0);
         found->second.last_order_at = boot_time();
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -35,12 +35,8 @@
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
-    milliseconds last_order_at{0};  ///< time since boot of the last order or its answer
-    milliseconds started_at{0};     ///< time since boot
-    milliseconds predicted{0};      ///< learned duration, when it started; 0: not known
-    milliseconds stopping_since{0}; ///< time since boot of the first stop order; 0: none
-    /// Time since boot until which an urgent step counts on its end.
-    milliseconds awaited_until{0};
+    milliseconds last_order_at{0}; ///< time since boot of the last order or its answer
+    milliseconds started_at{0};    ///< time since boot
     double percent = 0; ///< percentage of its work done, in the last poll that showed progress
     milliseconds percent_changed_at{0}; ///< time since boot at which the percent last grew
     int polls_without_progress = 0;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -31,8 +31,7 @@
     std::int64_t run = 0; ///< number of the current run, or of the last one
     /// Numbers of the failed runs; each counts once, even if its end is listed again.
     std::vector<std::int64_t> failed_runs;
-    crash_history crashes;         ///< of targets under its runs
-    std::uint32_t preemptions = 0; ///< runs that were stopped for more urgent work in this term
+    crash_history crashes; ///< of targets under its runs
     std::string checkpoint;
     std::int64_t checkpoint_run = 0; ///< run that reported the checkpoint
     fleet_target* target = nullptr;  ///< while phase::placed
