--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -55,7 +55,8 @@
         self.version = 3
         configure(self.platform)
         self.began = time.monotonic()
-        self.entries = Entries(self.platform, options.entries, build, self.draw_vms())
+        self.entries = Entries(self.platform, options.entries, build,
+                               vms=self.draw_vms())
         self.names = sorted(self.entries.processes)
         self.jobs, self.problems = {}, []
         self.went_back = set()  # jobs whose state was seen to go back
