HTTP server: a server without time limits ends no connections

Servers with the default limits, among them the administration and the stand-ins of the tests, ended each idle connection within a second: callers' requests had no answer, and the key-value service seemed away.

Cause: the largest number of milliseconds, which stands for no limit, overflowed in the units of the clock and counted as passed.

Change: no limit is not compared. The test failed before.

--- a/src/libverbenalever/http/body_budget.cpp
+++ b/src/libverbenalever/http/body_budget.cpp
@@ -280,7 +280,8 @@
 bool body_budget::is_overdue(const entry& connection, monotonic_time now) const
 {
     const auto passed = [now](monotonic_time since, milliseconds limit) {
-        return now - since >= limit;
+        // The largest value, which stands for no limit, overflows in the units of the clock.
+        return limit != milliseconds::max() && now - since >= limit;
     };
     if (connection.now_in == phase::waiting)
         return passed(connection.last_progress, this->limits.no_request);
--- a/src/libverbenalever/http/body_budget_test.cpp
+++ b/src/libverbenalever/http/body_budget_test.cpp
@@ -125,6 +125,17 @@
     EXPECT_EQ(this->budget.end_overdue(this->now).size(), 17U);
 }
 
+// Servers without time limits used to end each connection within a second.
+TEST(body_budget, without_time_limits_no_connection_is_overdue)
+{
+    const monotonic_time now{seconds(100)};
+    body_budget budget(body_budget_limits{});
+    budget.open(1, "10.0.0.1", now);
+    budget.open(2, "10.0.0.1", now);
+    budget.start_body(2, now);
+    EXPECT_TRUE(budget.end_overdue(now + seconds(3600)).empty());
+}
+
 TEST(body_budget, memory_is_given_back_after_a_peak_and_only_once)
 {
     const monotonic_time now{seconds(100)};
