--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -138,7 +138,8 @@
     print_findings(arguments[0], findings);
     if (findings.empty())
         fmt::print("{}: the configuration is valid\n", arguments[0]);
-    return check_exit_code(findings, report_difference(current_session, *text));
+    const bool differs = FLAGS_compare && report_difference(current_session, *text);
+    return check_exit_code(findings, differs);
 }
 
 int run_config_show(session& current_session, std::span<const std::string>)
--- a/src/verbenalever/flags.h
+++ b/src/verbenalever/flags.h
@@ -31,6 +31,7 @@
 DECLARE_string(limits);
 DECLARE_int32(grace_ms);
 DECLARE_bool(wait);
+DECLARE_bool(compare);
 DECLARE_string(id);
 DECLARE_string(drain);
 DECLARE_bool(lower);
--- a/src/verbenalever/main.cpp
+++ b/src/verbenalever/main.cpp
@@ -31,8 +31,8 @@
         "The key may also come from the environment variable VERBENALEVER_KEY.\n"
         "exit codes: 0 done, 1 failed, 2 usage, 3 not run, 4 outcome unknown, "
         "5 unreachable;\n"
-        "config check: 6 an entry never matches, 7 limits contradict each other, 8 differs from "
-        "the version in force\n");
+        "config check: 6 an entry never matches, 7 limits contradict each other, 8 with --compare: "
+        "differs from the version in force\n");
 }
 
 void print_verb_help(const verb& selected)
--- a/src/verbenalever/verb_table.cpp
+++ b/src/verbenalever/verb_table.cpp
@@ -23,7 +23,7 @@
     verb{"job cancel", "[JOB]", "cancel a job permanently", "json", run_job_cancel},
     verb{"job list", "[QUEUE]", "list the team's jobs", "json", run_job_list},
     verb{"config check", "BASE [OVERLAY]",
-         "check a configuration, merged with a site's overlay, before it is applied", "",
+         "check a configuration, merged with a site's overlay, before it is applied", "compare",
          run_config_check},
     verb{"config diff", "BASE [OVERLAY]", "compare files with the stored configuration", "",
          run_config_diff},
--- a/testsuite/operators-configuration/run.py
+++ b/testsuite/operators-configuration/run.py
@@ -74,15 +74,19 @@
         with Cluster(zones=1, entries=1, targets=1) as cluster:
             path = cluster.folder / "checked.yaml"
 
-            def check(text, entry=cluster.entry("entry-a1"), key=OPERATOR_KEY):
+            def check(text, entry=cluster.entry("entry-a1"), key=OPERATOR_KEY, compare=True):
                 path.write_text(text)
-                return cluster.tool("--entry", entry, "--key", key, "config", "check", str(path))
+                flags = ["--compare"] if compare else []
+                return cluster.tool("--entry", entry, "--key", key, *flags, "config", "check",
+                                    str(path))
 
             same = check(default_configuration())
             self.assertEqual(same.returncode, 0, same)
             changed = check(with_team("third"))
             self.assertEqual(changed.returncode, 8, changed)
             self.assertIn("third", changed.stdout)
+            alone = check(with_team("third"), compare=False)
+            self.assertEqual(alone.returncode, 0, alone)
             without_keys = check(with_team("third", keys=[]))
             self.assertEqual(without_keys.returncode, 6, without_keys)
             refused = check(with_team("third"), key="wrong")
