--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -43,18 +43,32 @@
     return configuration_source{.file = arguments[index], .text = *std::move(text)};
 }
 
-/// @return the merged and validated configuration of the files BASE [OVERLAY]
-absl::StatusOr<std::string> read_merged_configuration(std::span<const std::string> arguments)
+/// The files BASE [OVERLAY] as they are. Each is read once, since it may be a pipe.
+struct configuration_files {
+    configuration_source base;
+    configuration_source overlay; ///< empty: there is none
+};
+
+absl::StatusOr<configuration_files> read_files(std::span<const std::string> arguments)
 {
     if (arguments.empty() || arguments.size() > 2)
         return absl::InvalidArgumentError("expected arguments: BASE [OVERLAY]");
-    const auto base = read_source(arguments, 0);
+    auto base = read_source(arguments, 0);
     if (!base.ok())
         return base.status();
-    const auto overlay = read_source(arguments, 1);
+    auto overlay = read_source(arguments, 1);
     if (!overlay.ok())
         return overlay.status();
-    return verbenalever::merge_configuration(*base, *overlay);
+    return configuration_files{*std::move(base), *std::move(overlay)};
+}
+
+/// @return the merged and validated configuration of the files BASE [OVERLAY]
+absl::StatusOr<std::string> read_merged_configuration(std::span<const std::string> arguments)
+{
+    const auto files = read_files(arguments);
+    if (!files.ok())
+        return files.status();
+    return verbenalever::merge_configuration(files->base, files->overlay);
 }
 
 /// @param current configuration as the entry answers it
@@ -123,12 +137,13 @@
 
 int run_config_check(session& current_session, std::span<const std::string> arguments)
 {
-    if (arguments.size() == 1) {
-        const auto document = verbenalever::read_file(arguments[0]);
-        if (document.ok() && verbenalever::platform::is_configuration_document(*document))
-            return check_platform_document(arguments[0], *document);
-    }
-    const auto text = read_merged_configuration(arguments);
+    const auto files = read_files(arguments);
+    if (!files.ok())
+        return report_usage_error(files.status());
+    if (arguments.size() == 1 &&
+        verbenalever::platform::is_configuration_document(files->base.text))
+        return check_platform_document(arguments[0], files->base.text);
+    const auto text = verbenalever::merge_configuration(files->base, files->overlay);
     if (!text.ok())
         return report_usage_error(text.status());
     const auto configuration = verbenalever::operator_configuration::parse(*text, arguments[0]);
