Config check: ask live targets, and compare documents of the users' platform

Callers of "config check" were not told of a queue that no live target can serve: targets were looked for in the file only. The operators' document of the users' platform was compared with nothing, since entries there have no administration.

A queue whose task is above the capacity of every target in a zone in service is reported with exit code 6. The entries of the platform still tell neither their version nor their targets: that needs a new interface.

--- a/src/libverbenalever/configuration/configuration_findings.cpp
+++ b/src/libverbenalever/configuration/configuration_findings.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/operator_configuration.h"
 #include "ports/fleet_configuration.h"
+#include "store/vm_record.h"
 
 #include <fmt/format.h>
 
@@ -143,6 +144,28 @@
     return findings;
 }
 
+std::vector<configuration_finding>
+find_queues_without_targets(const operator_configuration& configuration,
+                            std::span<const vm_record> targets)
+{
+    const auto in_service = [&configuration](const vm_record& target) {
+        return !configuration.availability_zones_out.contains(target.availability_zone);
+    };
+    const bool any_in_service = std::ranges::any_of(targets, in_service);
+    std::vector<configuration_finding> findings;
+    for (const auto& [name, queue] : configuration.queues) {
+        const auto holds_a_task = [&in_service, &demand = queue.demand](const vm_record& target) {
+            return in_service(target) && demand.fits_within(target.capacity);
+        };
+        if (std::ranges::none_of(targets, holds_a_task))
+            findings.push_back({kind::never_matches, fmt::format("queues.{}", name),
+                                any_in_service
+                                    ? "demand of one task is above the capacity of every target"
+                                    : "has no targets in a zone in service"});
+    }
+    return findings;
+}
+
 bool contains_kind(std::span<const configuration_finding> findings,
                    configuration_finding::kind what)
 {
--- a/src/libverbenalever/configuration/configuration_findings.h
+++ b/src/libverbenalever/configuration/configuration_findings.h
@@ -9,6 +9,7 @@
 
 struct fleet_configuration;
 struct operator_configuration;
+struct vm_record;
 
 /// Something in a valid configuration that most likely is a mistake.
 struct configuration_finding {
@@ -31,6 +32,12 @@
 [[nodiscard]] std::vector<configuration_finding>
 find_mistakes(const fleet_configuration& configuration, const std::set<std::string>& used_pools);
 
+/// @param targets of all availability zones
+/// @return the queues of which no target in a zone in service can hold one task, in order of names
+[[nodiscard]] std::vector<configuration_finding>
+find_queues_without_targets(const operator_configuration& configuration,
+                            std::span<const vm_record> targets);
+
 /// @return whether any of the findings is of this kind
 [[nodiscard]] bool contains_kind(std::span<const configuration_finding> findings,
                                  configuration_finding::kind what);
--- a/src/libverbenalever/configuration/configuration_findings_test.cpp
+++ b/src/libverbenalever/configuration/configuration_findings_test.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/operator_configuration.h"
 #include "ports/fleet_configuration.h"
+#include "store/vm_record.h"
 
 #include <gtest/gtest.h>
 
@@ -96,5 +97,24 @@
               (names{"routes[2]", "routes[3]", "tenants[1].apiKeys[0]"}));
 }
 
+// Guards against a queue whose work waits for ever since no target is large enough, or none is left
+// in a zone in service.
+TEST(configuration_findings_test, queues_without_targets_are_found)
+{
+    const auto configuration = operator_configuration::parse(
+        "availability_zones: {b: {state: out}}\nqueues: {small: {}, wide: {demand: {slots: 4}}}\n",
+        "file");
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    std::vector<vm_record> targets{{.availability_zone = "b", .capacity = {.slots = 8}}};
+    const auto paths_with = [&] {
+        return paths(find_queues_without_targets(*configuration, targets), kind::never_matches);
+    };
+    EXPECT_EQ(paths_with(), (names{"queues.small", "queues.wide"}));
+    targets.push_back({.availability_zone = "a", .capacity = {.slots = 3}});
+    EXPECT_EQ(paths_with(), names{"queues.wide"});
+    targets.push_back({.availability_zone = "a", .capacity = {.slots = 4}});
+    EXPECT_TRUE(paths_with().empty());
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/verbenalever/config_verbs.cpp
+++ b/src/verbenalever/config_verbs.cpp
@@ -8,6 +8,7 @@
 #include "exit_codes.h"
 #include "flags.h"
 #include "line_difference.h"
+#include "live_targets.h"
 #include "loop/unique_id.h"
 #include "platform/configuration_decoder.h"
 #include "session.h"
@@ -17,9 +18,11 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <iterator>
 
 namespace tool {
 
@@ -85,6 +88,16 @@
     return exit_usage;
 }
 
+void report_not_compared(std::string_view reason)
+{
+    fmt::print(stderr, "not compared with the version in force: {}\n", reason);
+}
+
+void report_targets_not_asked(std::string_view reason)
+{
+    fmt::print(stderr, "not checked against live targets: {}\n", reason);
+}
+
 void print_findings(std::string_view file, std::span<const configuration_finding> findings)
 {
     for (const auto& finding : findings)
@@ -102,17 +115,61 @@
     return differs ? exit_differs : exit_ok;
 }
 
-int check_platform_document(std::string_view file, const std::string& text)
+/// Why entries on the users' platform can be asked neither for the version in force nor for
+/// targets.
+constexpr std::string_view no_administration =
+    "the entries of the users' platform have no administration";
+
+/// @param files two documents of the users' platform, or one
+/// @return the lines in which the first differs from the second; empty without a second.
+///         INVALID_ARGUMENT when they cannot be compared
+absl::StatusOr<std::string> platform_difference(const configuration_files& files)
 {
+    using namespace verbenalever::platform;
+    const auto& [document, in_force] = files;
+    if (in_force.file.empty())
+        return std::string();
+    if (!FLAGS_compare)
+        return absl::InvalidArgumentError(
+            "a second file beside a document of the users' platform: expected --compare");
+    if (!is_configuration_document(in_force.text))
+        return absl::InvalidArgumentError(
+            fmt::format("{}: not a document of the users' platform", in_force.file));
+    const auto before = list_members(in_force.text);
+    const auto after = list_members(document.text);
+    if (!before.ok() || !after.ok())
+        return absl::InvalidArgumentError(
+            fmt::format("{}: {}", before.ok() ? document.file : in_force.file,
+                        std::string((before.ok() ? after : before).status().message())));
+    return line_difference(*before, *after);
+}
+
+/// Check a document of the users' platform, and compare it with a second one if there is one.
+int check_platform_document(const configuration_files& files)
+{
+    const auto& [document, in_force] = files;
     const auto configuration =
-        verbenalever::platform::decode_configuration({.configuration = text});
+        verbenalever::platform::decode_configuration({.configuration = document.text});
     if (!configuration.ok())
         return report_usage_error(configuration.status());
-    const auto findings = find_mistakes(*configuration, verbenalever::platform::decode_pools(text));
-    print_findings(file, findings);
+    const auto difference = platform_difference(files);
+    if (!difference.ok())
+        return report_usage_error(difference.status());
+    const auto findings =
+        find_mistakes(*configuration, verbenalever::platform::decode_pools(document.text));
+    print_findings(document.file, findings);
+    const bool compared = !in_force.file.empty();
     if (findings.empty())
-        fmt::print("{}: nothing found; not compared with the version in force\n", file);
-    return check_exit_code(findings, false);
+        fmt::print("{}: nothing found{}\n", document.file,
+                   compared ? "" : "; not compared with the version in force");
+    if (FLAGS_live_targets)
+        report_targets_not_asked(no_administration);
+    if (FLAGS_compare && !compared)
+        report_not_compared(
+            fmt::format("{}; give its document as the second file", no_administration));
+    if (!difference->empty())
+        fmt::print("# against {}\n{}", in_force.file, *difference);
+    return check_exit_code(findings, !difference->empty());
 }
 
 /// Print what differs from the configuration that the entry has; a note when it cannot be asked.
@@ -122,9 +179,7 @@
     const auto result = current_session.call("GET", "/v1/admin/configuration");
     const auto current = nlohmann::json::parse(result.body, nullptr, /*allow_exceptions=*/false);
     if (!result.success() || !current.is_object()) {
-        fmt::print(stderr, "not compared with the version in force: {}\n",
-                   result.transport.ok() ? fmt::format("HTTP status {}", result.status)
-                                         : std::string(result.transport.message()));
+        report_not_compared(describe_failure(result));
         return false;
     }
     const auto difference = difference_from(current, text);
@@ -133,6 +188,18 @@
     return !difference.empty();
 }
 
+/// @return queues without targets; none when the targets cannot be asked, which is reported
+std::vector<configuration_finding>
+ask_for_queues_without_targets(session& current_session,
+                               const verbenalever::operator_configuration& configuration)
+{
+    const auto targets = read_live_targets(current_session);
+    if (targets.ok())
+        return find_queues_without_targets(configuration, *targets);
+    report_targets_not_asked(std::string(targets.status().message()));
+    return {};
+}
+
 } // namespace
 
 int run_config_check(session& current_session, std::span<const std::string> arguments)
@@ -140,16 +207,18 @@
     const auto files = read_files(arguments);
     if (!files.ok())
         return report_usage_error(files.status());
-    if (arguments.size() == 1 &&
-        verbenalever::platform::is_configuration_document(files->base.text))
-        return check_platform_document(arguments[0], files->base.text);
+    if (verbenalever::platform::is_configuration_document(files->base.text))
+        return check_platform_document(*files);
     const auto text = verbenalever::merge_configuration(files->base, files->overlay);
     if (!text.ok())
         return report_usage_error(text.status());
     const auto configuration = verbenalever::operator_configuration::parse(*text, arguments[0]);
     if (!configuration.ok())
         return report_usage_error(configuration.status());
-    const auto findings = find_mistakes(*configuration);
+    auto findings = find_mistakes(*configuration);
+    if (FLAGS_live_targets)
+        std::ranges::move(ask_for_queues_without_targets(current_session, *configuration),
+                          std::back_inserter(findings));
     print_findings(arguments[0], findings);
     if (findings.empty())
         fmt::print("{}: the configuration is valid\n", arguments[0]);
--- a/src/verbenalever/flags.cpp
+++ b/src/verbenalever/flags.cpp
@@ -33,6 +33,7 @@
              "leave or a zone is taken out");
 DEFINE_bool(wait, false, "wait until the change is in force at every entry, at most 30 s");
 DEFINE_bool(compare, false, "compare with the version in force");
+DEFINE_bool(live_targets, false, "check that live targets can hold a task of each queue");
 DEFINE_string(id, "", "id of the key to grant; empty to generate one");
 DEFINE_string(drain, "let-end", "what happens to running work: let-end or move");
 DEFINE_bool(lower, false, "only reduce the limit, at once; works without the store");
--- a/src/verbenalever/flags.h
+++ b/src/verbenalever/flags.h
@@ -32,6 +32,7 @@
 DECLARE_int32(grace_ms);
 DECLARE_bool(wait);
 DECLARE_bool(compare);
+DECLARE_bool(live_targets);
 DECLARE_string(id);
 DECLARE_string(drain);
 DECLARE_bool(lower);
--- a/src/verbenalever/fleet_verbs.cpp
+++ b/src/verbenalever/fleet_verbs.cpp
@@ -85,19 +85,17 @@
 nlohmann::json usage_by_team(session& current_session, const nlohmann::json& entries)
 {
     std::map<std::string, std::int64_t> slots;
-    const auto selected_entry = FLAGS_entry;
     for (const auto& entry : entries) {
         if (!entry.value("alive", false))
             continue;
-        FLAGS_entry = entry.value("http", selected_entry);
-        const auto result = current_session.call("GET", "/v1/admin/use");
+        const auto result =
+            current_session.call_entry(entry.value("http", FLAGS_entry), "GET", "/v1/admin/use");
         if (!result.success())
             continue;
         const auto body = nlohmann::json::parse(result.body);
         for (const auto& [team, used] : body["teams"].items())
             slots[team] += used.value("slots", std::int64_t{0});
     }
-    FLAGS_entry = selected_entry;
     auto rows = nlohmann::json::array();
     for (const auto& [team, used] : slots)
         rows.push_back({{"team", team.empty() ? "(open queues)" : team}, {"slots", used}});
--- a/src/verbenalever/session.cpp
+++ b/src/verbenalever/session.cpp
@@ -19,11 +19,18 @@
 
 http_result session::call(std::string_view method, std::string_view path, std::string body,
                           std::vector<http_header> headers)
+{
+    return this->call_entry(FLAGS_entry, method, path, std::move(body), std::move(headers));
+}
+
+http_result session::call_entry(std::string_view address, std::string_view method,
+                                std::string_view path, std::string body,
+                                std::vector<http_header> headers)
 {
     if (!FLAGS_key.empty())
         headers.push_back({"Authorization", "Bearer " + FLAGS_key});
     http_call call{.method = std::string(method),
-                   .url = fmt::format("http://{}{}", FLAGS_entry, path),
+                   .url = fmt::format("http://{}{}", address, path),
                    .headers = std::move(headers),
                    .body = std::move(body),
                    .timeout = milliseconds(FLAGS_timeout_ms)};
@@ -63,6 +70,12 @@
     return body.value("outcome", "") == "unknown" ? exit_unknown : exit_not_run;
 }
 
+std::string describe_failure(const http_result& result)
+{
+    return result.transport.ok() ? fmt::format("HTTP status {}", result.status)
+                                 : std::string(result.transport.message());
+}
+
 void sleep_for(milliseconds duration)
 {
     std::this_thread::sleep_for(duration);
--- a/src/verbenalever/session.h
+++ b/src/verbenalever/session.h
@@ -22,6 +22,11 @@
     call(std::string_view method, std::string_view path, std::string body = {},
          std::vector<verbenalever::http_header> headers = {});
 
+    /// As call(), to the entry at @p address instead of --entry.
+    [[nodiscard]] verbenalever::http_result
+    call_entry(std::string_view address, std::string_view method, std::string_view path,
+               std::string body = {}, std::vector<verbenalever::http_header> headers = {});
+
     /// @return the event loop, for verbs that make concurrent calls
     [[nodiscard]] verbenalever::event_loop& loop();
     [[nodiscard]] verbenalever::http_client& client();
@@ -37,6 +42,9 @@
 /// @return the exit code for the failure
 [[nodiscard]] int report_failure(const verbenalever::http_result& result);
 
+/// @return why a call failed, for messages
+[[nodiscard]] std::string describe_failure(const verbenalever::http_result& result);
+
 /// Block for @p duration without running the event loop.
 void sleep_for(verbenalever::milliseconds duration);
 
--- a/testsuite/operators-configuration/run.py
+++ b/testsuite/operators-configuration/run.py
@@ -1,12 +1,15 @@
 """The operators' configuration: races, lost replies, stale reads, entries that missed changes."""
 
 import json
+import pathlib
+import subprocess
+import tempfile
 import threading
 import time
 import unittest
 
 from harness import Cluster, call
-from harness.cluster import OPERATOR_KEY, default_configuration
+from harness.cluster import OPERATOR_KEY, PROGRAMS, default_configuration
 
 # Documented limit on the time until a change is in force everywhere.
 IN_FORCE_S = 14
@@ -96,6 +99,70 @@
             self.assertEqual(unreachable.returncode, 0, unreachable)
             self.assertEqual(check("teams: {red: {colour: 1}}").returncode, 2)
 
+    def test_a_check_asks_live_targets(self):
+        """Guards against queues that no target can serve, and findings without a list of targets."""
+        with Cluster(zones=2, entries=1, targets=1) as cluster:
+            path = cluster.folder / "checked.yaml"
+
+            def check(configuration, entry=cluster.entry("entry-a1"), *flags):
+                path.write_text(json.dumps(configuration))
+                return cluster.tool("--entry", entry, "--key", OPERATOR_KEY, "--live_targets", *flags,
+                                    "config", "check", str(path))
+
+            usual = json.loads(default_configuration())
+            wide = {**usual, "queues": {**usual["queues"],
+                                        "wide": {"open": True, "demand": {"slots": 9}}}}
+            found = check(usual)
+            self.assertEqual((found.returncode, found.stderr), (0, ""), found)
+            found = check(wide)
+            self.assertEqual(found.returncode, 6, found)
+            self.assertIn("queues.wide: demand of one task is above", found.stdout)
+            self.assertNotIn("queues.urgent", found.stdout)
+            out = {zone: {"state": "out"} for zone in ("zone-a", "zone-b")}
+            found = check({**usual, "availability_zones": out})
+            self.assertIn("queues.urgent: has no targets", found.stdout)
+            for entry, killed in (("127.0.0.1:1", False), (cluster.entry("entry-a1"), True)):
+                if killed:
+                    cluster.kill("entry-b1")
+                found = check(wide, entry)
+                self.assertEqual(found.returncode, 0, found)
+                self.assertIn("not checked against live targets", found.stderr)
+
+    def test_documents_of_the_platform_are_compared(self):
+        """Guards against access keys in the output, and a difference that is not found."""
+        with tempfile.TemporaryDirectory() as folder:
+            def write(name, document):
+                path = pathlib.Path(folder) / name
+                path.write_text(json.dumps(document))
+                return str(path)
+
+            def check(*arguments):
+                return subprocess.run([PROGRAMS["tool"], "config", "check", *arguments],
+                                      capture_output=True, text=True, timeout=20, check=False)
+
+            route = {"name": "r", "host": "h", "prefix": "/", "service": "s", "priority": 1}
+            tenant = {"name": "t", "apiKeys": ["secret-key"]}
+            before = {"version": 1, "services": [{"name": "s"}], "routes": [route],
+                      "tenants": [tenant]}
+            old = write("old.json", before)
+            new = write("new.json", {**before, "routes": [{**route, "priority": 2}]})
+            found = check("--compare", new, old)
+            self.assertEqual(found.returncode, 8, found)
+            self.assertEqual(found.stdout.splitlines()[-2:],
+                             ["-routes[r].priority: 1", "+routes[r].priority: 2"])
+            same = write("same.json", dict(reversed(before.items())))
+            self.assertEqual(check("--compare", same, old).returncode, 0)
+            found = check("--compare", write("key.json", {**before, "tenants": [
+                {**tenant, "apiKeys": ["other-key"]}]}), old)
+            self.assertEqual(found.returncode, 8, found)
+            self.assertNotIn("-key", found.stdout)
+            self.assertEqual(check(new, old).returncode, 2)
+            self.assertEqual(check("--compare", new, write("x.yaml", {})).returncode, 2)
+            alone = check("--compare", "--live_targets", new)
+            self.assertEqual(alone.returncode, 0, alone)
+            self.assertIn("not compared with the version in force", alone.stderr)
+            self.assertIn("not checked against live targets", alone.stderr)
+
     def test_a_lost_reply_is_resolved(self):
         with Cluster(zones=2, entries=1, targets=1) as cluster:
             base = revision(cluster, "entry-a1")
