Setting advisor_questions: larger questions to the advisor, and a pause between them

Cause: a question names as many targets as should suffice, so that the base time is nine tenths of it, and a step asks about the next few at once when others have taken the capacity of those that were granted.

With advisor_questions: economical a question about further targets names so many that their times add up to half of the base time, and a step that knows targets for three times its waiting tasks asks about no others for four times the time of its last question. It renews tickets and preempts meanwhile. With minimal (default) every decision is as before.

workflow_submission and call_outcome have headers of their own, so that coordinator.h does not grow.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -30,7 +30,7 @@
                          std::int64_t term,
                          std::shared_ptr<const fleet_configuration> configuration)
     : env(std::move(env)), election(election), chain(chain), term(term),
-      configuration(std::move(configuration)),
+      configuration(std::move(configuration)), economy(this->env.advisor_questions),
       records(chain, this->record_prefix(), term,
               [this](const std::string& id) -> const workflow_record* {
                   const auto* known = this->find_workflow(id);
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -3,6 +3,9 @@
 #include "coordinator/admission_forecast.h"
 #include "coordinator/admission_policy.h"
 #include "coordinator/advice_dispatcher.h"
+#include "coordinator/advice_economy.h"
+#include "coordinator/advisor_question_policy.h"
+#include "coordinator/call_outcome.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
 #include "coordinator/placement_log.h"
@@ -13,6 +16,7 @@
 #include "coordinator/team_usage_tracker.h"
 #include "coordinator/waiting_work.h"
 #include "coordinator/workflow.h"
+#include "coordinator/workflow_submission.h"
 #include "coordinator/zone_silence_detector.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
@@ -45,28 +49,10 @@
 class target_directory;
 struct preemption_plan;
 struct step_candidate;
+class step_placer;
 struct store_page;
 class usage_history;
 
-/// A workflow as a caller submits it. The caller's API key and the queue have been checked.
-struct workflow_submission {
-    std::string id;
-    std::string queue;
-    std::string team;
-    workflow_spec spec;
-
-    MSGPACK_DEFINE(id, queue, team, spec)
-};
-
-/// Outcome of a caller's submit, status or cancel call.
-enum class call_outcome : int {
-    accepted = 0,  ///< record stored, workflow found, or its cancellation stored
-    refused = 1,   ///< not accepted and will not run; the caller may retry later
-    unknown = 2,   ///< the call may or may not have taken effect
-    not_found = 3, ///< no such workflow or queue
-    invalid = 4,   ///< the submission is malformed; a retry would fail too
-};
-
 /// Schedules all workflows of the cluster; exists only in the process that is elected.
 ///
 /// Durable state is in the key-value store: a record of each workflow, a progress log with the ends
@@ -92,6 +78,7 @@
         milliseconds usage_half_life{0};
         milliseconds past_use_store_interval{10'000}; ///< shortest time between two writes of it
         admission_policy admission = admission_policy::none;
+        advisor_question_policy advisor_questions = advisor_question_policy::minimal;
         /// @return whether every recently seen member is connected to this process and has
         /// answered a heartbeat that was sent to it within the given time, so that none of them had
         /// been elected instead before that
@@ -402,9 +389,11 @@
     void preempt_for_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t tasks);
     /// Preempts less urgent runs on targets that the urgent step may use, or asks the advisor
     /// about such targets.
+    /// @param may_ask false: the step does not ask about targets now
     /// @return whether runs were preempted or targets were named to the advisor
     bool preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                              const queue_definition* queue, std::uint32_t wanted);
+                              const queue_definition* queue, std::uint32_t wanted,
+                              bool may_ask = true);
     /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until
     /// all tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets
     /// are renewed meanwhile.
@@ -530,6 +519,14 @@
     /// @return false when there are none
     bool ask_about_unasked_targets(workflow& owner, std::uint32_t step_index,
                                    const queue_definition& queue);
+    /// @return whether the pause after the last question runs and the step knows enough targets,
+    /// so that it does not ask about others now
+    [[nodiscard]] bool in_advice_pause(const workflow& owner, std::uint32_t step_index) const;
+    /// Renews tickets of a step in its pause for tasks that fit now, or preempts other runs; a gang
+    /// waits.
+    /// @param placer candidates that the advisor has allowed
+    void use_known_targets(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
+                           const step_placer& placer, std::uint32_t wanted);
     /// Marks the question's targets as claimed by a gang of this order (workflow::gang_order).
     void add_gang_claims(const advice_question& question, int order);
     void release_gang_claims(const advice_question& question, int order);
@@ -632,6 +629,9 @@
     std::int64_t term;
     std::shared_ptr<const fleet_configuration> configuration;
     advice_dispatcher dispatcher;
+    advice_economy economy;
+    std::int64_t unlogged_questions = 0;    ///< sent since the last load line
+    milliseconds unlogged_question_time{0}; ///< their expected time
     record_log records;
     placement_log placements;
     progress_log progress;
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -18,7 +18,8 @@
 constexpr milliseconds preemption_delay{60};
 /// Minimum time between two preemptions for one step: a stop takes some hundred milliseconds.
 constexpr milliseconds preemption_interval{700};
-/// Targets named to the advisor when preemption is possible only on targets without advice.
+/// Targets named to the advisor when preemption is possible only on targets without advice; more
+/// when advice_economy::least_targets() is greater.
 constexpr std::size_t max_targets_to_ask = 8;
 
 /// @return whether the run belongs to the team of @p owner, so that its end frees part of that
@@ -79,7 +80,8 @@
 }
 
 bool coordinator::preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                                       const queue_definition* queue, std::uint32_t wanted)
+                                       const queue_definition* queue, std::uint32_t wanted,
+                                       bool may_ask)
 {
     const auto now = boot_time();
     auto& step = owner.steps[step_index];
@@ -106,15 +108,26 @@
     }
     this->preemptions_left -= examined ? 1 : 0;
     step.next_preemption_at = now + preemption_interval;
+    if (plans.empty() && !may_ask) {
+        // It looks again when it may ask, at the end of the pause, if there is something to ask.
+        if (!not_asked.empty())
+            step.next_preemption_at =
+                std::min(step.next_preemption_at, this->economy.pause_end(step.last_question));
+        return false;
+    }
     if (plans.empty()) {
+        const bool is_gang = owner.record.spec.steps[step_index].gang;
+        const auto max_targets =
+            queue == nullptr
+                ? max_targets_to_ask
+                : std::max(max_targets_to_ask, this->economy.least_targets(*queue, is_gang));
         std::ranges::sort(not_asked);
         std::vector<fleet_target*> targets_to_ask;
         for (const auto& [lost_work, target] : not_asked) {
-            if (targets_to_ask.size() < max_targets_to_ask)
+            if (targets_to_ask.size() < max_targets)
                 targets_to_ask.push_back(target);
         }
         // The step may preempt again as soon as the advisor has answered.
-        const bool is_gang = owner.record.spec.steps[step_index].gang;
         if (!targets_to_ask.empty() &&
             this->ask_advisor(owner, step_index, *queue, targets_to_ask, is_gang))
             step.next_preemption_at = now;
--- a/src/libverbenalever/coordinator/coordinator_wait_states.cpp
+++ b/src/libverbenalever/coordinator/coordinator_wait_states.cpp
@@ -133,7 +133,11 @@
                          {"wait_advice", waiting(state::advice)},
                          {"wait_processors", waiting(state::processors)},
                          {"wait_memory", waiting(state::memory)},
-                         {"record_wait_ms", this->chain.expected_commit_delay().count()}});
+                         {"record_wait_ms", this->chain.expected_commit_delay().count()},
+                         {"advisor_questions", this->unlogged_questions},
+                         {"advisor_busy_ms", this->unlogged_question_time.count()}});
+    this->unlogged_questions = 0;
+    this->unlogged_question_time = milliseconds(0);
     this->log_past_use();
 }
 
--- a/src/libverbenalever/coordinator/step_placer.cpp
+++ b/src/libverbenalever/coordinator/step_placer.cpp
@@ -71,7 +71,8 @@
 
 std::vector<fleet_target*> step_placer::select_targets_to_ask(std::uint32_t wanted,
                                                               bool all_or_nothing,
-                                                              double grant_rate) const
+                                                              double grant_rate,
+                                                              std::size_t least_targets) const
 {
     double expected_tasks = 0;
     std::vector<const step_candidate*> askable;
@@ -92,18 +93,23 @@
     const double needed_tasks = wanted * (all_or_nothing ? gang_target_margin : target_margin);
     std::vector<fleet_target*> targets;
     std::size_t extra_left = extra_targets;
+    bool renews_only = false; ///< all targets so far are known to be allowed
     const auto limit = all_or_nothing ? max_gang_targets_asked_at_once : max_targets_asked_at_once;
     for (const auto* candidate : askable) {
         if (targets.size() >= limit)
             break;
+        const bool expired =
+            candidate->advice_state == step_candidate::advice_permission::ticket_expired;
         if (expected_tasks >= needed_tasks) {
-            if (extra_left == 0 ||
-                candidate->advice_state == step_candidate::advice_permission::ticket_expired)
+            // Expired tickets that suffice are renewed alone: more names would delay the answer.
+            if (expired || (renews_only && least_targets > 0))
+                break;
+            if (extra_left > 0)
+                --extra_left;
+            else if (targets.size() >= least_targets)
                 break;
-            --extra_left;
         }
-        const bool expired =
-            candidate->advice_state == step_candidate::advice_permission::ticket_expired;
+        renews_only = expired;
         expected_tasks += std::min(candidate->max_tasks, wanted) * (expired ? 1.0 : grant_rate);
         targets.push_back(candidate->target);
     }
--- a/src/libverbenalever/coordinator/step_placer.h
+++ b/src/libverbenalever/coordinator/step_placer.h
@@ -3,6 +3,7 @@
 #include "loop/clock.h"
 #include "scheduling/resources.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -45,9 +46,12 @@
     /// @param wanted         number of tasks without a target
     /// @param all_or_nothing whether the tasks can start only together
     /// @param grant_rate     expected fraction of targets that the advisor allows
+    /// @param least_targets  a question about targets without advice names at least this many if
+    ///                       there are so many, also when fewer should suffice; 0: no such limit
     /// @return targets to ask about; empty when tasks that start together are not expected to fit
     [[nodiscard]] std::vector<fleet_target*>
-    select_targets_to_ask(std::uint32_t wanted, bool all_or_nothing, double grant_rate) const;
+    select_targets_to_ask(std::uint32_t wanted, bool all_or_nothing, double grant_rate,
+                          std::size_t least_targets = 0) const;
 
     /// If this many times the tasks would fit, the advisor is asked regardless of the grant rate.
     static constexpr std::uint64_t ample_capacity_factor = 2;
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -53,6 +53,7 @@
         /// See coordinator::environment::usage_half_life.
         milliseconds usage_half_life{0};
         admission_policy admission = admission_policy::none;
+        advisor_question_policy advisor_questions = advisor_question_policy::minimal;
     };
     /// Implementations of what is outside the process; they outlive this object.
     struct ports {
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -38,6 +38,8 @@
     milliseconds usage_half_life{0};                     ///< the same
     milliseconds past_use_store_interval{10'000};        ///< the same
     admission_policy admission = admission_policy::none; ///< the same
+    /// The same.
+    advisor_question_policy advisor_questions = advisor_question_policy::minimal;
 
 private:
     void start_coordinator(std::int64_t term, commit_chain& chain);
