Preemption: with `preemption: least`, runs are not stopped without need

Runs are chosen by lost work, so that small runs that are not enough are stopped before a large one that is enough alone. Runs that end within the time of their stop, and tasks that were stopped again and again, are chosen like any other.

With the new setting, plans drop the runs that they do not need, those with most lost work first, and runs that end soon or whose task was stopped three times are not stopped. The types of a submission moved to a header of their own, so that coordinator.h does not grow.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -6,13 +6,16 @@
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
 #include "coordinator/placement_log.h"
+#include "coordinator/preemption_policy.h"
 #include "coordinator/progress_log.h"
 #include "coordinator/record_log.h"
 #include "coordinator/run_length_model.h"
+#include "coordinator/stop_avoidance.h"
 #include "coordinator/target_loss_log.h"
 #include "coordinator/team_usage_tracker.h"
 #include "coordinator/waiting_work.h"
 #include "coordinator/workflow.h"
+#include "coordinator/workflow_submission.h"
 #include "coordinator/zone_silence_detector.h"
 #include "loop/timer.h"
 #include "ports/fleet_configuration.h"
@@ -43,30 +46,13 @@
 class leadership;
 class metadata_store;
 class target_directory;
+struct preemptible_run;
 struct preemption_plan;
+struct preemption_rule;
 struct step_candidate;
 struct store_page;
 class usage_history;
 
-/// A workflow as a caller submits it. The caller's API key and the queue have been checked.
-struct workflow_submission {
-    std::string id;
-    std::string queue;
-    std::string team;
-    workflow_spec spec;
-
-    MSGPACK_DEFINE(id, queue, team, spec)
-};
-
-/// Outcome of a caller's submit, status or cancel call.
-enum class call_outcome : int {
-    accepted = 0,  ///< record stored, workflow found, or its cancellation stored
-    refused = 1,   ///< not accepted and will not run; the caller may retry later
-    unknown = 2,   ///< the call may or may not have taken effect
-    not_found = 3, ///< no such workflow or queue
-    invalid = 4,   ///< the submission is malformed; a retry would fail too
-};
-
 /// Schedules all workflows of the cluster; exists only in the process that is elected.
 ///
 /// Durable state is in the key-value store: a record of each workflow, a progress log with the ends
@@ -92,6 +78,7 @@
         milliseconds usage_half_life{0};
         milliseconds past_use_store_interval{10'000}; ///< shortest time between two writes of it
         admission_policy admission = admission_policy::none;
+        preemption_policy preemption = preemption_policy::any;
         /// @return whether every recently seen member is connected to this process and has
         /// answered a heartbeat that was sent to it within the given time, so that none of them had
         /// been elected instead before that
@@ -394,9 +381,18 @@
     [[nodiscard]] ready_key ready_key_of(const workflow& owner, std::uint32_t step_index) const;
     /// Stops a run to free capacity for @p preemptor; the task of the run waits for a target again.
     /// @param reason for the log: "limit" when the team's limit is used up, "room" when the target
-    ///               has too little free capacity
-    void preempt_run(fleet_target& target, const task_name& task, const workflow& preemptor,
+    ///               has too little free capacity, "gang" when the preemptor is a gang
+    void preempt_run(const preemptible_run& run, const workflow& preemptor,
                      std::string_view reason);
+    /// Stops the runs of the plans that are needed; see preempt_run().
+    /// @param need of one task
+    void carry_out(std::span<preemption_plan> plans, const resources& need,
+                   const workflow& preemptor, std::string_view reason);
+    /// @return which runs a step of the workflow may preempt
+    [[nodiscard]] preemption_rule rule_for(const workflow& preemptor, bool only_harmless) const;
+    void count_unneeded_stops(std::size_t stops);
+    /// Counts each run that preemption_policy::least does not stop, unless it was counted before.
+    void count_avoided_stops(std::span<const preemptible_run> runs);
     /// Preempts less urgent runs of the same team until @p tasks of the urgent step fit its team's
     /// limit.
     void preempt_for_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t tasks);
@@ -411,11 +407,14 @@
     /// @return whether the gang now waits for stopped runs or for the advisor
     bool preempt_for_gang(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
                           std::uint32_t wanted);
-    /// @return plans for tasks of the gang on all targets that the advisor has allowed, in no
-    /// particular order; fewer than @p wanted when not all tasks can be made to fit
-    [[nodiscard]] std::vector<preemption_plan> plan_gang_preemptions(const workflow& owner,
-                                                                     std::uint32_t step_index,
-                                                                     std::uint32_t wanted) const;
+    /// Counts the runs that are not stopped for the gang and would be with preemption_policy::any.
+    void count_avoided_for_gang(const workflow& owner, std::uint32_t step_index,
+                                std::uint32_t wanted);
+    /// @return plans for tasks of the gang on all targets that the advisor has allowed, least lost
+    /// work first, at most @p wanted; none when not all tasks can be made to fit
+    [[nodiscard]] std::vector<preemption_plan>
+    plan_gang_preemptions(const workflow& owner, std::uint32_t step_index, std::uint32_t wanted,
+                          preemption_policy policy) const;
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
@@ -692,6 +691,7 @@
     /// Moving average of the fraction of targets that the advisor allows, by queue.
     std::map<std::string, double, std::less<>> grant_rate;
     std::map<std::string, run_length_model, std::less<>> run_length_models; ///< by queue
+    stop_avoidance stops_to_avoid{this->run_length_models};
     std::vector<std::function<void()>> deferred_calls; ///< calls made before the store was read
     /// Replies not sent yet, by reply id.
     std::map<std::uint64_t, submit_callback> pending_replies;
--- a/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gang_preemption.cpp
@@ -24,13 +24,12 @@
     auto& step = owner.steps[step_index];
     if (step.rank > 0 || this->evaluation_time < step.next_preemption_at)
         return false;
-    auto plans = this->plan_gang_preemptions(owner, step_index, wanted);
-    if (plans.size() < wanted) {
+    auto plans = this->plan_gang_preemptions(owner, step_index, wanted, this->env.preemption);
+    if (plans.empty()) {
         step.next_preemption_at = this->evaluation_time + retry_wait;
+        this->count_avoided_for_gang(owner, step_index, wanted);
         return false;
     }
-    std::ranges::stable_sort(plans, {}, &preemption_plan::lost_work);
-    plans.resize(wanted);
     std::vector<fleet_target*> chosen;
     bool tickets_valid = true;
     for (const auto& plan : plans) {
@@ -44,21 +43,30 @@
     // An answer that came within the call has scheduled the step already.
     if (!tickets_valid && (step.open_questions == 0 || !step.in_ready_list))
         return true;
-    this->reserve(step, owner.record.spec.steps[step_index].need, chosen);
-    for (const auto& plan : plans) {
-        for (const auto& run : plan.runs)
-            this->preempt_run(*plan.target, run.task, owner, "gang");
-    }
+    const auto& need = owner.record.spec.steps[step_index].need;
+    this->count_avoided_for_gang(owner, step_index, wanted);
+    this->reserve(step, need, chosen);
+    this->carry_out(plans, need, owner, "gang");
     return true;
 }
 
+void coordinator::count_avoided_for_gang(const workflow& owner, std::uint32_t step_index,
+                                         std::uint32_t wanted)
+{
+    if (this->env.preemption == preemption_policy::least)
+        this->count_avoided_stops(avoided_stops(
+            this->plan_gang_preemptions(owner, step_index, wanted, preemption_policy::any)));
+}
+
 std::vector<preemption_plan> coordinator::plan_gang_preemptions(const workflow& owner,
                                                                 std::uint32_t step_index,
-                                                                std::uint32_t wanted) const
+                                                                std::uint32_t wanted,
+                                                                preemption_policy policy) const
 {
     const auto& spec = owner.record.spec.steps[step_index];
     const auto per_target =
         spec.max_per_target == 0 ? wanted : std::min(wanted, spec.max_per_target);
+    const auto rule = this->rule_for(owner, true);
     std::vector<preemption_plan> plans;
     for (const auto& [name, answer] : owner.steps[step_index].advice) {
         if (!answer.allowed)
@@ -67,10 +75,14 @@
         if (known == this->targets.end() || !this->can_use(*known->second, owner, step_index))
             continue;
         std::ranges::move(plan_preemptions(*known->second, spec.need,
-                                           {.priority = owner.priority, .only_harmless = true},
-                                           per_target),
+                                           preemptible_runs(*known->second, rule), per_target,
+                                           policy),
                           std::back_inserter(plans));
     }
+    if (plans.size() < wanted)
+        return {};
+    std::ranges::stable_sort(plans, {}, &preemption_plan::lost_work);
+    plans.resize(wanted);
     return plans;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -41,32 +41,78 @@
     --this->preemptions_left;
     step.next_preemption_at = now + preemption_interval;
     const auto& need = owner.record.spec.steps[step_index].need;
-    std::vector<std::pair<preemptible_run, fleet_target*>> found;
+    const auto rule = this->rule_for(owner, false);
+    std::vector<preemptible_run> found;
     for (const auto& [name, target] : this->targets) {
-        for (auto& candidate : preemptible_runs(*target, {.priority = owner.priority})) {
+        for (auto& candidate : preemptible_runs(*target, rule)) {
             if (same_team(*candidate.placed, owner))
-                found.emplace_back(std::move(candidate), target.get());
+                found.push_back(std::move(candidate));
         }
     }
-    std::ranges::sort(found, {}, [](const auto& entry) { return entry.first.lost_work; });
-    resources free_capacity;
-    for (const auto& [chosen, target] : found) {
-        if (need.processors_milli * tasks <= free_capacity.processors_milli &&
-            need.memory_mb * tasks <= free_capacity.memory_mb)
-            break;
-        free_capacity += chosen.placed->need;
-        this->preempt_run(*target, chosen.task, owner, "limit");
+    std::ranges::sort(found, {}, &preemptible_run::lost_work);
+    const resources limited{.processors_milli = need.processors_milli * tasks,
+                            .memory_mb = need.memory_mb * tasks};
+    if (this->env.preemption == preemption_policy::least)
+        this->count_avoided_stops(choose_runs(found, limited, preemption_policy::any).runs);
+    const auto [chosen, unneeded] = choose_runs(std::move(found), limited, this->env.preemption);
+    this->count_unneeded_stops(unneeded);
+    for (const auto& run : chosen)
+        this->preempt_run(run, owner, "limit");
+}
+
+preemption_rule coordinator::rule_for(const workflow& preemptor, bool only_harmless) const
+{
+    return {.priority = preemptor.priority,
+            .only_harmless = only_harmless,
+            .avoidance =
+                this->env.preemption == preemption_policy::least ? &this->stops_to_avoid : nullptr};
+}
+
+void coordinator::count_unneeded_stops(std::size_t stops)
+{
+    if (stops > 0)
+        this->env.metrics.add("stops_avoided_unneeded", static_cast<std::int64_t>(stops));
+}
+
+void coordinator::count_avoided_stops(std::span<const preemptible_run> runs)
+{
+    for (const auto& run : runs) {
+        const auto found = run.target->tasks.find(run.task);
+        if (run.avoided == avoided_stop::none || found == run.target->tasks.end() ||
+            std::exchange(found->second.stop_avoided, true))
+            continue;
+        this->env.metrics.add(run.avoided == avoided_stop::ending ? "stops_avoided_ending"
+                                                                  : "stops_avoided_repeated");
     }
 }
 
-void coordinator::preempt_run(fleet_target& target, const task_name& task,
-                              const workflow& preemptor, std::string_view reason)
+void coordinator::carry_out(std::span<preemption_plan> plans, const resources& need,
+                            const workflow& preemptor, std::string_view reason)
 {
+    if (this->env.preemption == preemption_policy::least)
+        this->count_unneeded_stops(remove_unneeded_stops(plans, need));
+    for (const auto& plan : plans) {
+        for (const auto& run : plan.runs)
+            this->preempt_run(run, preemptor, reason);
+    }
+}
+
+void coordinator::preempt_run(const preemptible_run& run, const workflow& preemptor,
+                              std::string_view reason)
+{
+    auto& target = *run.target;
+    const auto& task = run.task;
     const auto found = target.tasks.find(task);
     if (found == target.tasks.end())
         return; // it has ended while other runs were being preempted
-    const auto& placed = found->second;
+    auto& placed = found->second;
+    constexpr double milli_per_core = 1000;
     this->env.metrics.add("runs_reclaimed");
+    this->env.metrics.add("preempted_core_ms",
+                          static_cast<std::int64_t>(run.lost_work / milli_per_core));
+    if (placed.owner != nullptr)
+        ++placed.owner->steps[task.step].tasks[task.index].preemptions;
+    placed.preempted_at = boot_time();
     this->env.log.write("coordinator", "run_reclaimed",
                         {{"workflow", task.workflow},
                          {"step", task.step},
@@ -87,25 +133,36 @@
         now < step.next_preemption_at || this->preemptions_left == 0)
         return false;
     const auto& need = owner.record.spec.steps[step_index].need;
+    const auto rule = this->rule_for(owner, false);
     std::vector<preemption_plan> plans;
+    std::vector<preemption_plan> plans_of_any; // only for the counters of avoided stops
     std::vector<std::pair<double, fleet_target*>> not_asked;
     bool examined = false;
     for (const auto& [name, target] : this->targets) {
         if (!this->can_use(*target, owner, step_index))
             continue;
         examined = true;
-        auto found = plan_preemptions(*target, need, {.priority = owner.priority}, wanted);
-        if (found.empty())
-            continue;
         const auto answer = step.advice.find(name);
         const bool needs_advice = queue != nullptr && queue->needs_advice;
-        if (!needs_advice || (answer != step.advice.end() && answer->second.allowed))
+        const bool allowed =
+            !needs_advice || (answer != step.advice.end() && answer->second.allowed);
+        auto runs = preemptible_runs(*target, rule);
+        if (allowed && this->env.preemption == preemption_policy::least)
+            std::ranges::move(plan_preemptions(*target, need, runs, wanted, preemption_policy::any),
+                              std::back_inserter(plans_of_any));
+        auto found = plan_preemptions(*target, need, std::move(runs), wanted, this->env.preemption);
+        if (found.empty())
+            continue;
+        if (allowed)
             std::ranges::move(found, std::back_inserter(plans));
         else if (answer == step.advice.end())
             not_asked.emplace_back(found.front().lost_work, target.get());
     }
     this->preemptions_left -= examined ? 1 : 0;
     step.next_preemption_at = now + preemption_interval;
+    std::ranges::sort(plans_of_any, {}, &preemption_plan::lost_work);
+    plans_of_any.resize(std::min<std::size_t>(plans_of_any.size(), wanted));
+    this->count_avoided_stops(avoided_stops(plans_of_any));
     if (plans.empty()) {
         std::ranges::sort(not_asked);
         std::vector<fleet_target*> targets_to_ask;
@@ -121,11 +178,8 @@
         return !targets_to_ask.empty();
     }
     std::ranges::sort(plans, {}, &preemption_plan::lost_work);
-    for (std::size_t next_plan = 0; next_plan < plans.size() && next_plan < wanted; ++next_plan) {
-        for (const auto& chosen : plans[next_plan].runs) {
-            this->preempt_run(*plans[next_plan].target, chosen.task, owner, "room");
-        }
-    }
+    plans.resize(std::min<std::size_t>(plans.size(), wanted));
+    this->carry_out(plans, need, owner, "room");
     return true;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -63,6 +63,9 @@
     const bool current = found != target.tasks.end() && found->second.run == end.run;
     if (current && end.how == target_view::ending::done)
         this->learn_run_length(found->second, end.task);
+    else if (current && end.how == target_view::ending::stopped &&
+             found->second.preempted_at.count() != 0)
+        this->stops_to_avoid.learn_stop(boot_time() - found->second.preempted_at);
     const bool was_tracked = current && this->remove_run(target, end.task);
     auto* owner = this->find_workflow(end.task.workflow);
     const bool workflow_open = owner != nullptr && !is_final(owner->state) &&
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -32,11 +32,13 @@
     bool listed = false;         ///< a poll has shown it in this life of the target
     bool stopping = false;       ///< a stop was ordered
     bool suspect = false;        ///< its task may crash targets, see crash_history
+    bool stop_avoided = false;   ///< counted as not stopped because of stop_avoidance
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
     milliseconds last_order_at{0}; ///< time since boot of the last order or its answer
     milliseconds started_at{0};    ///< time since boot
+    milliseconds preempted_at{0};  ///< time since boot of its first stop by preemption; 0: none
     double percent = 0; ///< percentage of its work done, in the last poll that showed progress
     milliseconds percent_changed_at{0}; ///< time since boot at which the percent last grew
     int polls_without_progress = 0;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -37,6 +37,7 @@
     fleet_target* target = nullptr;  ///< while phase::placed
     /// While phase::awaiting_target: number of placements whose targets have not answered yet.
     std::uint32_t awaited_target_count = 0;
+    std::uint32_t preemptions = 0; ///< runs that were stopped for more urgent work in this term
 
     /// Stores the checkpoint that a run has reported, unless it is empty.
     void update_checkpoint(const std::string& saved, std::int64_t reporting_run)
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -186,6 +186,7 @@
             .ended_retention = this->own_settings.ended_retention,
             .usage_half_life = this->own_settings.usage_half_life,
             .admission = this->own_settings.admission,
+            .preemption = this->own_settings.preemption,
             .all_members_answered_within =
                 [this](milliseconds span) { return this->hub.all_members_answered_within(span); },
             .forget_departed_members =
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -53,6 +53,7 @@
         /// See coordinator::environment::usage_half_life.
         milliseconds usage_half_life{0};
         admission_policy admission = admission_policy::none;
+        preemption_policy preemption = preemption_policy::any;
     };
     /// Implementations of what is outside the process; they outlive this object.
     struct ports {
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -46,6 +46,7 @@
                                  .usage_half_life = this->usage_half_life,
                                  .past_use_store_interval = this->past_use_store_interval,
                                  .admission = this->admission,
+                                 .preemption = this->preemption,
                                  .all_members_answered_within =
                                      [this](milliseconds) { return this->all_members_connected; },
                                  .forget_departed_members = [](milliseconds) {},
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -32,12 +32,13 @@
     coordinating_process& operator=(const coordinating_process&) = delete;
 
     counters metrics;
-    std::unique_ptr<coordinator> active_coordinator;     ///< null while not elected
-    bool all_members_connected = false;                  ///< reported to the coordinator
-    milliseconds task_lease{1500};                       ///< used by the next coordinator
-    milliseconds usage_half_life{0};                     ///< the same
-    milliseconds past_use_store_interval{10'000};        ///< the same
-    admission_policy admission = admission_policy::none; ///< the same
+    std::unique_ptr<coordinator> active_coordinator;       ///< null while not elected
+    bool all_members_connected = false;                    ///< reported to the coordinator
+    milliseconds task_lease{1500};                         ///< used by the next coordinator
+    milliseconds usage_half_life{0};                       ///< the same
+    milliseconds past_use_store_interval{10'000};          ///< the same
+    admission_policy admission = admission_policy::none;   ///< the same
+    preemption_policy preemption = preemption_policy::any; ///< the same
 
 private:
     void start_coordinator(std::int64_t term, commit_chain& chain);
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -52,6 +52,7 @@
         this->processes.back()->usage_half_life = this->usage_half_life;
         this->processes.back()->past_use_store_interval = this->past_use_store_interval;
         this->processes.back()->admission = this->admission;
+        this->processes.back()->preemption = this->preemption;
         this->run_for(milliseconds(300));
         EXPECT_NE(this->processes.back()->active_coordinator, nullptr);
         return *this->processes.back();
@@ -100,7 +101,8 @@
     milliseconds task_lease{1500};                ///< of processes that are elected from now on
     milliseconds usage_half_life{0};              ///< the same
     milliseconds past_use_store_interval{10'000}; ///< the same
-    admission_policy admission = admission_policy::none; ///< the same
+    admission_policy admission = admission_policy::none;   ///< the same
+    preemption_policy preemption = preemption_policy::any; ///< the same
     std::map<std::string, call_outcome> outcomes;
     std::vector<std::unique_ptr<process>> processes;
 };
