--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -47,6 +47,7 @@
                                  .past_use_store_interval = this->past_use_store_interval,
                                  .admission = this->admission,
                                  .advisor_questions = this->advisor_questions,
+                                 .preemption = this->preemption,
                                  .all_members_answered_within =
                                      [this](milliseconds) { return this->all_members_connected; },
                                  .forget_departed_members = [](milliseconds) {},
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -40,6 +40,7 @@
     admission_policy admission = admission_policy::none; ///< the same
     /// The same.
     advisor_question_policy advisor_questions = advisor_question_policy::minimal;
+    preemption_policy preemption = preemption_policy::any; ///< the same
 
 private:
     void start_coordinator(std::int64_t term, commit_chain& chain);
