--- a/src/libverbenalever/coordinator/advice_economy.cpp
+++ b/src/libverbenalever/coordinator/advice_economy.cpp
@@ -17,13 +17,6 @@
 constexpr double max_least_targets = 40;
 /// The same for a gang: the advisor accepts no more targets in one question.
 constexpr double max_least_targets_of_gang = 100;
-/// Length of the pause, as a multiple of the expected time of the question. A step that stays in
-/// its pauses uses the advisor for at most a quarter of its time.
-constexpr int pause_factor = 4;
-/// A step knows enough when its targets can hold this many times its waiting tasks, because other
-/// work uses most of their capacity on a busy fleet.
-constexpr std::uint64_t enough_capacity_factor = 3;
-
 } // namespace
 
 std::size_t advice_economy::least_targets(const queue_definition& queue, bool gang) const
@@ -48,16 +41,4 @@
     return std::min(efficient, std::max<std::size_t>(1, targets / least));
 }
 
-milliseconds advice_economy::pause_end(const sent_question& last) const
-{
-    if (this->policy == advisor_question_policy::minimal || last.time.count() == 0)
-        return milliseconds(0);
-    return last.at + last.time * pause_factor;
-}
-
-bool advice_economy::knows_enough(std::uint64_t tasks_that_fit, std::uint32_t waiting)
-{
-    return tasks_that_fit >= enough_capacity_factor * waiting;
-}
-
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -403,11 +403,9 @@
     void preempt_for_team_limit(workflow& owner, std::uint32_t step_index, std::uint32_t tasks);
     /// Preempts less urgent runs on targets that the urgent step may use, or asks the advisor
     /// about such targets.
-    /// @param may_ask false: the step does not ask about targets now
     /// @return whether runs were preempted or targets were named to the advisor
     bool preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                              const queue_definition* queue, std::uint32_t wanted,
-                              bool may_ask = true);
+                              const queue_definition* queue, std::uint32_t wanted);
     /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until
     /// all tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets
     /// are renewed meanwhile.
@@ -536,14 +534,6 @@
     /// @return false when there are none
     bool ask_about_unasked_targets(workflow& owner, std::uint32_t step_index,
                                    const queue_definition& queue);
-    /// @return whether the pause after the last question runs and the step knows enough targets,
-    /// so that it does not ask about others now
-    [[nodiscard]] bool in_advice_pause(const workflow& owner, std::uint32_t step_index) const;
-    /// Renews tickets of a step in its pause for tasks that fit now, or preempts other runs; a gang
-    /// waits.
-    /// @param placer candidates that the advisor has allowed
-    void use_known_targets(workflow& owner, std::uint32_t step_index, const queue_definition& queue,
-                           const step_placer& placer, std::uint32_t wanted);
     /// Marks the question's targets as claimed by a gang of this order (workflow::gang_order).
     void add_gang_claims(const advice_question& question, int order);
     void release_gang_claims(const advice_question& question, int order);
--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -1,7 +1,6 @@
 // Questions to the advisor, and capacity reserved while they are open.
 
 #include "coordinator/coordinator.h"
-#include "coordinator/step_placer.h"
 #include "coordinator/target_session.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
@@ -113,10 +112,6 @@
         parts = std::max(min_parts, std::min(efficient_parts, this->dispatcher.free_long_vms()));
     }
     const bool first_question = step.advice.empty() && step.open_questions == 0;
-    const auto previous_question = step.last_question;
-    // Stored before the call, since the answer may arrive within it and schedule the step.
-    step.last_question = {boot_time(),
-                          advisor_time(queue, question_count(targets_to_ask.size(), parts))};
     bool accepted = false;
     milliseconds time{0};
     for (std::size_t part = 0; part < parts; ++part) {
@@ -128,10 +123,8 @@
     }
     if (accepted && first_question)
         this->learn_question_time(queue.name, time);
-    if (!accepted) {
-        step.last_question = previous_question;
+    if (!accepted)
         step.next_question_at = boot_time() + advice_retry_delay;
-    }
     return accepted;
 }
 
@@ -190,45 +183,6 @@
     return !unasked.empty();
 }
 
-bool coordinator::in_advice_pause(const workflow& owner, std::uint32_t step_index) const
-{
-    const auto& step = owner.steps[step_index];
-    if (this->evaluation_time >= this->economy.pause_end(step.last_question))
-        return false;
-    const auto& spec = owner.record.spec.steps[step_index];
-    std::uint64_t tasks = 0;
-    for (const auto& [name, answer] : step.advice) {
-        if (!answer.allowed)
-            continue;
-        const auto known = this->targets.find(name);
-        if (known == this->targets.end() || !this->can_use(*known->second, owner, step_index))
-            continue;
-        // What other runs use counts too: it becomes free on the targets that the step knows.
-        const auto fitting = fleet_target::count_fitting(known->second->report.capacity, spec.need);
-        tasks += spec.max_per_target > 0 ? std::min(fitting, spec.max_per_target) : fitting;
-        if (advice_economy::knows_enough(tasks, step.waiting_count))
-            return true;
-    }
-    return false;
-}
-
-void coordinator::use_known_targets(workflow& owner, std::uint32_t step_index,
-                                    const queue_definition& queue, const step_placer& placer,
-                                    std::uint32_t wanted)
-{
-    const bool is_gang = owner.record.spec.steps[step_index].gang;
-    if (!is_gang) {
-        const auto renewals = placer.select_targets_to_ask(wanted, false, 1.0);
-        if (!renewals.empty()) {
-            this->ask_advisor(owner, step_index, queue, renewals, false);
-            return;
-        }
-    }
-    this->env.metrics.add("advisor_pauses");
-    if (!is_gang)
-        this->preempt_for_capacity(owner, step_index, &queue, wanted, false);
-}
-
 void coordinator::add_gang_claims(const advice_question& question, int order)
 {
     for (const auto& name : question.targets) {
@@ -264,7 +218,6 @@
             boot_time() + advice_retry_delay *
                               (1 << std::min(max_retry_doublings, step.consecutive_missed_answers));
         ++step.consecutive_missed_answers;
-        step.last_question = {}; // without an answer there is no pause
         this->env.log.write("coordinator", "advice_missed",
                             {{"workflow", id}, {"step", step_index}});
         return;
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -126,8 +126,7 @@
 }
 
 bool coordinator::preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                                       const queue_definition* queue, std::uint32_t wanted,
-                                       bool may_ask)
+                                       const queue_definition* queue, std::uint32_t wanted)
 {
     const auto now = boot_time();
     auto& step = owner.steps[step_index];
@@ -165,13 +164,6 @@
     std::ranges::sort(plans_of_any, {}, &preemption_plan::lost_work);
     plans_of_any.resize(std::min<std::size_t>(plans_of_any.size(), wanted));
     this->count_avoided_stops(avoided_stops(plans_of_any));
-    if (plans.empty() && !may_ask) {
-        // It looks again when it may ask, at the end of the pause, if there is something to ask.
-        if (!not_asked.empty())
-            step.next_preemption_at =
-                std::min(step.next_preemption_at, this->economy.pause_end(step.last_question));
-        return false;
-    }
     if (plans.empty()) {
         const bool is_gang = owner.record.spec.steps[step_index].gang;
         const auto max_targets =
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -202,11 +202,8 @@
         queue != nullptr && queue->needs_advice &&
         (step.open_questions > 0 || this->evaluation_time < step.next_question_at);
     this->release_reservation(step);
-    const bool in_pause = queue != nullptr && queue->needs_advice && !cannot_ask &&
-                          this->in_advice_pause(owner, step_index);
-    auto candidates = cannot_ask || in_pause
-                          ? this->find_allowed_candidates(owner, step_index, queue)
-                          : this->find_candidates(owner, step_index, queue);
+    auto candidates = cannot_ask ? this->find_allowed_candidates(owner, step_index, queue)
+                                 : this->find_candidates(owner, step_index, queue);
     std::uint32_t wanted = allowed;
     const bool may_place =
         this->election.is_lease_valid() && !this->chain.stalled() && this->list_is_recent();
@@ -243,10 +240,6 @@
         if (this->preempt_for_gang(owner, step_index, *queue, wanted))
             return true;
     }
-    if (in_pause) {
-        this->use_known_targets(owner, step_index, *queue, placer, wanted);
-        return true;
-    }
     const auto targets_to_ask = placer.select_targets_to_ask(
         wanted, spec.gang, grant_rate, this->economy.least_targets(*queue, spec.gang));
     if (this->asks_whole_fleet(owner, step_index, *queue, targets_to_ask) &&
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "coordinator/advice_economy.h"
 #include "coordinator/crash_history.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/step_time_tracker.h"
@@ -80,7 +79,6 @@
     int open_questions = 0;           ///< questions to the advisor without an answer yet
     bool asked_all_targets = false;   ///< whether the advisor was asked about all suitable targets
     milliseconds next_question_at{0}; ///< time since boot before which the advisor is not asked
-    advice_economy::sent_question last_question; ///< to the advisor about this step
     int consecutive_missed_answers = 0;          ///< questions without answer since the last answer
     milliseconds ready_since{0}; ///< time since boot when it first became ready; 0: not yet
     bool in_ready_list = false;  ///< whether coordinator::ready_steps contains the step
