--- a/src/libverbenalever/coordinator/coordinator_advice.cpp
+++ b/src/libverbenalever/coordinator/coordinator_advice.cpp
@@ -2,6 +2,7 @@
 
 #include "coordinator/coordinator.h"
 #include "coordinator/target_session.h"
+#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
 #include <algorithm>
@@ -106,7 +107,8 @@
     if (owner.record.spec.steps[step_index].gang) {
         // The tickets of a gang must be valid at the same time, so its questions run in parallel.
         const auto min_parts = question_count(targets_to_ask.size(), max_targets_per_question);
-        const auto efficient_parts = question_count(targets_to_ask.size(), efficient_question_size);
+        const auto efficient_parts =
+            this->economy.max_parts(queue, targets_to_ask.size(), efficient_question_size);
         parts = std::max(min_parts, std::min(efficient_parts, this->dispatcher.free_long_vms()));
     }
     const bool first_question = step.advice.empty() && step.open_questions == 0;
@@ -139,8 +141,9 @@
     ++step.open_questions;
     if (add_claims)
         this->add_gang_claims(question, order);
+    const auto time = advisor_time(queue, targets_to_ask.size());
     const bool accepted =
-        this->dispatcher.ask(question, advisor_time(queue, targets_to_ask.size()), owner.urgent(),
+        this->dispatcher.ask(question, time, owner.urgent(),
                              [this, alive = this->alive, id = owner.record.id, step_index,
                               add_claims, order, question](const advice_answer& answer) {
                                  if (!*alive)
@@ -149,8 +152,13 @@
                                      this->release_gang_claims(question, order);
                                  this->handle_advice_answer(id, step_index, question, answer);
                              });
-    if (accepted)
+    if (accepted) {
+        this->env.metrics.add("advisor_questions");
+        this->env.metrics.add("advisor_ms", time.count());
+        ++this->unlogged_questions;
+        this->unlogged_question_time += time;
         return true;
+    }
     if (add_claims)
         this->release_gang_claims(question, order);
     --step.open_questions;
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -240,7 +240,8 @@
         if (this->preempt_for_gang(owner, step_index, *queue, wanted))
             return true;
     }
-    const auto targets_to_ask = placer.select_targets_to_ask(wanted, spec.gang, grant_rate);
+    const auto targets_to_ask = placer.select_targets_to_ask(
+        wanted, spec.gang, grant_rate, this->economy.least_targets(*queue, spec.gang));
     if (this->asks_whole_fleet(owner, step_index, *queue, targets_to_ask) &&
         this->ask_about_unasked_targets(owner, step_index, *queue))
         return true;
