--- a/src/libverbenalever/coordinator/preemption_plan.cpp
+++ b/src/libverbenalever/coordinator/preemption_plan.cpp
@@ -47,7 +47,7 @@
 /// Removes runs, those with most lost work first, as long as the need fits without them.
 /// @param chosen        least lost work first
 /// @param free_capacity includes that of the chosen runs; less that of the removed ones afterwards
-/// @return the removed runs, least lost work first
+/// @return the removed runs, most lost work first
 std::vector<preemptible_run> remove_unneeded(std::vector<preemptible_run>& chosen,
                                              const resources& need, resources& free_capacity)
 {
@@ -60,7 +60,6 @@
         removed.push_back(std::move(chosen[next]));
         chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(next));
     }
-    std::ranges::reverse(removed);
     return removed;
 }
 
@@ -136,9 +135,9 @@
                 // They lose no more work than those that are left, so that the order stays.
                 auto unneeded = remove_unneeded(plan.runs, need, free_capacity);
                 plan.unneeded += unneeded.size();
-                for (auto run = unneeded.rbegin(); run != unneeded.rend(); ++run) {
-                    plan.lost_work -= run->lost_work;
-                    runs[--next] = std::move(*run);
+                for (auto& run : unneeded) {
+                    plan.lost_work -= run.lost_work;
+                    runs[--next] = std::move(run);
                 }
             }
             free_capacity -= need;
