Tests of request memory: wait for one look at descriptors and memory

Callers saw nothing. testsuite.request-memory-bodies failed once: the wait for the release of memory ended on a look that came before the connections of the clients were closed, and the last look found 34,116 KB where the bound was 33,880 KB.

The wait now ends on a single look in which the descriptors of the clients are closed and the resident memory is below the bound; the figures printed and checked come from that look, or from the last one when the time is over. That all descriptors of the clients are closed is now checked too. Bounds and number of clients are unchanged.

--- a/testsuite/harness/unfinished_bodies.py
+++ b/testsuite/harness/unfinished_bodies.py
@@ -1,9 +1,12 @@
 """Clients that send all but the last byte of a request body and keep the connection open."""
 
+import dataclasses
 import json
+import os
 import pathlib
 import select
 import socket
+import sys
 import time
 
 from .platform_entries import HOST, KEY, PREFIX, Entries, configure
@@ -18,15 +21,73 @@
 SEND_TIMEOUT_S = 60
 
 
-def resident_kb(pid):
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1])
-    raise AssertionError("no resident memory")
-
-
-def descriptors(pid):
-    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+@dataclasses.dataclass
+class Look:
+    """What one look at a process has shown."""
+
+    resident_kb: int
+    descriptors: int
+    clients: int  # descriptors of connections to the address for callers
+    unknown: int  # descriptors of new sockets without a known address, as of reset connections
+
+
+class Observer:
+    """Looks at the memory and the descriptors of an entry daemon, and keeps the peaks."""
+
+    def __init__(self, process, callers):
+        """callers: address at which the process accepts clients; none may be connected yet."""
+        self.process = process
+        host, port = callers.rsplit(":", 1)
+        # The kernel prints an address as a number in the byte order of the machine.
+        number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+        self.callers = f"{number:08X}:{int(port):04X}"
+        self.known = set(self._open_files())
+        self.peak = Look(0, 0, 0, 0)
+
+    def _open_files(self):
+        """@return what each descriptor refers to, for example socket:[4711]"""
+        files = []
+        for path in pathlib.Path(f"/proc/{self.process.pid}/fd").iterdir():
+            try:
+                files.append(os.readlink(path))
+            except FileNotFoundError:  # closed since the folder was read
+                pass
+        return files
+
+    def _resident_kb(self):
+        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+        raise AssertionError("no resident memory")
+
+    def look(self):
+        code = self.process.poll()
+        assert code is None, f"the entry ended with {code}"
+        files = self._open_files()
+        table = pathlib.Path(f"/proc/{self.process.pid}/net/tcp").read_text().splitlines()[1:]
+        local = {f"socket:[{row[9]}]": row[1] for row in map(str.split, table)}
+        addresses = [local.get(file) for file in files
+                     if file.startswith("socket:") and file not in self.known]
+        # The memory is read last: what closed descriptors held must be free by then.
+        seen = Look(self._resident_kb(), len(files), addresses.count(self.callers),
+                    addresses.count(None))
+        self.peak = Look(*map(max, dataclasses.astuple(self.peak), dataclasses.astuple(seen)))
+        return seen
+
+    def wait_released(self, resident_limit_kb):
+        """Waits for a look that shows no descriptor of a client and less resident memory than the
+        limit.
+
+        @return that look, or the last one when the time is over
+        """
+        end = time.monotonic() + RELEASE_TIMEOUT_S
+        while True:
+            seen = self.look()
+            is_closed = seen.clients + seen.unknown == 0
+            is_over = time.monotonic() >= end
+            if (is_closed and seen.resident_kb < resident_limit_kb) or is_over:
+                return seen
+            time.sleep(0.2)
 
 
 def headers(number, framing):
@@ -85,7 +146,8 @@
     """Checks one entry daemon while the clients stay and after they have left.
 
     @param request_of returns what the client with that number sends
-    @return resident memory in KB before, at the peak and after the clients, and open descriptors
+    @return resident memory in KB before, at the peak and after the clients, open descriptors at the
+            peak, and descriptors of clients that were left in the look that after_kb is from
     """
     platform = Platform(Fleet())
     configure(platform)
@@ -95,31 +157,24 @@
         step = {"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 100}
         entries.submit(f"{1:016x}", [step])
         (name, process), = entries.processes.items()
-        before = resident_kb(process.pid)
-        peak = {"resident": before, "descriptors": 0}
-
-        def observe():
-            assert process.poll() is None, f"the entry ended with {process.returncode}"
-            peak["resident"] = max(peak["resident"], resident_kb(process.pid))
-            peak["descriptors"] = max(peak["descriptors"], descriptors(process.pid))
-
-        crowd = Clients(entries.addresses[name]["callers"], map(request_of, range(clients)),
-                        observe)
+        callers = entries.addresses[name]["callers"]
+        observer = Observer(process, callers)
+        before = observer.look().resident_kb
+        crowd = Clients(callers, map(request_of, range(clients)), observer.look)
         entries.submit(f"{2:016x}", [step])
-        observe()
+        observer.look()
         crowd.close()
-        end = time.monotonic() + RELEASE_TIMEOUT_S
-        while resident_kb(process.pid) > before + RETAINED_LIMIT_KB and time.monotonic() < end:
-            time.sleep(0.2)
-        observe()
-        figures = {"before_kb": before, "peak_kb": peak["resident"],
-                   "after_kb": resident_kb(process.pid), "descriptors": peak["descriptors"]}
+        after = observer.wait_released(before + RETAINED_LIMIT_KB)
+        figures = {"before_kb": before, "peak_kb": observer.peak.resident_kb,
+                   "after_kb": after.resident_kb, "descriptors": observer.peak.descriptors,
+                   "clients_left": after.clients + after.unknown}
         print(figures, flush=True)
         entries.submit(f"{3:016x}", [step])
         entries.wait_completed([f"{number:016x}" for number in (1, 2, 3)], 20)
         assert figures["peak_kb"] < RESIDENT_LIMIT_KB, figures
         assert figures["descriptors"] < DESCRIPTOR_LIMIT, figures
         assert figures["after_kb"] < before + RETAINED_LIMIT_KB, figures
+        assert figures["clients_left"] == 0, figures
         assert not platform.fleet.violations, platform.fleet.violations[:5]
         entries.keep_folder = False
         return figures
