Tests of request memory: clients whose headers stay incomplete

Callers saw nothing. That nobody else is served while clients send headers without an end was measured by hand only (docs/design/21-request-memory.md).

testsuite/request-memory-headers has 400 clients that send 5 KB of headers without an end and stay, where max_descriptors allows 64 connections, the fewest possible. An ordinary submission is answered beside them; the bounds of memory and descriptors are those of the other tests, and at most 64 clients are connected. Time-outs alone would make room for 400 clients after 120 s, later than the last try to submit, so that the test fails when idle connections are not ended.

--- a/testsuite/harness/unfinished_bodies.py
+++ b/testsuite/harness/unfinished_bodies.py
@@ -1,4 +1,4 @@
-"""Clients that send all but the last byte of a request body and keep the connection open."""
+"""Clients that do not finish a request, in its headers or its body, and keep the connection open."""
 
 import dataclasses
 import json
@@ -95,6 +95,11 @@
             f"Authorization: Bearer {KEY}\r\n{framing}\r\n\r\n").encode()
 
 
+def incomplete_headers(number, header_bytes=5 * 1024):
+    """Headers without an end."""
+    return headers(number, "X-Filler: " + "x" * header_bytes)[:header_bytes]
+
+
 def with_length(number, body_bytes=BODY_BYTES):
     """A request that announces its length."""
     return headers(number, f"Content-Length: {body_bytes}") + b"x" * (body_bytes - 1)
@@ -142,16 +147,18 @@
             connection.close()
 
 
-def run_case(request_of, clients=CLIENTS):
+def run_case(request_of, clients=CLIENTS, settings=""):
     """Checks one entry daemon while the clients stay and after they have left.
 
     @param request_of returns what the client with that number sends
-    @return resident memory in KB before, at the peak and after the clients, open descriptors at the
-            peak, and descriptors of clients that were left in the look that after_kb is from
+    @param settings lines added to those of the entry
+    @return resident memory in KB before, at the peak and after the clients, open descriptors and
+            connections of clients at the peak, and descriptors of clients that were left in the
+            look that after_kb is from
     """
     platform = Platform(Fleet())
     configure(platform)
-    entries = Entries(platform, 1)
+    entries = Entries(platform, 1, settings=settings)
     try:
         entries.wait_ready()
         step = {"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 100}
@@ -167,6 +174,7 @@
         after = observer.wait_released(before + RETAINED_LIMIT_KB)
         figures = {"before_kb": before, "peak_kb": observer.peak.resident_kb,
                    "after_kb": after.resident_kb, "descriptors": observer.peak.descriptors,
+                   "clients": observer.peak.clients,
                    "clients_left": after.clients + after.unknown}
         print(figures, flush=True)
         entries.submit(f"{3:016x}", [step])
