--- a/src/libverbenalever/coordination/commit_chain_test.cpp
+++ b/src/libverbenalever/coordination/commit_chain_test.cpp
@@ -1,8 +1,8 @@
 #include "coordination/commit_chain.h"
 
-#include "loop/event_loop.h"
 #include "loop/timer.h"
 #include "testing/fake_store.h"
+#include "testing/loop_fixture.h"
 #include "timeline/event_log.h"
 
 #include <gtest/gtest.h>
@@ -10,7 +10,7 @@
 namespace verbenalever {
 namespace {
 
-class commit_chain_test : public testing::Test {
+class commit_chain_test : public loop_fixture {
 protected:
     commit_chain_test()
     {
@@ -20,13 +20,6 @@
                                            [this] { this->has_lost_fence = true; });
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     void put(const std::string& key, const std::string& value)
     {
         this->chain->put(
@@ -39,7 +32,6 @@
         return this->store.last_lease;
     }
 
-    event_loop loop;
     fake_store store{this->loop};
     event_log log{"test"};
     std::unique_ptr<commit_chain> chain;
--- a/src/libverbenalever/coordination/coordinator_link_test.cpp
+++ b/src/libverbenalever/coordination/coordinator_link_test.cpp
@@ -1,7 +1,7 @@
 #include "coordination/coordinator_link.h"
 
 #include "loop/endpoint.h"
-#include "loop/event_loop.h"
+#include "testing/loop_fixture.h"
 #include "wire/frame_connection.h"
 #include "wire/frame_listener.h"
 
@@ -14,7 +14,7 @@
 namespace verbenalever {
 namespace {
 
-class coordinator_link_test : public testing::Test {
+class coordinator_link_test : public loop_fixture {
 protected:
     coordinator_link_test()
     {
@@ -30,14 +30,6 @@
             "vm-1", "127.0.0.1:" + std::to_string(this->listener->port()), "tenure"});
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
-    event_loop loop;
     std::unique_ptr<frame_listener> listener;
     std::vector<std::unique_ptr<peer_channel>> accepted;
     int refusals = 0;
--- a/src/libverbenalever/coordination/leadership_test.cpp
+++ b/src/libverbenalever/coordination/leadership_test.cpp
@@ -4,11 +4,13 @@
 #include "loop/event_loop.h"
 #include "loop/timer.h"
 #include "testing/fake_store.h"
+#include "testing/loop_fixture.h"
 #include "timeline/event_log.h"
 
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <utility>
 
 namespace verbenalever {
 namespace {
@@ -37,15 +39,8 @@
     leadership election;
 };
 
-class leadership_test : public testing::Test {
+class leadership_test : public loop_fixture {
 protected:
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     candidate& coordinator()
     {
         return this->first.election.leads() ? this->first : this->second;
@@ -56,6 +51,13 @@
         return this->first.election.leads() ? this->second : this->first;
     }
 
+    /// @return the coordinator and the member that has not been elected
+    std::pair<candidate&, candidate&> elect()
+    {
+        this->run_for(milliseconds(400));
+        return {this->coordinator(), this->member()};
+    }
+
     /// The member's connections to the coordinator are refused, every 50 ms.
     void refuse_connections(candidate& member, milliseconds span)
     {
@@ -66,7 +68,6 @@
         this->run_for(span);
     }
 
-    event_loop loop;
     fake_store store{this->loop};
     event_log log{"test"};
     candidate first{this->loop, this->store, this->log, "vm-1"};
@@ -83,9 +84,7 @@
 // After the coordinator's process was killed, its key used to block others until its lease expired.
 TEST_F(leadership_test, a_coordinator_that_is_gone_is_replaced_before_its_lease_ends)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->first.election.leads() ? this->first : this->second;
-    auto& other = this->first.election.leads() ? this->second : this->first;
+    auto [leader, other] = this->elect();
     const auto term = leader.terms.back();
     other.election.replace_coordinator(coordinator_loss::process_replaced);
     this->run_for(milliseconds(200));
@@ -101,9 +100,7 @@
 // candidacy of the processes that were cut off waited for the store.
 TEST_F(leadership_test, connections_refused_while_the_store_is_away_replace_nobody)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
+    auto [leader, other] = this->elect();
     this->store.down = true;
     this->refuse_connections(other, milliseconds(300));
     this->store.down = false;
@@ -116,10 +113,8 @@
 // A member whose link to the coordinator alone is cut must not depose it.
 TEST_F(leadership_test, a_coordinator_that_writes_is_not_replaced_when_its_connections_are_refused)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
-    timer writes(this->loop, [&leader] {
+    auto [leader, other] = this->elect();
+    timer writes(this->loop, [&leader = leader] {
         leader.chain->put("v/w/1", [] { return std::string("record"); }, true, {});
     });
     writes.start_repeating(milliseconds(20));
@@ -131,9 +126,7 @@
 
 TEST_F(leadership_test, an_idle_coordinator_that_refuses_connections_is_replaced_within_its_lease)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
+    auto [leader, other] = this->elect();
     this->refuse_connections(other, leadership::lease_time / 3);
     EXPECT_TRUE(other.election.leads());
     this->run_for(milliseconds(200));
@@ -143,9 +136,7 @@
 // A member that heard the coordinator again used to replace it all the same.
 TEST_F(leadership_test, hearing_the_coordinator_cancels_a_candidacy_that_would_replace_it)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
+    auto [leader, other] = this->elect();
     other.candidacy_delay = milliseconds(300);
     this->refuse_connections(other, milliseconds(200));
     other.election.confirm_coordinator();
@@ -157,9 +148,7 @@
 // A hand-over used to wait behind a transaction that had no answer.
 TEST_F(leadership_test, a_coordinator_whose_writes_stall_can_hand_over)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
+    auto [leader, other] = this->elect();
     this->store.transactions_to_delay = 1;
     leader.chain->put("v/w/1", [] { return std::string("record"); }, true, {});
     this->run_for(milliseconds(50));
@@ -204,9 +193,7 @@
 // records that were not stored yet.
 TEST_F(leadership_test, a_hand_over_is_written_before_pending_writes)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->first.election.leads() ? this->first : this->second;
-    auto& other = this->first.election.leads() ? this->second : this->first;
+    auto [leader, other] = this->elect();
     for (int number = 0; number < 3000; ++number)
         leader.chain->put("v/w/" + std::to_string(number), [] { return std::string("record"); },
                           true, {});
@@ -219,9 +206,7 @@
 
 TEST_F(leadership_test, a_hand_over_starts_a_later_term_elsewhere)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->first.election.leads() ? this->first : this->second;
-    auto& other = this->first.election.leads() ? this->second : this->first;
+    auto [leader, other] = this->elect();
     const auto term = leader.terms.back();
     leader.election.hand_over(milliseconds(5000));
     this->run_for(milliseconds(500));
@@ -234,7 +219,7 @@
 TEST_F(leadership_test, a_coordinator_whose_lease_has_ended_restores_its_key_in_the_same_term)
 {
     this->run_for(milliseconds(400));
-    auto& leader = this->first.election.leads() ? this->first : this->second;
+    auto& leader = this->coordinator();
     this->store.down = true;
     this->run_for(milliseconds(200));
     EXPECT_TRUE(leader.election.leads());
@@ -249,9 +234,7 @@
 // next one for a proof that nobody had been elected meanwhile, and renewed the leases of its tasks.
 TEST_F(leadership_test, a_new_lease_confirms_nothing_until_the_leader_key_is_written_under_it)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->first.election.leads() ? this->first : this->second;
-    auto& other = this->first.election.leads() ? this->second : this->first;
+    auto [leader, other] = this->elect();
     other.election.retire();
     this->store.transactions_to_delay = 1000; // the chain does not learn that the fence is lost
     this->store.expire(this->store.lease_of_key["v/leader"]);
@@ -305,9 +288,7 @@
 // the successor was stopped.
 TEST_F(leadership_test, a_process_that_handed_over_replaces_its_successor)
 {
-    this->run_for(milliseconds(400));
-    auto& former = this->coordinator();
-    auto& successor = this->member();
+    auto [former, successor] = this->elect();
     former.election.hand_over(milliseconds(15'000));
     this->run_for(milliseconds(300));
     ASSERT_TRUE(successor.election.leads());
@@ -333,9 +314,7 @@
 // was older than the outage.
 TEST_F(leadership_test, a_claim_that_the_store_does_not_answer_is_given_up)
 {
-    this->run_for(milliseconds(400));
-    auto& leader = this->coordinator();
-    auto& other = this->member();
+    auto [leader, other] = this->elect();
     this->store.transactions_to_delay = 1;
     this->refuse_connections(other, milliseconds(250));
     ASSERT_EQ(this->store.transactions_to_delay, 0) << "the claim was sent";
--- a/src/libverbenalever/coordination/peer_channel_test.cpp
+++ b/src/libverbenalever/coordination/peer_channel_test.cpp
@@ -1,8 +1,7 @@
 #include "coordination/peer_channel.h"
 
-#include "loop/event_loop.h"
-#include "loop/timer.h"
 #include "membership/message_codec.h"
+#include "testing/loop_fixture.h"
 #include "wire/frame_connection.h"
 
 #include <arpa/inet.h>
@@ -16,7 +15,7 @@
 namespace verbenalever {
 namespace {
 
-class peer_channel_test : public testing::Test {
+class peer_channel_test : public loop_fixture {
 protected:
     peer_channel_test()
     {
@@ -35,13 +34,6 @@
         ::close(this->ends[1]);
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     /// Send a notification from the other end.
     void send_notification()
     {
@@ -53,7 +45,6 @@
                   static_cast<ssize_t>(frame.size()));
     }
 
-    event_loop loop;
     std::array<int, 2> ends{};
     std::unique_ptr<peer_channel> channel;
     int messages_received = 0;
--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -39,6 +39,41 @@
         this->run_for(milliseconds(50));
     }
 
+    /// Submit the workflow "w" of one task and run the loop until its start is sent.
+    void submit_until_started(process& to)
+    {
+        this->submit(to, "w", {this->tasks(1, 1)});
+        while (this->targets.start_count == 0)
+            this->run_for(milliseconds(1));
+    }
+
+    /// Restart t1 unnoticed, so that its next life starts "w", and run the loop until a poll shows the
+    /// restart: the former life is dropped, and the task is held for the next one.
+    process& start_in_an_unlisted_life()
+    {
+        this->targets.add("t1", 1000).task_duration = milliseconds(0);
+        this->targets.executes_starts_for_former_lives = true;
+        auto& first = this->elect("vm-1");
+        this->targets.listed_born_ms["t1"] = 1;
+        this->targets.restart("t1");
+        this->submit_until_started(first);
+        this->targets.add("t2", 1000).task_duration = milliseconds(0);
+        this->targets.publish_targets();
+        this->run_for(milliseconds(300));
+        return first;
+    }
+
+    /// Submit workflows that fit nowhere, while transactions take 60 ms, so that ends and new
+    /// placements are stored together.
+    void submit_others(process& to)
+    {
+        this->store.commit_delay = milliseconds(60);
+        for (int number = 0; number < 150; ++number) {
+            this->submit(to, "other" + std::to_string(number), {this->tasks(1, 4)});
+            this->run_for(milliseconds(10));
+        }
+    }
+
     std::optional<start_order> held;
     std::optional<order_authority> held_authority;
     order_result::outcome late_result = order_result::outcome::unknown;
@@ -125,9 +160,7 @@
     auto& first = this->elect("vm-1");
     this->hold_first_start();
     target.unresponsive = true;
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
+    this->submit_until_started(first);
     this->kill(first);
     this->targets.add("t2", 1000).task_duration = milliseconds(0);
     this->targets.restart("t1");
@@ -146,9 +179,7 @@
     auto& first = this->elect("vm-1");
     this->hold_first_start();
     target.unresponsive = true;
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
+    this->submit_until_started(first);
     this->targets.add("t2", 1000).task_duration = milliseconds(0);
     this->targets.publish_targets();
     this->run_for(milliseconds(2200));
@@ -181,13 +212,7 @@
     target.polls_to_lose = 1;
     this->targets.end_all("t1", target_view::ending::done);
     target.task_duration = milliseconds(20);
-    // Transactions of other workflows are under way, so that the ends and new placements are stored
-    // together.
-    this->store.commit_delay = milliseconds(60);
-    for (int number = 0; number < 150; ++number) {
-        this->submit(first, "other" + std::to_string(number), {this->tasks(1, 4)}); // fits nowhere
-        this->run_for(milliseconds(10));
-    }
+    this->submit_others(first);
     std::size_t again = 0;
     for (const auto& [name, count] : starts)
         again += count > 1 ? 1 : 0;
@@ -203,9 +228,7 @@
     auto& first = this->elect("vm-1");
     this->hold_first_start();
     target.unresponsive = true;
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
+    this->submit_until_started(first);
     this->targets.add("t2", 1000).task_duration = milliseconds(0);
     this->targets.restart("t1"); // publishes the list too
     this->run_for(milliseconds(150));
@@ -226,9 +249,7 @@
     auto& first = this->elect("vm-1");
     this->hold_first_start();
     target.unresponsive = true;
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
+    this->submit_until_started(first);
     this->targets.add("t2", 1000).task_duration = milliseconds(0);
     this->targets.restart("t1");
     this->run_for(milliseconds(150));
@@ -263,13 +284,7 @@
     this->targets.listed_ends_limit = 500;
     this->targets.end_all("t1", target_view::ending::done);
     auto& second = this->elect("vm-2");
-    // Transactions of other workflows are under way, so that the ends and new placements are stored
-    // together.
-    this->store.commit_delay = milliseconds(60);
-    for (int number = 0; number < 150; ++number) {
-        this->submit(second, "other" + std::to_string(number), {this->tasks(1, 4)}); // fits nowhere
-        this->run_for(milliseconds(10));
-    }
+    this->submit_others(second);
     EXPECT_EQ(this->targets.start_count, 600);
     EXPECT_EQ(this->state(second, "w"), workflow_state::completed);
 }
@@ -278,17 +293,7 @@
 // twice when the restart is noticed.
 TEST_F(coordinator_late_orders_test, a_start_that_the_next_life_confirms_does_not_run_twice)
 {
-    this->targets.add("t1", 1000).task_duration = milliseconds(0);
-    this->targets.executes_starts_for_former_lives = true;
-    auto& first = this->elect("vm-1");
-    this->targets.listed_born_ms["t1"] = 1;
-    this->targets.restart("t1");
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
-    this->targets.add("t2", 1000).task_duration = milliseconds(0);
-    this->targets.publish_targets();
-    this->run_for(milliseconds(300)); // a poll shows the restart, and the former life is dropped
+    this->start_in_an_unlisted_life();
     this->targets.listed_born_ms.clear();
     this->targets.publish_targets();
     this->run_for(milliseconds(500));
@@ -300,17 +305,7 @@
 // know that the task was held for that life, and started it elsewhere at once.
 TEST_F(coordinator_late_orders_test, a_successor_waits_for_the_next_life_that_a_task_is_held_for)
 {
-    this->targets.add("t1", 1000).task_duration = milliseconds(0);
-    this->targets.executes_starts_for_former_lives = true;
-    auto& first = this->elect("vm-1");
-    this->targets.listed_born_ms["t1"] = 1;
-    this->targets.restart("t1");
-    this->submit(first, "w", {this->tasks(1, 1)});
-    while (this->targets.start_count == 0)
-        this->run_for(milliseconds(1));
-    this->targets.add("t2", 1000).task_duration = milliseconds(0);
-    this->targets.publish_targets();
-    this->run_for(milliseconds(300)); // the former life is dropped, and the task is held
+    auto& first = this->start_in_an_unlisted_life();
     this->kill(first);
     this->elect("vm-2");
     this->run_for(milliseconds(300));
--- a/src/libverbenalever/coordinator/record_log_test.cpp
+++ b/src/libverbenalever/coordinator/record_log_test.cpp
@@ -1,10 +1,9 @@
 #include "coordinator/record_log.h"
 
 #include "coordination/commit_chain.h"
-#include "loop/event_loop.h"
-#include "loop/timer.h"
 #include "membership/message_codec.h"
 #include "testing/fake_store.h"
+#include "testing/loop_fixture.h"
 #include "timeline/event_log.h"
 
 #include <gtest/gtest.h>
@@ -16,7 +15,7 @@
 namespace verbenalever {
 namespace {
 
-class record_log_test : public testing::Test {
+class record_log_test : public loop_fixture {
 protected:
     record_log_test()
     {
@@ -30,13 +29,6 @@
             });
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     void store_record(const std::string& id, workflow_state state = workflow_state::queued)
     {
         this->known[id] = {.id = id, .state = static_cast<int>(state)};
@@ -59,7 +51,6 @@
         return found;
     }
 
-    event_loop loop;
     fake_store store{this->loop};
     event_log log{"test"};
     std::unique_ptr<commit_chain> chain;
--- a/src/libverbenalever/coordinator/target_session_test.cpp
+++ b/src/libverbenalever/coordinator/target_session_test.cpp
@@ -1,8 +1,7 @@
 #include "coordinator/target_session.h"
 
-#include "loop/event_loop.h"
-#include "loop/timer.h"
 #include "testing/fake_targets.h"
+#include "testing/loop_fixture.h"
 
 #include <gtest/gtest.h>
 
@@ -12,7 +11,7 @@
 namespace verbenalever {
 namespace {
 
-class target_session_test : public testing::Test {
+class target_session_test : public loop_fixture {
 protected:
     target_session_test()
     {
@@ -27,14 +26,6 @@
                                       .reachability_changed = [](bool) {}});
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
-    event_loop loop;
     fake_targets targets{this->loop};
     std::unique_ptr<target_session> session;
 };
--- a/src/libverbenalever/order_relay/order_relay_test.cpp
+++ b/src/libverbenalever/order_relay/order_relay_test.cpp
@@ -1,8 +1,8 @@
 #include "order_relay/order_relay.h"
 
-#include "loop/event_loop.h"
 #include "order_relay/relayed_orders.h"
 #include "testing/fake_targets.h"
+#include "testing/loop_fixture.h"
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
@@ -19,7 +19,7 @@
 namespace {
 
 /// A coordinator's relayed_orders with two relays in one zone, connected by direct calls.
-class order_relay_test : public testing::Test {
+class order_relay_test : public loop_fixture {
 protected:
     order_relay_test()
     {
@@ -44,13 +44,6 @@
         return true;
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     std::optional<order_result> start()
     {
         const auto result = std::make_shared<std::optional<order_result>>();
@@ -67,7 +60,6 @@
         return (boot_time() + milliseconds(5000)).count();
     }
 
-    event_loop loop;
     event_log log{"test"};
     counters count;
     fake_targets targets{this->loop};
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "loop/event_loop.h"
 #include "testing/coordinating_process.h"
 #include "testing/fake_store.h"
 #include "testing/fake_targets.h"
+#include "testing/loop_fixture.h"
 #include "timeline/event_log.h"
 
 #include <gtest/gtest.h>
@@ -17,7 +17,7 @@
 
 /// Coordinating processes, targets and a store in memory; configured with the queues "urgent" and
 /// "slow" and one team.
-class coordinator_fixture : public testing::Test {
+class coordinator_fixture : public loop_fixture {
 protected:
     using process = coordinating_process;
 
@@ -35,13 +35,6 @@
         this->configuration = initial;
     }
 
-    void run_for(milliseconds span)
-    {
-        timer end(this->loop, [this] { this->loop.stop(); });
-        end.start_once(span);
-        this->loop.run();
-    }
-
     /// Start a process and run the loop until it is elected coordinator.
     process& elect(const std::string& vm)
     {
@@ -92,7 +85,6 @@
         return found;
     }
 
-    event_loop loop;
     fake_store store{this->loop};
     fake_targets targets{this->loop};
     event_log log{"test"};
