--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -79,9 +79,9 @@
     int open_questions = 0;           ///< questions to the advisor without an answer yet
     bool asked_all_targets = false;   ///< whether the advisor was asked about all suitable targets
     milliseconds next_question_at{0}; ///< time since boot before which the advisor is not asked
-    int consecutive_missed_answers = 0;          ///< questions without answer since the last answer
-    milliseconds ready_since{0}; ///< time since boot when it first became ready; 0: not yet
-    bool in_ready_list = false;  ///< whether coordinator::ready_steps contains the step
+    int consecutive_missed_answers = 0; ///< questions without answer since the last answer
+    milliseconds ready_since{0};        ///< time since boot when it first became ready; 0: not yet
+    bool in_ready_list = false;         ///< whether coordinator::ready_steps contains the step
     /// Whether it was last found to exceed its team's limit, or all targets, by itself.
     bool too_large = false;
     int rank = 0; ///< part of its key in ready_steps, see coordinator::rank_of()
