--- a/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_orders_test.cpp
@@ -47,8 +47,8 @@
             this->run_for(milliseconds(1));
     }
 
-    /// Restart t1 unnoticed, so that its next life starts "w", and run the loop until a poll shows the
-    /// restart: the former life is dropped, and the task is held for the next one.
+    /// Restart t1 unnoticed, so that its next life starts "w", and run the loop until a poll shows
+    /// the restart: the former life is dropped, and the task is held for the next one.
     process& start_in_an_unlisted_life()
     {
         this->targets.add("t1", 1000).task_duration = milliseconds(0);
