--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -224,7 +224,8 @@
     /// life has confirmed that it refuses them, at most for held_task_wait: it may execute them.
     void hold_tasks_of_unresolved_starts(const std::string& target);
     /// Let a held task wait for a target again.
-    void release_held_task(const task_name& task, unresolved_start& start);
+    /// @param reason for the log
+    void release_held_task(const task_name& task, unresolved_start& start, std::string_view reason);
     /// Release the held tasks of targets that did not return in time.
     void release_overdue_tasks(milliseconds now);
     void restore_unresolved_starts(fleet_target& target);
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -71,6 +71,12 @@
         task.awaited_target_count = 1;
         --step.waiting_count;
         start.holds_task = true;
+        this->env.log.write("coordinator", "task_held",
+                            {{"workflow", name.workflow},
+                             {"step", name.step},
+                             {"index", name.index},
+                             {"run", start.run},
+                             {"target", target}});
         // A successor has to wait for the target too.
         start.batch = this->placements.add({name.workflow, name.occurrence, name.step, name.index,
                                             start.run, target, kept->second.born_ms});
@@ -82,7 +88,8 @@
     }
 }
 
-void coordinator::release_held_task(const task_name& name, unresolved_start& start)
+void coordinator::release_held_task(const task_name& name, unresolved_start& start,
+                                    std::string_view reason)
 {
     if (!std::exchange(start.holds_task, false))
         return;
@@ -92,8 +99,16 @@
         return;
     auto& step = owner->steps[name.step];
     auto& task = step.tasks[name.index];
-    if (task.current_phase != workflow_task::phase::awaiting_target ||
-        --task.awaited_target_count > 0)
+    const bool released = task.current_phase == workflow_task::phase::awaiting_target &&
+                          --task.awaited_target_count == 0;
+    this->env.log.write("coordinator", "held_task_released",
+                        {{"workflow", name.workflow},
+                         {"step", name.step},
+                         {"index", name.index},
+                         {"run", start.run},
+                         {"reason", reason},
+                         {"waits_for_others", !released}});
+    if (!released)
         return;
     task.current_phase = workflow_task::phase::waiting;
     ++step.waiting_count;
@@ -107,13 +122,13 @@
     for (auto& [name, kept] : this->removed_unresolved_starts) {
         for (auto& [task, start] : kept.starts) {
             if (start.holds_task && kept.removed_at + held_task_wait < now)
-                this->release_held_task(task, start);
+                this->release_held_task(task, start, "overdue");
         }
     }
     for (auto& [name, target] : this->targets) {
         for (auto& [task, start] : target->unresolved_starts) {
             if (start.holds_task && target->added_at + held_task_wait < now)
-                this->release_held_task(task, start);
+                this->release_held_task(task, start, "overdue");
         }
     }
 }
@@ -165,7 +180,7 @@
             continue;
         }
         // A run that the poll has shown was adopted, and its task is not held any more.
-        this->release_held_task(task, start);
+        this->release_held_task(task, start, "polled");
         entry = target.unresolved_starts.erase(entry);
     }
     if (any && target.unresolved_starts.empty())
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -262,7 +262,8 @@
                          {"index", name.index},
                          {"run", run},
                          {"target", target.report.name},
-                         {"reason", reason}});
+                         {"reason", reason},
+                         {"listed", found->second.listed}});
     this->remove_run(target, name);
     if (owner == nullptr)
         return;
