TWICE: orders for a former life of a target have no effect, or are waited for, in the next one

Cause: a target that restarts under its name executes orders for its former life, and its clock starts anew, so that any lease for the former life is one of the longest length (6 s) in the new one, counted from the execution. The coordinator released the task 2.5 s after it had dropped the former life, assumed the lease that it grants (5 s) after the first poll of a life and for a restart that it had not noticed, and its successor waited for 6.6 s in all. Late orders had the same fencing token as those for the new life, so that they renewed its lease and acknowledged its ends at any time.

Change: a run that the next life may have begun (its start was sent, and no poll of that life has shown it, or an answer was missed) is given up when a lease of the longest length has ended that an order began at the latest 2.5 s after the last grant. Runs that a poll has shown wait no longer than before. The first poll of a life assumes the longest lease. A target that is added again gets the revision of the coordinator's last transaction as fencing token: greater than the one for its former life, less than the term of any later coordinator, also one of an earlier build. Relays tell late orders by the term, which is a new field at the end of their messages; a relay of an earlier build takes each change of the token for a new coordinator and drops fewer late orders meanwhile.

--- a/src/libverbenalever/coordination/commit_chain.h
+++ b/src/libverbenalever/coordination/commit_chain.h
@@ -90,6 +90,13 @@
     /// @param answered_call_sent_at time since boot
     void resend_if_stalled(milliseconds answered_call_sent_at);
 
+    /// @return store revision of the last committed transaction, or of the fence key as written by
+    /// this tenure; it grows, and is less than that of any later tenure
+    [[nodiscard]] std::int64_t revision() const
+    {
+        return this->fence_revision;
+    }
+
     /// @return number of transactions composed, for metrics
     [[nodiscard]] std::int64_t transactions() const
     {
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -186,12 +186,14 @@
     void add_target(const target_report& report);
     /// Log that the list shows another capacity of a target than before.
     void log_capacity_change(const fleet_target& target, const resources& capacity) const;
+    /// @return the fencing token for a target that is added: greater than for its former life
+    [[nodiscard]] std::int64_t fencing_token_for(const std::string& target);
     void remove_target(const std::string& name, std::string_view reason);
     /// Called every check_interval: remove targets that no longer exist, mark runs whose lease has
     /// expired as lost, resend unanswered orders and update the fleet's total capacity.
     void check_targets();
     /// Mark all runs of a target whose lease has expired as lost.
-    void mark_all_runs_lost(fleet_target& target, std::string_view reason);
+    void mark_expired_runs_lost(fleet_target& target, milliseconds now);
     /// @return whether the store has confirmed this term within renewal_grace
     [[nodiscard]] bool confirmed_by_store() const;
     /// @return whether no other coordinator can have been elected yet, as far as is known
@@ -215,13 +217,15 @@
     void update_adoption();
 
     // Starts that may be executed late (coordinator_late_starts.cpp).
-    /// Remember the starts on the target that were sent and that no poll has shown, before their
-    /// runs are given up.
+    /// @return whether the next life of its target may execute a start order for the run
+    [[nodiscard]] static bool may_start_in_next_life(const placed_run& placed);
+    /// Remember the starts on the target that its next life may execute, before their runs are
+    /// given up.
     static void collect_unresolved_starts(fleet_target& target);
     /// Keep the unresolved starts of a target that is removed until it returns.
     void keep_unresolved_starts(const fleet_target& target);
     /// Let the tasks of the unresolved starts of a target that began a new life wait until the new
-    /// life has confirmed that it refuses them, at most for held_task_wait: it may execute them.
+    /// life has confirmed that it refuses them, or until it cannot be running them any more.
     void hold_tasks_of_unresolved_starts(const std::string& target);
     /// Let a held task wait for a target again.
     /// @param reason for the log
@@ -657,6 +661,7 @@
     std::optional<ready_key> resume_pass_at;
     free_capacity_index free_targets; ///< outlives the targets, which it refers to
     std::map<std::string, std::unique_ptr<fleet_target>> targets;
+    std::set<std::string> known_targets; ///< names of all targets of this term
     /// Start times of lives that targets have answered to be over, by target name, as long as the
     /// platform's list shows them.
     std::map<std::string, std::int64_t> ended_lives;
--- a/src/libverbenalever/coordinator/coordinator_adoption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_adoption.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/commit_chain.h"
 #include "coordinator/coordinator.h"
+#include "coordinator/target_session.h"
 #include "timeline/event_log.h"
 
 namespace verbenalever {
@@ -12,9 +13,11 @@
         return;
     const auto elapsed = boot_time() - this->started_at;
     // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
-    // A target that was restarted is waited for too: until it is polled, and earlier terms are
-    // fenced off, it may execute a start of an earlier term.
     const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
+    // Until a target that was restarted is polled, and earlier terms are fenced off, it may execute
+    // orders for its former life, see target_session::next_life_lease_expiry().
+    const auto limit_after_restart = renewal_grace + target_session::late_execution_limit +
+                                     target_session::longest_duration(this->env.longest_task_lease);
     std::vector<awaited_placement> expired_entries;
     struct lost_placements {
         std::string target;
@@ -27,14 +30,14 @@
         const auto found = this->targets.find(name);
         lost_placements lost_here{.target = name};
         std::erase_if(entries, [&](const awaited_placement& entry) {
-            if (elapsed < limit)
+            const bool restarted = found != this->targets.end() &&
+                                   found->second->report.born_ms > entry.placement.target_born_ms;
+            if (elapsed < (restarted ? limit_after_restart : limit))
                 return false;
             expired_entries.push_back(entry);
             lost_here.born_ms = entry.placement.target_born_ms;
             lost_here.placements.push_back(entry.placement);
-            lost_here.target_restarted =
-                found != this->targets.end() &&
-                found->second->report.born_ms > entry.placement.target_born_ms;
+            lost_here.target_restarted = restarted;
             return true;
         });
         if (!lost_here.placements.empty())
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -14,18 +14,22 @@
 /// How long the unresolved starts of a target that does not return are remembered. Orders are
 /// executed seconds late at the most.
 constexpr milliseconds removed_starts_retention{60'000};
-/// Longest wait of a task whose start the next life of its target may execute: longer than the
-/// start and its repetitions may be on their way, also through relays.
-constexpr milliseconds held_task_wait{2500};
-
 } // namespace
 
+bool coordinator::may_start_in_next_life(const placed_run& placed)
+{
+    // The next life of the target may have answered a start that no poll has shown.
+    return placed.start_sent && (!placed.listed || placed.answer_missed);
+}
+
 void coordinator::collect_unresolved_starts(fleet_target& target)
 {
     for (const auto& [task, placed] : target.tasks) {
-        // The next life of the target may have answered the start.
-        if (placed.start_sent && !placed.listed)
-            target.unresolved_starts[task] = {.run = placed.run, .need = placed.need};
+        if (may_start_in_next_life(placed))
+            target.unresolved_starts[task] = {.run = placed.run,
+                                              .held_until =
+                                                  target.session->next_life_lease_expiry(),
+                                              .need = placed.need};
     }
 }
 
@@ -49,6 +53,7 @@
     for (const auto& [task, start] : kept->second.starts)
         target.unresolved_starts[task] = {.run = start.run,
                                           .holds_task = start.holds_task,
+                                          .held_until = start.held_until,
                                           .batch = start.batch,
                                           .need = start.need};
     this->removed_unresolved_starts.erase(kept);
@@ -121,13 +126,13 @@
 {
     for (auto& [name, kept] : this->removed_unresolved_starts) {
         for (auto& [task, start] : kept.starts) {
-            if (start.holds_task && kept.removed_at + held_task_wait < now)
+            if (start.holds_task && start.held_until < now)
                 this->release_held_task(task, start, "overdue");
         }
     }
     for (auto& [name, target] : this->targets) {
         for (auto& [task, start] : target->unresolved_starts) {
-            if (start.holds_task && target->added_at + held_task_wait < now)
+            if (start.holds_task && start.held_until < now)
                 this->release_held_task(task, start, "overdue");
         }
     }
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -247,6 +247,7 @@
         return;
     }
     if (result.how == order_result::outcome::unknown) {
+        placed.answer_missed = true;
         this->repeat_start_order(target, name);
         return;
     }
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -102,7 +102,8 @@
     target.session = std::make_unique<target_session>(
         this->env.loop, this->env.orders,
         target_life{report.name, report.born_ms, report.address, report.availability_zone},
-        this->term, this->env.task_lease, this->env.longest_task_lease,
+        order_authority{.fencing_token = this->fencing_token_for(report.name), .term = this->term},
+        this->env.task_lease, this->env.longest_task_lease,
         target_session::callbacks{
             .may_renew_leases =
                 [this, &target] {
@@ -135,6 +136,14 @@
     target.session->start_polling();
 }
 
+std::int64_t coordinator::fencing_token_for(const std::string& target)
+{
+    // Orders for a former life must have no effect once its successor has been polled. A revision
+    // that this coordinator has written is greater than its earlier ones, and less than the term of
+    // any later coordinator.
+    return this->known_targets.insert(target).second ? this->term : this->chain.revision();
+}
+
 void coordinator::remove_target(const std::string& name, std::string_view reason)
 {
     const auto found = this->targets.find(name);
@@ -190,12 +199,12 @@
         }
         const bool unreachable = !target->session->reachable() || !target->session->polled();
         const bool lease_expired = unreachable && now > target->session->lease_expiry();
-        if (!target->in_directory && this->env.directory.is_current() &&
-            (lease_expired || (target->tasks.empty() && !unreachable)))
+        if (lease_expired)
+            this->mark_expired_runs_lost(*target, now);
+        if (!target->in_directory && this->env.directory.is_current() && target->tasks.empty() &&
+            (lease_expired || !unreachable))
             targets_to_remove.emplace_back(name, "left");
-        else if (lease_expired && !target->tasks.empty())
-            this->mark_all_runs_lost(*target, "lapsed");
-        else {
+        else if (!lease_expired || target->tasks.empty()) {
             this->stop_unresolved_starts(*target);
             this->resend_orders(*target, now);
         }
@@ -271,18 +280,31 @@
                                           this->env.all_members_answered_within(renewal_grace));
 }
 
-void coordinator::mark_all_runs_lost(fleet_target& target, std::string_view reason)
+void coordinator::mark_expired_runs_lost(fleet_target& target, milliseconds now)
 {
-    this->remember_lost_life(target, this->assess_crash(target));
-    this->env.log.write(
-        "coordinator", "runs_lapsed",
-        {{"target", target.report.name},
-         {"tasks", target.tasks.size()},
-         {"expired_for_ms", (boot_time() - target.session->lease_expiry()).count()}});
-    collect_unresolved_starts(target);
-    while (!target.tasks.empty()) {
-        const auto task = target.tasks.begin()->first;
-        this->mark_run_lost(target, task, reason);
+    // The target may have restarted unnoticed and run there what was sent to its former life.
+    const bool next_life_expired = now > target.session->next_life_lease_expiry();
+    std::set<task_name> expired;
+    for (const auto& [task, placed] : target.tasks) {
+        if (next_life_expired || !may_start_in_next_life(placed))
+            expired.insert(task);
+    }
+    if (expired.empty())
+        return;
+    auto implicated = this->assess_crash(target);
+    std::erase_if(implicated, [&](const auto& run) { return !expired.contains(run.task); });
+    this->remember_lost_life(target, implicated);
+    this->env.log.write("coordinator", "runs_lapsed",
+                        {{"target", target.report.name},
+                         {"tasks", expired.size()},
+                         {"others", target.tasks.size() - expired.size()},
+                         {"expired_for_ms", (now - target.session->lease_expiry()).count()}});
+    if (next_life_expired)
+        collect_unresolved_starts(target);
+    for (const auto& task : expired) {
+        // The end of one member of a gang may have removed others.
+        if (target.tasks.contains(task))
+            this->mark_run_lost(target, task, "lapsed");
     }
     this->update_polling(target);
 }
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -30,6 +30,7 @@
     bool start_repeated = false; ///< sent again at once because the first order was not answered
     bool started = false;        ///< the target has confirmed the start
     bool listed = false;         ///< a poll has shown it in this life of the target
+    bool answer_missed = false;  ///< a start order had no answer, and may still be executed
     bool stopping = false;       ///< a stop was ordered
     bool suspect = false;        ///< its task may crash targets, see crash_history
     bool stop_avoided = false;   ///< counted as not stopped because of stop_avoidance
@@ -52,8 +53,11 @@
     /// ends later, so that a poll sent after this has to show what became of it.
     milliseconds stopped_at{0};
     bool holds_task = false; ///< its task must not start again before it is stopped
-    std::int64_t batch = 0;  ///< of its placement in the placement log while it holds its task
-    resources need;          ///< of the task
+    /// Time since boot at which a run that the next life of its target has begun by this order has
+    /// ended, so that its task need not be held any longer.
+    milliseconds held_until{0};
+    std::int64_t batch = 0; ///< of its placement in the placement log while it holds its task
+    resources need;         ///< of the task
 };
 
 /// An ended run that the target reports until it is acknowledged.
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -33,9 +33,9 @@
 } // namespace
 
 target_session::target_session(event_loop& loop, target_orders& orders, target_life life,
-                               std::int64_t fencing_token, milliseconds lease,
+                               const order_authority& coordinator, milliseconds lease,
                                milliseconds longest_lease, callbacks notify)
-    : orders(orders), life(std::move(life)), fencing_token(fencing_token), lease(lease),
+    : orders(orders), life(std::move(life)), coordinator(coordinator), lease(lease),
       longest_lease(longest_lease), notify(std::move(notify)),
       poll_timer(loop, [this] { this->poll(); })
 {
@@ -86,16 +86,26 @@
 {
     // The lease of a target that does not answer isn't renewed, so that it expires at the time
     // known here.
-    return this->can_grant_lease() ? this->grant_lease()
-                                   : order_authority{.fencing_token = this->fencing_token};
+    return this->can_grant_lease() ? this->grant_lease() : this->coordinator;
 }
 
 void target_session::assume_lease(milliseconds length)
 {
-    const auto effective = std::min(length, this->longest_lease);
     this->lease_expires_at =
         std::max(this->lease_expires_at,
-                 boot_time() + effective * (100 + clock_drift_percent) / 100 + expiry_slack);
+                 boot_time() + longest_duration(std::min(length, this->longest_lease)));
+}
+
+milliseconds target_session::longest_duration(milliseconds lease)
+{
+    return lease * (100 + clock_drift_percent) / 100 + expiry_slack;
+}
+
+milliseconds target_session::next_life_lease_expiry() const
+{
+    if (this->last_grant_at.count() == 0)
+        return milliseconds(0);
+    return this->last_grant_at + late_execution_limit + longest_duration(this->longest_lease);
 }
 
 order_authority target_session::grant_lease()
@@ -106,8 +116,10 @@
     const auto drift = since_clock_read * clock_drift_percent / 100;
     const auto length = std::max(this->lease - drift, this->lease / 2);
     this->assume_lease(length + drift);
-    return {.fencing_token = this->fencing_token,
-            .lease_until_ms = this->clock_ms + (since_clock_read + length).count()};
+    this->last_grant_at = boot_time();
+    auto authority = this->coordinator;
+    authority.lease_until_ms = this->clock_ms + (since_clock_read + length).count();
+    return authority;
 }
 
 void target_session::start(const start_order& order, target_orders::order_callback done)
@@ -136,7 +148,7 @@
 void target_session::stop(const task_name& task, std::int64_t run,
                           target_orders::order_callback done)
 {
-    this->orders.stop(this->life, {.fencing_token = this->fencing_token}, task, run, order_timeout,
+    this->orders.stop(this->life, this->coordinator, task, run, order_timeout,
                       [this, alive = this->alive, done = std::move(done)](order_result result) {
                           if (!*alive)
                               return;
@@ -194,7 +206,7 @@
         return;
     }
     if (!this->has_been_polled)
-        this->assume_lease(this->lease);
+        this->assume_lease(this->longest_lease);
     this->has_been_polled = true;
     this->notify.poll_answered(view, sent);
     if (!*session_alive || this->poll_in_progress || this->poll_timer.active())
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -20,6 +20,9 @@
 /// is about to run there.
 class target_session {
 public:
+    /// Longest time for which an order, its repetitions and its relays may be on their way.
+    static constexpr milliseconds late_execution_limit{2500};
+
     struct callbacks {
         /// @return whether the leases of the runs may be renewed
         std::function<bool()> may_renew_leases;
@@ -34,11 +37,12 @@
         std::function<void(bool reachable)> reachability_changed;
     };
 
+    /// @param coordinator fencing token for this life of the target, and the term
     /// @param lease how long runs go on after the last order or poll that renewed the lease
     /// @param longest_lease the target shortens longer leases to this
     target_session(event_loop& loop, target_orders& orders, target_life life,
-                   std::int64_t fencing_token, milliseconds lease, milliseconds longest_lease,
-                   callbacks notify);
+                   const order_authority& coordinator, milliseconds lease,
+                   milliseconds longest_lease, callbacks notify);
     ~target_session();
     target_session(const target_session&) = delete;
     target_session& operator=(const target_session&) = delete;
@@ -109,13 +113,22 @@
         return this->lease_expires_at;
     }
 
+    /// @return time since boot at which a run that a later life of the target has begun by an order
+    /// for this life has ended, unless that life has got a lease of its own. A target that restarts
+    /// under its name executes orders for its former life. Its clock starts anew, so that the lease
+    /// in such an order is one of the longest length, from when the order is executed.
+    [[nodiscard]] milliseconds next_life_lease_expiry() const;
+
+    /// @return how long a lease of this length, by a target's slow clock, may last by ours
+    [[nodiscard]] static milliseconds longest_duration(milliseconds lease);
+
 private:
     /// @return the fencing token, with a renewed lease if one can be granted
     [[nodiscard]] order_authority issue_authority();
     /// @return the fencing token with a renewed lease
     [[nodiscard]] order_authority grant_lease();
-    /// Assume that a lease of this length begins now: one that is granted, or one that an earlier
-    /// coordinator granted just before the first poll fenced it off.
+    /// Assume that a lease of this length begins now: one that is granted, or one that an order of
+    /// an earlier coordinator, or for a former life, granted before the first poll fenced it off.
     void assume_lease(milliseconds length);
     /// Send a start order once.
     void send_start(const start_order& order, const order_authority& authority,
@@ -134,7 +147,7 @@
 
     target_orders& orders;
     target_life life;
-    std::int64_t fencing_token;
+    order_authority coordinator; ///< without a lease
     milliseconds lease;
     milliseconds longest_lease;
     callbacks notify;
@@ -143,6 +156,7 @@
     milliseconds clock_at{0};    ///< time since boot
     milliseconds answered_at{0}; ///< time since boot
     milliseconds lease_expires_at{0};
+    milliseconds last_grant_at{0}; ///< time since boot; 0: this session has granted no lease
     std::int64_t acknowledged_up_to = 0;
     std::int64_t confirmed_up_to = 0; ///< highest number in a poll that was answered
     bool polling_wanted = false;
--- a/src/libverbenalever/order_relay/order_delay_estimator.h
+++ b/src/libverbenalever/order_relay/order_delay_estimator.h
@@ -13,23 +13,22 @@
 /// pause of the receiver adds to the delay.
 class order_delay_estimator {
 public:
-    /// @param token fencing token of the coordinator that sent the message; a different token
-    ///              resets the estimate
+    /// @param term  of the coordinator that sent the message; a different term resets the estimate
     /// @param sent  send time by the coordinator's clock
     /// @param now   receive time by the local clock
     /// @return the delay in excess of that of the coordinator's fastest message
-    [[nodiscard]] milliseconds delay_of(std::int64_t token, milliseconds sent, milliseconds now)
+    [[nodiscard]] milliseconds delay_of(std::int64_t term, milliseconds sent, milliseconds now)
     {
         const auto difference = now - sent;
-        if (token != this->current_token || difference < this->min_clock_difference) {
-            this->current_token = token;
+        if (term != this->current_term || difference < this->min_clock_difference) {
+            this->current_term = term;
             this->min_clock_difference = difference;
         }
         return difference - this->min_clock_difference;
     }
 
 private:
-    std::int64_t current_token = 0;
+    std::int64_t current_term = 0;
     milliseconds min_clock_difference{0};
 };
 
--- a/src/libverbenalever/order_relay/order_messages.cpp
+++ b/src/libverbenalever/order_relay/order_messages.cpp
@@ -11,7 +11,8 @@
             .fencing_token = authority.fencing_token,
             .lease_until_ms = authority.lease_until_ms,
             .timeout_ms = timeout.count(),
-            .sent_ms = boot_time().count()};
+            .sent_ms = boot_time().count(),
+            .term = authority.term};
 }
 
 relayed_task relayed_task_of(const task_name& task)
--- a/src/libverbenalever/order_relay/order_messages.h
+++ b/src/libverbenalever/order_relay/order_messages.h
@@ -21,8 +21,10 @@
     std::int64_t lease_until_ms = 0; ///< on the target's clock; 0: leave unchanged
     std::int64_t timeout_ms = 0;     ///< for the target's response
     std::int64_t sent_ms = 0; ///< time since boot of the coordinator's VM when the order was sent
+    std::int64_t term = 0;    ///< of the coordinator; absent in messages of earlier builds
 
-    MSGPACK_DEFINE(target, born_ms, address, fencing_token, lease_until_ms, timeout_ms, sent_ms)
+    MSGPACK_DEFINE(target, born_ms, address, fencing_token, lease_until_ms, timeout_ms, sent_ms,
+                   term)
 };
 
 /// Identifies a task in a relayed message.
--- a/src/libverbenalever/order_relay/order_relay.cpp
+++ b/src/libverbenalever/order_relay/order_relay.cpp
@@ -35,7 +35,9 @@
 
 order_authority authority_of(const relayed_order_header& head)
 {
-    return {.fencing_token = head.fencing_token, .lease_until_ms = head.lease_until_ms};
+    return {.fencing_token = head.fencing_token,
+            .lease_until_ms = head.lease_until_ms,
+            .term = head.term};
 }
 
 std::string packed_refusal()
@@ -49,8 +51,10 @@
 
 bool order_relay::too_old(const relayed_order_header& head)
 {
+    // Earlier builds give all targets the term as fencing token, and do not send it.
+    const auto term = head.term != 0 ? head.term : head.fencing_token;
     const auto delay =
-        this->delay_estimator.delay_of(head.fencing_token, milliseconds(head.sent_ms), boot_time());
+        this->delay_estimator.delay_of(term, milliseconds(head.sent_ms), boot_time());
     if (delay < milliseconds(head.timeout_ms))
         return false;
     this->count.add("orders_too_old");
--- a/src/libverbenalever/ports/task_order.h
+++ b/src/libverbenalever/ports/task_order.h
@@ -47,6 +47,8 @@
 struct order_authority {
     std::int64_t fencing_token = 0;
     std::int64_t lease_until_ms = 0; ///< on the target's clock; 0: leave unchanged
+    /// Of the coordinator: its fencing tokens for different targets may differ.
+    std::int64_t term = 0;
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -7,6 +7,8 @@
 #include "testing/fake_targets.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
 coordinating_process::coordinating_process(event_loop& loop, fake_store& store,
@@ -41,7 +43,8 @@
                                  .metrics = this->metrics,
                                  .prefix = "v/",
                                  .task_lease = this->task_lease,
-                                 .longest_task_lease = this->task_lease,
+                                 .longest_task_lease =
+                                     std::max(this->task_lease, this->longest_task_lease),
                                  .ended_retention = milliseconds(60'000),
                                  .usage_half_life = this->usage_half_life,
                                  .past_use_store_interval = this->past_use_store_interval,
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -42,6 +42,7 @@
                                                             this->targets, this->configuration,
                                                             this->log, vm));
         this->processes.back()->task_lease = this->task_lease;
+        this->processes.back()->longest_task_lease = this->longest_task_lease;
         this->processes.back()->usage_half_life = this->usage_half_life;
         this->processes.back()->past_use_store_interval = this->past_use_store_interval;
         this->processes.back()->admission = this->admission;
@@ -92,6 +93,7 @@
     event_log log{"test"};
     std::shared_ptr<fleet_configuration> configuration;
     milliseconds task_lease{1500};                ///< of processes that are elected from now on
+    milliseconds longest_task_lease{0};           ///< the same
     milliseconds usage_half_life{0};              ///< the same
     milliseconds past_use_store_interval{10'000}; ///< the same
     admission_policy admission = admission_policy::none; ///< the same
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -21,16 +21,19 @@
 
 void fake_targets::expire_leases()
 {
-    const auto now = boot_time().count();
     for (const auto& [name, current_target] : this->targets) {
-        if (!current_target->running.empty() && now > current_target->lease_until_ms)
+        if (!current_target->running.empty() &&
+            clock_of(*current_target) > current_target->lease_until_ms)
             this->end_all(name, target_view::ending::lapsed);
     }
 }
 
-void fake_targets::renew_lease(target& destination, const order_authority& authority)
+void fake_targets::renew_lease(target& destination, const order_authority& authority) const
 {
-    destination.lease_until_ms = std::max(destination.lease_until_ms, authority.lease_until_ms);
+    auto until = authority.lease_until_ms;
+    if (this->longest_lease.count() > 0)
+        until = std::min(until, clock_of(destination) + this->longest_lease.count());
+    destination.lease_until_ms = std::max(destination.lease_until_ms, until);
 }
 
 void fake_targets::call_later(milliseconds wait, std::function<void()> action)
@@ -118,6 +121,8 @@
     destination.last_end_number = 0;
     destination.highest_fencing_token = 0;
     destination.lease_until_ms = 0;
+    if (this->clocks_restart)
+        destination.clock_started_at = boot_time();
     ++destination.report.born_ms;
     this->answer_polls(name);
     this->publish_targets();
@@ -179,7 +184,7 @@
         this->call_later(timeout, [done] { done({}); });
         return;
     }
-    order_result result{.how = order_result::outcome::done, .clock_ms = boot_time().count()};
+    order_result result{.how = order_result::outcome::done, .clock_ms = clock_of(destination)};
     if (this->has_restarted(life) && !this->executes_starts_for_former_lives)
         result.how = order_result::outcome::target_restarted;
     else if (authority.fencing_token < destination.highest_fencing_token)
@@ -235,8 +240,8 @@
                          [done] { done({.how = order_result::outcome::target_restarted}); });
         return;
     }
-    this->call_later(milliseconds(1), [done] {
-        done({.how = order_result::outcome::done, .clock_ms = boot_time().count()});
+    this->call_later(milliseconds(1), [done, clock = clock_of(*this->targets.at(life.name))] {
+        done({.how = order_result::outcome::done, .clock_ms = clock});
     });
     this->call_later(this->targets.at(life.name)->stop_delay, [this, name = life.name, task, run] {
         this->end(name, task, run, target_view::ending::stopped);
@@ -268,8 +273,7 @@
 
 target_view fake_targets::make_view(target& source, std::int64_t acknowledged)
 {
-    target_view view{
-        .result = {.how = order_result::outcome::done, .clock_ms = boot_time().count()}};
+    target_view view{.result = {.how = order_result::outcome::done, .clock_ms = clock_of(source)}};
     for (const auto& end : source.ended) {
         if (end.number <= acknowledged && end.how == target_view::ending::done)
             this->acknowledged_done.insert(end.task);
@@ -319,7 +323,8 @@
         this->call_later(timeout, [done] { done({}); });
         return;
     }
-    if (this->has_restarted(life)) {
+    const bool former_life = this->has_restarted(life);
+    if (former_life && !this->executes_polls_for_former_lives) {
         this->call_later(milliseconds(1), [done] {
             done({.result = {.how = order_result::outcome::target_restarted}});
         });
@@ -332,7 +337,9 @@
     }
     destination.highest_fencing_token = authority.fencing_token;
     renew_lease(destination, authority);
-    const auto view = this->make_view(destination, acknowledged);
+    auto view = this->make_view(destination, acknowledged);
+    if (former_life)
+        view.result.how = order_result::outcome::target_restarted;
     if (!view.ended.empty() || wait.count() == 0) {
         this->call_later(milliseconds(1), [done, view] { done(view); });
         return;
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -24,7 +24,8 @@
     struct target {
         target_report report;
         std::int64_t highest_fencing_token = 0;
-        std::int64_t lease_until_ms = 0;
+        std::int64_t lease_until_ms = 0;  ///< on its clock
+        milliseconds clock_started_at{0}; ///< time since boot at which its clock showed 0
         std::int64_t last_end_number = 0;
         bool unresponsive = false; ///< does not respond
         /// Selects the start orders that the target executes without a response.
@@ -102,6 +103,11 @@
     milliseconds capacity_allowance{0}; ///< time that a capacity counts after a newer one is listed
     std::vector<std::string> violations;
     bool executes_starts_for_former_lives = false; ///< as a target does that knows only its name
+    /// The same for polls. The answers show that the target has restarted.
+    bool executes_polls_for_former_lives = false;
+    /// The clock of a target starts anew at each restart.
+    bool clocks_restart = false;
+    milliseconds longest_lease{0};     ///< longer leases are shortened to this; 0: none are
     std::size_t listed_ends_limit = 0; ///< most ends that one view lists, oldest first; 0: all
     std::function<void(const start_order&)> on_start;               ///< called for each start order
     std::function<void(const order_authority&)> on_start_authority; ///< called for each start order
@@ -130,7 +136,12 @@
              target_view::ending how);
     void answer_polls(const std::string& name);
     void expire_leases();
-    static void renew_lease(target& destination, const order_authority& authority);
+    void renew_lease(target& destination, const order_authority& authority) const;
+    /// @return what the clock of a target shows, in milliseconds
+    [[nodiscard]] static std::int64_t clock_of(const target& source)
+    {
+        return (boot_time() - source.clock_started_at).count();
+    }
     [[nodiscard]] bool has_restarted(const target_life& life) const;
     [[nodiscard]] target_view make_view(target& source, std::int64_t acknowledged);
     void call_later(milliseconds wait, std::function<void()> action);
