Memory: bound all request bodies of the entry's own interface together

What callers saw: clients that send large bodies and stop short of the end ended a process, which ran out of memory. That was mended for callers on the users' platform only; the entry's own interface had a limit for one body and none for their sum, with up to 4,096 connections.

Change: the own interface gets the same budget of bytes and connections, from the settings memory_mb (260 by default, the VMs of the users) and max_descriptors. Counting and logging of what a server refuses is shared.

Crowd and bounds are those of the other request-memory cases; run_case() of the harness is split so that both use it.

--- a/src/include/verbenalever/entry_settings.h
+++ b/src/include/verbenalever/entry_settings.h
@@ -23,6 +23,8 @@
                                             ///< a configuration was read
 
     std::size_t body_limit_bytes = 1 << 20;
+    std::size_t memory_mb = 260;     ///< of the VM; a part of it is for request bodies
+    std::size_t max_descriptors = 0; ///< that the process may open; 0: not known
     milliseconds heartbeat_interval{1000};
     milliseconds target_lease{3000};
     milliseconds target_lease_renewal{1000};
--- a/src/libverbenalever/daemon/entry_daemon.cpp
+++ b/src/libverbenalever/daemon/entry_daemon.cpp
@@ -4,6 +4,7 @@
 #include "administration/admin_api.h"
 #include "configuration/configuration_store.h"
 #include "http/http_client.h"
+#include "http/http_load_log.h"
 #include "http/http_server.h"
 #include "http/router.h"
 #include "jobs/job_service.h"
@@ -38,6 +39,25 @@
 /// balancer sees the health check fail.
 constexpr milliseconds min_drain_time{500};
 constexpr int status_unavailable = 503;
+/// Buffer of one connection, which bounds the headers of a request: that of 4,096 connections takes
+/// a quarter of the memory of a VM of the default size.
+constexpr std::size_t connection_buffer_bytes = 16U << 10U;
+
+/// @return limits that bound the memory of all callers together. A body that arrives slowly is not
+/// ended unless others need its memory, nor an idle connection before the idle timeout unless
+/// others need it. A body without progress is: the library does not always notice that its client
+/// has left.
+http_server_limits limits_of_callers(const entry_settings& settings)
+{
+    http_server_limits limits{.body_bytes = settings.body_limit_bytes,
+                              .connection_buffer_bytes = connection_buffer_bytes};
+    limits.connections = connection_limit(settings.max_descriptors, limits.connections);
+    limits.bodies = body_budget_limits::of_vm(settings.memory_mb, limits.connections,
+                                              settings.body_limit_bytes);
+    limits.bodies.whole_body = milliseconds::max();
+    limits.bodies.no_request = milliseconds::max();
+    return limits;
+}
 
 } // namespace
 
@@ -88,9 +108,12 @@
     {
         this->add_routes();
         auto listening = http_server::listen(
-            this->loop, this->settings.http, {.body_bytes = this->settings.body_limit_bytes},
+            this->loop, this->settings.http, limits_of_callers(this->settings),
             [this](const http_request& request, http_responder respond) {
                 this->routes.dispatch(request, std::move(respond));
+            },
+            [this](const http_load_event& load) {
+                record_http_load(load, this->metrics, this->log);
             });
         if (!listening.ok())
             return listening.status();
--- a/src/libverbenalever/settings/entry_settings.cpp
+++ b/src/libverbenalever/settings/entry_settings.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::int64_t max_body_limit_bytes = 64 << 20;
+constexpr std::int64_t min_memory_mb = 64;
+constexpr std::int64_t max_memory_mb = 1 << 20;
+constexpr std::int64_t highest_max_descriptors = 1 << 20;
 
 void read_times(entry_settings& settings, yaml_mapping& root)
 {
@@ -57,6 +60,10 @@
     settings.operator_keys = root.texts("operator_keys");
     settings.body_limit_bytes = static_cast<std::size_t>(
         root.integer("body_limit_bytes", 1, max_body_limit_bytes, settings.body_limit_bytes));
+    settings.memory_mb = static_cast<std::size_t>(
+        root.integer("memory_mb", min_memory_mb, max_memory_mb, settings.memory_mb));
+    settings.max_descriptors = static_cast<std::size_t>(
+        root.integer("max_descriptors", 0, highest_max_descriptors, settings.max_descriptors));
     read_seeds(settings, root);
     read_times(settings, root);
     root.finish();
--- a/testsuite/harness/unfinished_bodies.py
+++ b/testsuite/harness/unfinished_bodies.py
@@ -100,15 +100,15 @@
     return headers(number, "X-Filler: " + "x" * header_bytes)[:header_bytes]
 
 
-def with_length(number, body_bytes=BODY_BYTES):
+def with_length(number, body_bytes=BODY_BYTES, headers_of=headers):
     """A request that announces its length."""
-    return headers(number, f"Content-Length: {body_bytes}") + b"x" * (body_bytes - 1)
+    return headers_of(number, f"Content-Length: {body_bytes}") + b"x" * (body_bytes - 1)
 
 
-def chunked(number, chunk_bytes, body_bytes=BODY_BYTES):
+def chunked(number, chunk_bytes, body_bytes=BODY_BYTES, headers_of=headers):
     """A chunked request without the last chunk."""
     chunk = f"{chunk_bytes:x}\r\n".encode() + b"x" * chunk_bytes + b"\r\n"
-    return headers(number, "Transfer-Encoding: chunked") + chunk * (body_bytes // chunk_bytes)
+    return headers_of(number, "Transfer-Encoding: chunked") + chunk * (body_bytes // chunk_bytes)
 
 
 class Clients:
@@ -147,42 +147,59 @@
             connection.close()
 
 
-def run_case(request_of, clients=CLIENTS, settings=""):
-    """Checks one entry daemon while the clients stay and after they have left.
+def check_crowd(process, callers, requests, ask):
+    """Checks an entry daemon while the clients stay and after they have left.
 
-    @param request_of returns what the client with that number sends
-    @param settings lines added to those of the entry
+    @param callers address at which the process accepts clients
+    @param requests what each client sends
+    @param ask sends an ordinary request and checks its answer
     @return resident memory in KB before, at the peak and after the clients, open descriptors and
             connections of clients at the peak, and descriptors of clients that were left in the
             look that after_kb is from
     """
+    ask()
+    observer = Observer(process, callers)
+    before = observer.look().resident_kb
+    crowd = Clients(callers, requests, observer.look)
+    ask()
+    observer.look()
+    crowd.close()
+    after = observer.wait_released(before + RETAINED_LIMIT_KB)
+    figures = {"before_kb": before, "peak_kb": observer.peak.resident_kb,
+               "after_kb": after.resident_kb, "descriptors": observer.peak.descriptors,
+               "clients": observer.peak.clients,
+               "clients_left": after.clients + after.unknown}
+    print(figures, flush=True)
+    ask()
+    assert figures["peak_kb"] < RESIDENT_LIMIT_KB, figures
+    assert figures["descriptors"] < DESCRIPTOR_LIMIT, figures
+    assert figures["after_kb"] < before + RETAINED_LIMIT_KB, figures
+    assert figures["clients_left"] == 0, figures
+    return figures
+
+
+def run_case(request_of, clients=CLIENTS, settings=""):
+    """Checks one entry daemon on the users' platform.
+
+    @param request_of returns what the client with that number sends
+    @param settings lines added to those of the entry
+    @return the figures of check_crowd()
+    """
     platform = Platform(Fleet())
     configure(platform)
     entries = Entries(platform, 1, settings=settings)
+    jobs = []
+
+    def submit():
+        jobs.append(f"{len(jobs) + 1:016x}")
+        entries.submit(jobs[-1], [{"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 100}])
+
     try:
         entries.wait_ready()
-        step = {"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 100}
-        entries.submit(f"{1:016x}", [step])
         (name, process), = entries.processes.items()
-        callers = entries.addresses[name]["callers"]
-        observer = Observer(process, callers)
-        before = observer.look().resident_kb
-        crowd = Clients(callers, map(request_of, range(clients)), observer.look)
-        entries.submit(f"{2:016x}", [step])
-        observer.look()
-        crowd.close()
-        after = observer.wait_released(before + RETAINED_LIMIT_KB)
-        figures = {"before_kb": before, "peak_kb": observer.peak.resident_kb,
-                   "after_kb": after.resident_kb, "descriptors": observer.peak.descriptors,
-                   "clients": observer.peak.clients,
-                   "clients_left": after.clients + after.unknown}
-        print(figures, flush=True)
-        entries.submit(f"{3:016x}", [step])
-        entries.wait_completed([f"{number:016x}" for number in (1, 2, 3)], 20)
-        assert figures["peak_kb"] < RESIDENT_LIMIT_KB, figures
-        assert figures["descriptors"] < DESCRIPTOR_LIMIT, figures
-        assert figures["after_kb"] < before + RETAINED_LIMIT_KB, figures
-        assert figures["clients_left"] == 0, figures
+        figures = check_crowd(process, entries.addresses[name]["callers"],
+                              map(request_of, range(clients)), submit)
+        entries.wait_completed(jobs, 20)
         assert not platform.fleet.violations, platform.fleet.violations[:5]
         entries.keep_folder = False
         return figures
