--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -192,7 +192,8 @@
     /// Called every check_interval: remove targets that no longer exist, mark runs whose lease has
     /// expired as lost, resend unanswered orders and update the fleet's total capacity.
     void check_targets();
-    /// Mark all runs of a target whose lease has expired as lost.
+    /// Mark the runs of a target whose lease has expired as lost, except those that a later life of
+    /// the target may be running.
     void mark_expired_runs_lost(fleet_target& target, milliseconds now);
     /// @return whether the store has confirmed this term within renewal_grace
     [[nodiscard]] bool confirmed_by_store() const;
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -14,6 +14,7 @@
 /// How long the unresolved starts of a target that does not return are remembered. Orders are
 /// executed seconds late at the most.
 constexpr milliseconds removed_starts_retention{60'000};
+
 } // namespace
 
 bool coordinator::may_start_in_next_life(const placed_run& placed)
--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -339,6 +339,13 @@
         else:
             self.platform.do(lambda: getattr(target, how)(pause))
 
+    def crash_then_cut(self, name, rng):
+        """Restart a target, let it take orders for its former life, and cut it off."""
+        down_s, up_s = rng.uniform(0.2, 1), rng.uniform(0.05, 1.5)
+        self.disturb_target("crash", name, down_s)
+        time.sleep(down_s + up_s)
+        self.disturb_target("cut_off", name, rng.uniform(4, 9))
+
     def inject(self, rng):
         """Start one fault; others may still go on."""
         name = rng.choice(self.names)
@@ -365,6 +372,9 @@
         }
         if self.options.shrink:
             kinds["resize"] = (3, lambda: self.spawn(self.disturb_target, "resize", target, 0))
+        if self.options.crash_then_cut:
+            kinds["crash_then_cut"] = (3, lambda: self.spawn(self.crash_then_cut, target,
+                                                             random.Random(rng.random())))
         if self.options.faults:
             kinds = {kind: kinds[kind] for kind in self.options.faults.split(",")}
         kind = rng.choices(list(kinds), [weight for weight, _ in kinds.values()])[0]
@@ -550,6 +560,8 @@
                         help="entries have processor shares and links drawn by the seed")
     parser.add_argument("--late-after-restart", action="store_true",
                         help="a target may carry out late what its life before was sent")
+    parser.add_argument("--crash-then-cut", action="store_true",
+                        help="targets restart under their names and are cut off soon after")
     parser.add_argument("--shrink", action="store_true",
                         help="the capacity of targets shrinks and grows")
     parser.add_argument("--early-cancels", type=float, default=0.15,
