Tests of late ends: hold the store until the end of the gang is known

The order that the test is about, the end before the placements are stored, was left to chance. The store now answers no transaction until the target has answered a poll.

--- a/src/libverbenalever/coordinator/coordinator_late_ends_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_ends_test.cpp
@@ -63,13 +63,19 @@
     this->run_for(milliseconds(700));
     while (!other_target.running.empty())
         this->run_for(milliseconds(1));
-    constexpr int delayed_transactions = 3;
+    constexpr int delayed_transactions = 1000;
     this->store.transactions_to_delay = delayed_transactions;
     this->targets.add("t3", 1000).task_duration = milliseconds(0);
     this->targets.publish_targets();
     while (this->store.transactions_to_delay == delayed_transactions)
         this->run_for(milliseconds(1));
+    int polls = 0;
+    this->targets.on_poll = [&polls](std::int64_t) { ++polls; };
     lost_target.unresponsive = false;
+    while (polls == 0)
+        this->run_for(milliseconds(1));
+    this->run_for(milliseconds(50)); // the end is known before the placements are stored
+    this->store.transactions_to_delay = 0;
     this->run_for(milliseconds(4000));
     EXPECT_EQ(this->state(first, "gang"), workflow_state::completed);
     EXPECT_EQ(this->targets.start_count, 2);
