Review: an error of a script is no broken rule

A script that fails for another reason than its rule ends with 2, and ends its processes when it is terminated.

--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -17,6 +17,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 from proxy import Proxies
 
@@ -77,8 +78,12 @@
                         "ticketed": False} | (worker_options or {})
         self.start("platform", [sys.executable, str(LIB / "platform_process.py"), self.store,
                                 self.advice])
-        self.wait(lambda: self.call(self.store, "GET", "/standin/advised")[0] == 200, 5,
-                  "the platform does not answer")
+        try:
+            self.wait(lambda: self.call(self.store, "GET", "/standin/advised")[0] == 200, 5,
+                      "the platform does not answer")
+        except CannotRun:
+            self.close()
+            raise
         self.workers = {}
         for number in range(workers):
             host = self.host()
@@ -247,12 +252,16 @@
 def main(folder, play, **options):
     """Run a case. play(site) returns a text that says how the rule was broken, or None."""
     site = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes too
     try:
         site = Site(folder, **options)
         broken = play(site)
     except CannotRun as problem:
         print(f"the case could not run: {problem}")
         return 2
+    except Exception:  # not a result: only a broken rule may end with 1
+        traceback.print_exc()
+        return 2
     finally:
         if site:
             site.close()
