Logs: until when a task is held, and which lost runs had an unanswered start

Hypotheses, before any change of logic, for a task that a restarted and cut off target runs beside its next run: 1. the restart is noticed, and the held task is released before the order can no longer be executed; 2. the restart is not noticed, and the run is given up when the former life's lease has expired; 3. the order passes the fence of the new life although that has been polled; 4. a successor starts the task. `held_task_released` says "overdue" in case 1 and 2 of the earlier incident alike, and nothing says for how long a task was to be held, or whether the lost run was one whose start had no answer.

`task_held` has `for_ms`, `run_lost` has `unanswered`, the counter `starts_unanswered` tells how often a start order gets no answer. No change of behaviour.

--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -82,7 +82,8 @@
                              {"step", name.step},
                              {"index", name.index},
                              {"run", start.run},
-                             {"target", target}});
+                             {"target", target},
+                             {"for_ms", (start.held_until - boot_time()).count()}});
         // A successor has to wait for the target too.
         start.batch = this->placements.add({name.workflow, name.occurrence, name.step, name.index,
                                             start.run, target, kept->second.born_ms});
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -263,7 +263,8 @@
                          {"run", run},
                          {"target", target.report.name},
                          {"reason", reason},
-                         {"listed", found->second.listed}});
+                         {"listed", found->second.listed},
+                         {"unanswered", found->second.answer_missed}});
     this->remove_run(target, name);
     if (owner == nullptr)
         return;
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -248,6 +248,7 @@
     }
     if (result.how == order_result::outcome::unknown) {
         placed.answer_missed = true;
+        this->env.metrics.add("starts_unanswered");
         this->repeat_start_order(target, name);
         return;
     }
