A start order without an answer is waited for as long as it may be executed

What callers saw: a long task ran twice at the same time (overlap 0.8 to 1.5 s), after its target restarted under its name and was cut off, and executed a start for its former life 6 s late.

Cause: an order that is on its way counted for 2.5 s, whether it was answered or not. The users' targets may keep an order that they do not answer for 12 s. The new life, which nobody has polled, executes it then under the longest lease, counted from the execution; the task was released 8.7 s after the order. The restart that is not noticed, and the successor of the coordinator, had the same cause.

Change: each run has the time until which an unanswered start of it may be executed: 13 s after it was sent, or the expiry of the ticket that it carries, since targets refuse an expired ticket. A run that the next life may have begun is waited for until the longest lease after that. The new fields come last: builds ignore those that they do not know.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -8,6 +8,7 @@
 #include "coordinator/call_outcome.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
+#include "coordinator/placement_history.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/preemption_policy.h"
 #include "coordinator/progress_log.h"
@@ -76,6 +77,8 @@
         std::string prefix;         ///< prefix of this product's keys in the store
         milliseconds task_lease{0}; ///< a task stops when its lease was not renewed this long
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
+        /// Time after which a start order without an answer is not executed any more.
+        milliseconds unanswered_start_limit{0};
         milliseconds ended_retention{0}; ///< how long records of ended workflows stay in the store
         /// Time after which the past use of a team counts half in the order of waiting work; 0:
         /// past use is neither counted nor stored.
@@ -172,7 +175,8 @@
     void load_placements(const std::string& key, std::string_view value);
     /// Prevent a task from being placed until the target on which it may already run has answered
     /// a poll.
-    void mark_awaiting_target(const placement_entry& entry);
+    /// @param term of the coordinator that stored the placement
+    void mark_awaiting_target(const placement_entry& entry, std::int64_t term);
     void load_progress(const std::string& key, std::string_view value);
     /// Apply a stored result to its workflow. @return false when the workflow no longer needs
     /// the result
@@ -208,7 +212,13 @@
     struct awaited_placement {
         placement_entry placement;
         resources need; ///< counted as a possible run of the team until the placement is resolved
+        std::int64_t term = 0; ///< of the coordinator that stored it
     };
+    /// @return how long after the start of this coordinator, at the latest, all runs have ended
+    /// that the placement's target or its next life may have begun
+    /// @param restarted whether the target is known to have begun a new life since the placement
+    [[nodiscard]] milliseconds longest_inherited_run(const awaited_placement& entry,
+                                                     bool restarted) const;
     /// Handle placements by earlier coordinators of which it is known whether they still run, or
     /// that none of them can. A task that was not found running is requeued, unless it has another
     /// placement on a target that has not answered yet.
@@ -220,9 +230,16 @@
     // Starts that may be executed late (coordinator_late_starts.cpp).
     /// @return whether the next life of its target may execute a start order for the run
     [[nodiscard]] static bool may_start_in_next_life(const placed_run& placed);
-    /// Remember the starts on the target that its next life may execute, before their runs are
-    /// given up.
-    static void collect_unresolved_starts(fleet_target& target);
+    /// @return time since boot at which the run has ended if the next life of its target has begun
+    /// it
+    [[nodiscard]] static milliseconds next_life_expiry(const fleet_target& target,
+                                                       const placed_run& placed);
+    /// Remember a start that the next life of its target may execute, before the run is given up.
+    static void add_unresolved_start(fleet_target& target, const task_name& task,
+                                     const placed_run& placed);
+    /// Store with the placement of a run that a start order for it had no answer, for a successor.
+    void store_unanswered_start(const fleet_target& target, const task_name& task,
+                                placed_run& placed);
     /// Keep the unresolved starts of a target that is removed until it returns.
     void keep_unresolved_starts(const fleet_target& target);
     /// Let the tasks of the unresolved starts of a target that began a new life wait until the new
@@ -556,6 +573,10 @@
     void repeat_start_order(fleet_target& target, const task_name& task);
     [[nodiscard]] start_order make_start_order(const fleet_target& target,
                                                const task_name& task) const;
+    /// @return time since boot until which a start order of the step that is sent now may be
+    /// executed if it has no answer
+    [[nodiscard]] milliseconds unanswered_start_end(const workflow& owner, std::uint32_t step_index,
+                                                    const std::string& target) const;
     /// @return a function that passes the target's answer to handle_start_result()
     [[nodiscard]] target_orders::order_callback
     start_result_handler(fleet_target& target, const task_name& task, std::int64_t run);
@@ -677,7 +698,8 @@
     /// target name. Their tasks may still be running.
     std::map<std::string, std::vector<awaited_placement>> awaited_placements;
     std::vector<std::string> inherited_placement_keys; ///< placement log of earlier coordinators
-    std::vector<target_report> latest_reports;         ///< the platform's list as last read
+    placement_history inherited_batches;
+    std::vector<target_report> latest_reports; ///< the platform's list as last read
     team_usage_tracker usage_by_team;
     std::unique_ptr<usage_history> past_use; ///< null: it is not used
     milliseconds past_use_stored_at{0};      ///< time since boot of its last write, or of its load
--- a/src/libverbenalever/coordinator/coordinator_adoption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_adoption.cpp
@@ -5,19 +5,37 @@
 #include "coordinator/target_session.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
+
 namespace verbenalever {
 
+milliseconds coordinator::longest_inherited_run(const awaited_placement& entry,
+                                                bool restarted) const
+{
+    const auto longest_lease = target_session::longest_duration(this->env.longest_task_lease);
+    // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
+    auto longest = renewal_grace + this->env.task_lease * 102 / 100;
+    // Until a target that was restarted is polled, and earlier terms are fenced off, it may execute
+    // orders for its former life, see target_session::next_life_lease_expiry().
+    if (restarted)
+        longest = renewal_grace + target_session::late_execution_limit + longest_lease;
+    // The restart may not have been noticed.
+    const auto& placement = entry.placement;
+    if (!placement.unanswered &&
+        !this->inherited_batches.may_lack_answers(entry.term, placement.written_ms))
+        return longest;
+    const auto late = placement.written_ms == 0 ? this->env.unanswered_start_limit
+                                                : milliseconds(placement.late_ms);
+    if (late.count() == 0)
+        return longest; // no start was sent: the run was adopted
+    return std::max(longest, renewal_grace + late + longest_lease);
+}
+
 void coordinator::update_adoption()
 {
     if (!this->loaded)
         return;
     const auto elapsed = boot_time() - this->started_at;
-    // By then every lease renewed in earlier terms has expired; clocks may drift by 2 percent.
-    const auto limit = renewal_grace + this->env.task_lease * 102 / 100;
-    // Until a target that was restarted is polled, and earlier terms are fenced off, it may execute
-    // orders for its former life, see target_session::next_life_lease_expiry().
-    const auto limit_after_restart = renewal_grace + target_session::late_execution_limit +
-                                     target_session::longest_duration(this->env.longest_task_lease);
     std::vector<awaited_placement> expired_entries;
     struct lost_placements {
         std::string target;
@@ -32,7 +50,7 @@
         std::erase_if(entries, [&](const awaited_placement& entry) {
             const bool restarted = found != this->targets.end() &&
                                    found->second->report.born_ms > entry.placement.target_born_ms;
-            if (elapsed < (restarted ? limit_after_restart : limit))
+            if (elapsed < this->longest_inherited_run(entry, restarted))
                 return false;
             expired_entries.push_back(entry);
             lost_here.born_ms = entry.placement.target_born_ms;
@@ -66,7 +84,7 @@
     this->awaited_placements.erase(found);
     const auto born_ms = this->targets.at(target_name)->report.born_ms;
     std::vector<placement_entry> in_former_life;
-    for (const auto& [placement, need] : entries) {
+    for (const auto& [placement, need, term] : entries) {
         if (placement.target_born_ms < born_ms)
             in_former_life.push_back(placement);
     }
@@ -80,7 +98,7 @@
 {
     if (entries.empty())
         return;
-    for (const auto& [placement, need] : entries) {
+    for (const auto& [placement, need, term] : entries) {
         auto* owner = this->find_workflow(placement.workflow);
         if (owner == nullptr)
             continue;
--- a/src/libverbenalever/coordinator/coordinator_late_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_late_starts.cpp
@@ -3,8 +3,10 @@
 
 #include "coordinator/coordinator.h"
 #include "coordinator/target_session.h"
+#include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace verbenalever {
@@ -15,6 +17,12 @@
 /// executed seconds late at the most.
 constexpr milliseconds removed_starts_retention{60'000};
 
+/// @return milliseconds until @p moment; 0 when it is over
+std::int64_t time_until(milliseconds moment)
+{
+    return std::max(milliseconds(0), moment - boot_time()).count();
+}
+
 } // namespace
 
 bool coordinator::may_start_in_next_life(const placed_run& placed)
@@ -23,15 +31,40 @@
     return placed.start_sent && (!placed.listed || placed.answer_missed);
 }
 
-void coordinator::collect_unresolved_starts(fleet_target& target)
+milliseconds coordinator::next_life_expiry(const fleet_target& target, const placed_run& placed)
 {
-    for (const auto& [task, placed] : target.tasks) {
-        if (may_start_in_next_life(placed))
-            target.unresolved_starts[task] = {.run = placed.run,
-                                              .held_until =
-                                                  target.session->next_life_lease_expiry(),
-                                              .need = placed.need};
-    }
+    // An order that was executed while this life went on was not executed by the next one.
+    const auto kept_until = placed.unanswered_until > target.session->last_polled_at()
+                                ? placed.unanswered_until
+                                : milliseconds(0);
+    return target.session->next_life_lease_expiry(kept_until);
+}
+
+void coordinator::add_unresolved_start(fleet_target& target, const task_name& task,
+                                       const placed_run& placed)
+{
+    target.unresolved_starts[task] = {.run = placed.run,
+                                      .held_until = next_life_expiry(target, placed),
+                                      .need = placed.need,
+                                      .unanswered_until = placed.unanswered_until};
+}
+
+void coordinator::store_unanswered_start(const fleet_target& target, const task_name& task,
+                                         placed_run& placed)
+{
+    this->env.metrics.add("starts_unanswered");
+    if (placed.unanswered_batch != 0 || placed.owner == nullptr)
+        return;
+    placed.unanswered_batch =
+        this->placements.add({.workflow = task.workflow,
+                              .occurrence = task.occurrence,
+                              .step = task.step,
+                              .index = task.index,
+                              .run = placed.run,
+                              .target = target.report.name,
+                              .target_born_ms = target.report.born_ms,
+                              .unanswered = true,
+                              .late_ms = time_until(placed.unanswered_until)});
 }
 
 void coordinator::keep_unresolved_starts(const fleet_target& target)
@@ -56,7 +89,8 @@
                                           .holds_task = start.holds_task,
                                           .held_until = start.held_until,
                                           .batch = start.batch,
-                                          .need = start.need};
+                                          .need = start.need,
+                                          .unanswered_until = start.unanswered_until};
     this->removed_unresolved_starts.erase(kept);
 }
 
@@ -83,10 +117,19 @@
                              {"index", name.index},
                              {"run", start.run},
                              {"target", target},
-                             {"for_ms", (start.held_until - boot_time()).count()}});
+                             {"unanswered", start.unanswered_until.count() != 0},
+                             {"start_late_ms", time_until(start.unanswered_until)},
+                             {"for_ms", time_until(start.held_until)}});
         // A successor has to wait for the target too.
-        start.batch = this->placements.add({name.workflow, name.occurrence, name.step, name.index,
-                                            start.run, target, kept->second.born_ms});
+        start.batch = this->placements.add({.workflow = name.workflow,
+                                            .occurrence = name.occurrence,
+                                            .step = name.step,
+                                            .index = name.index,
+                                            .run = start.run,
+                                            .target = target,
+                                            .target_born_ms = kept->second.born_ms,
+                                            .unanswered = time_until(start.unanswered_until) > 0,
+                                            .late_ms = time_until(start.unanswered_until)});
         this->usage_by_team.add_possible_run(owner->record.team, start.need);
         // A gang starts only when all its tasks wait.
         if (step.waiting_count == 0 || owner->record.spec.steps[name.step].gang)
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -230,6 +230,7 @@
     auto* owner = found->second.owner;
     if (owner != nullptr) {
         this->placements.mark_run_ended(found->second.batch);
+        this->placements.mark_run_ended(found->second.unanswered_batch);
         this->uncount_run(*owner, found->second.need);
         --owner->placed_count;
     }
@@ -264,7 +265,7 @@
                          {"target", target.report.name},
                          {"reason", reason},
                          {"listed", found->second.listed},
-                         {"unanswered", found->second.answer_missed}});
+                         {"unanswered", found->second.unanswered_until.count() != 0}});
     this->remove_run(target, name);
     if (owner == nullptr)
         return;
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -55,8 +55,15 @@
         --step.waiting_count;
         ++owner.placed_count;
         this->count_run(owner, spec.need);
-        const auto batch = this->placements.add({owner.record.id, 0, step_index, index, task.run,
-                                                 target->report.name, target->report.born_ms});
+        const auto late =
+            this->unanswered_start_end(owner, step_index, target->report.name) - boot_time();
+        const auto batch = this->placements.add({.workflow = owner.record.id,
+                                                 .step = step_index,
+                                                 .index = index,
+                                                 .run = task.run,
+                                                 .target = target->report.name,
+                                                 .target_born_ms = target->report.born_ms,
+                                                 .late_ms = late.count()});
         const bool suspect = spec.gang ? suspect_gang : suspects;
         target->add_run(name, {.owner = &owner,
                                .run = task.run,
@@ -176,6 +183,18 @@
     return order;
 }
 
+milliseconds coordinator::unanswered_start_end(const workflow& owner, std::uint32_t step_index,
+                                               const std::string& target) const
+{
+    const auto end = boot_time() + this->env.unanswered_start_limit;
+    // A target refuses a ticket that has expired, in its next life too.
+    const auto& advice = owner.steps[step_index].advice;
+    const auto answer = advice.find(target);
+    return answer == advice.end() || answer->second.ticket.empty()
+               ? end
+               : std::min(end, answer->second.valid_until);
+}
+
 void coordinator::send_start_order(fleet_target& target, const task_name& name)
 {
     const auto found = target.tasks.find(name);
@@ -185,6 +204,8 @@
     auto& placed = found->second;
     placed.last_order_at = boot_time();
     ++placed.unanswered_starts;
+    placed.unanswered_until =
+        this->unanswered_start_end(*placed.owner, name.step, target.report.name);
     target.session->start(this->make_start_order(target, name),
                           this->start_result_handler(target, name, placed.run));
 }
@@ -204,6 +225,8 @@
     }
     placed.start_repeated = true;
     ++placed.unanswered_starts;
+    placed.unanswered_until =
+        this->unanswered_start_end(*placed.owner, name.step, target.report.name);
     target.session->repeat_start(this->make_start_order(target, name),
                                  this->start_result_handler(target, name, placed.run));
 }
@@ -226,6 +249,8 @@
     auto& placed = found->second;
     --placed.unanswered_starts;
     placed.last_order_at = boot_time();
+    if (result.how != order_result::outcome::unknown && !placed.answer_missed)
+        placed.unanswered_until = milliseconds(0);
     if (result.how != order_result::outcome::unknown)
         this->silent_zones.record_answer(target.report.availability_zone, boot_time());
     if (result.how == order_result::outcome::done) {
@@ -248,7 +273,7 @@
     }
     if (result.how == order_result::outcome::unknown) {
         placed.answer_missed = true;
-        this->env.metrics.add("starts_unanswered");
+        this->store_unanswered_start(target, name, placed);
         this->repeat_start_order(target, name);
         return;
     }
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -90,11 +90,14 @@
         this->env.log.write("coordinator", "placements_unreadable", {{"key", key}});
         return;
     }
-    for (const auto& entry : *entries)
-        this->mark_awaiting_target(entry);
+    const auto term = placement_log::term_of(this->placement_prefix(), key);
+    for (const auto& entry : *entries) {
+        this->inherited_batches.add(term, entry.written_ms);
+        this->mark_awaiting_target(entry, term);
+    }
 }
 
-void coordinator::mark_awaiting_target(const placement_entry& entry)
+void coordinator::mark_awaiting_target(const placement_entry& entry, std::int64_t term)
 {
     auto* owner = this->find_workflow(entry.workflow);
     if (owner == nullptr || is_final(owner->state) || entry.step >= owner->steps.size() ||
@@ -113,7 +116,7 @@
     }
     task.run = std::max(task.run, entry.run);
     ++task.awaited_target_count;
-    this->awaited_placements[entry.target].push_back({entry, need});
+    this->awaited_placements[entry.target].push_back({entry, need, term});
 }
 
 void coordinator::load_records(const std::string& key, std::string_view value)
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -155,7 +155,10 @@
                          {"reason", reason},
                          {"born_ms", target.report.born_ms},
                          {"tasks", target.tasks.size()}});
-    collect_unresolved_starts(target);
+    for (const auto& [task, placed] : target.tasks) {
+        if (may_start_in_next_life(placed))
+            add_unresolved_start(target, task, placed);
+    }
     this->keep_unresolved_starts(target);
     const auto runs = this->assess_crash(target);
     if (reason == reborn && !target.report.leaving)
@@ -283,11 +286,15 @@
 void coordinator::mark_expired_runs_lost(fleet_target& target, milliseconds now)
 {
     // The target may have restarted unnoticed and run there what was sent to its former life.
-    const bool next_life_expired = now > target.session->next_life_lease_expiry();
     std::set<task_name> expired;
+    std::vector<task_name> startable; // expired, and a late order must be refused from now on
     for (const auto& [task, placed] : target.tasks) {
-        if (next_life_expired || !may_start_in_next_life(placed))
-            expired.insert(task);
+        const bool may_start = may_start_in_next_life(placed);
+        if (may_start && now <= next_life_expiry(target, placed))
+            continue;
+        expired.insert(task);
+        if (may_start)
+            startable.push_back(task);
     }
     if (expired.empty())
         return;
@@ -299,8 +306,8 @@
                          {"tasks", expired.size()},
                          {"others", target.tasks.size() - expired.size()},
                          {"expired_for_ms", (now - target.session->lease_expiry()).count()}});
-    if (next_life_expired)
-        collect_unresolved_starts(target);
+    for (const auto& task : startable)
+        add_unresolved_start(target, task, target.tasks.at(task));
     for (const auto& task : expired) {
         // The end of one member of a gang may have removed others.
         if (target.tasks.contains(task))
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -31,9 +31,13 @@
     bool started = false;        ///< the target has confirmed the start
     bool listed = false;         ///< a poll has shown it in this life of the target
     bool answer_missed = false;  ///< a start order had no answer, and may still be executed
-    bool stopping = false;       ///< a stop was ordered
-    bool suspect = false;        ///< its task may crash targets, see crash_history
-    bool stop_avoided = false;   ///< counted as not stopped because of stop_avoidance
+    /// Time since boot until which a start order without an answer may be executed; 0: all were
+    /// answered.
+    milliseconds unanswered_until{0};
+    std::int64_t unanswered_batch = 0; ///< number of the batch that stores this; 0: none
+    bool stopping = false;             ///< a stop was ordered
+    bool suspect = false;              ///< its task may crash targets, see crash_history
+    bool stop_avoided = false;         ///< counted as not stopped because of stop_avoidance
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
@@ -58,6 +62,7 @@
     milliseconds held_until{0};
     std::int64_t batch = 0; ///< of its placement in the placement log while it holds its task
     resources need;         ///< of the task
+    milliseconds unanswered_until{0}; ///< see placed_run
 };
 
 /// An ended run that the target reports until it is acknowledged.
--- a/src/libverbenalever/coordinator/placement_log.cpp
+++ b/src/libverbenalever/coordinator/placement_log.cpp
@@ -1,10 +1,13 @@
 #include "coordinator/placement_log.h"
 
 #include "coordination/commit_chain.h"
+#include "loop/clock.h"
 #include "membership/message_codec.h"
 
 #include <fmt/format.h>
 
+#include <charconv>
+
 namespace verbenalever {
 
 namespace {
@@ -44,7 +47,10 @@
                 if (!*alive)
                     return std::nullopt;
                 this->batch_open = this->batch_open && batch_number != this->last_batch;
-                return pack_message(this->batches[batch_number].entries);
+                auto& entries = this->batches[batch_number].entries;
+                for (auto& entry : entries)
+                    entry.written_ms = boot_time().count();
+                return pack_message(entries);
             },
             true,
             [this, alive = this->alive, batch_number] {
@@ -91,6 +97,16 @@
     this->chain.put(this->batch_key(batch_number), [] { return std::nullopt; }, false, {});
 }
 
+std::int64_t placement_log::term_of(std::string_view prefix, std::string_view key)
+{
+    std::int64_t term = 0;
+    if (!key.starts_with(prefix))
+        return 0;
+    const auto rest = key.substr(prefix.size());
+    const auto read = std::from_chars(rest.data(), rest.data() + rest.size(), term);
+    return read.ec == std::errc() ? term : 0;
+}
+
 absl::StatusOr<std::vector<placement_entry>> placement_log::decode(std::string_view value)
 {
     return unpack_message<std::vector<placement_entry>>(value);
--- a/src/libverbenalever/coordinator/placement_log.h
+++ b/src/libverbenalever/coordinator/placement_log.h
@@ -26,13 +26,20 @@
     std::int64_t run = 0;
     std::string target;
     std::int64_t target_born_ms = 0;
+    /// When its batch was written, by the clock since boot of the coordinator that wrote it: to be
+    /// compared within one term only. 0: written by a build that does not store it.
+    std::int64_t written_ms = 0;
+    bool unanswered = false; ///< a start order for the run had no answer
+    /// How long after its batch was written such an order may be executed, in milliseconds.
+    std::int64_t late_ms = 0;
 
     [[nodiscard]] task_name task() const
     {
         return {this->workflow, this->occurrence, this->step, this->index};
     }
 
-    MSGPACK_DEFINE(workflow, occurrence, step, index, run, target, target_born_ms)
+    MSGPACK_DEFINE(workflow, occurrence, step, index, run, target, target_born_ms, written_ms,
+                   unanswered, late_ms)
 };
 
 /// Stores the target of each run, from before its start order is sent until it has ended. A later
@@ -59,6 +66,10 @@
     /// last run.
     void mark_run_ended(std::int64_t batch);
 
+    /// @return the term of the coordinator that wrote the key of a log with this prefix; 0 when
+    /// it cannot be read
+    [[nodiscard]] static std::int64_t term_of(std::string_view prefix, std::string_view key);
+
     /// @return the placements in the value of one key; INVALID_ARGUMENT when it cannot be decoded
     [[nodiscard]] static absl::StatusOr<std::vector<placement_entry>>
     decode(std::string_view value);
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -101,11 +101,12 @@
     return lease * (100 + clock_drift_percent) / 100 + expiry_slack;
 }
 
-milliseconds target_session::next_life_lease_expiry() const
+milliseconds target_session::next_life_lease_expiry(milliseconds kept_until) const
 {
     if (this->last_grant_at.count() == 0)
         return milliseconds(0);
-    return this->last_grant_at + late_execution_limit + longest_duration(this->longest_lease);
+    return std::max(this->last_grant_at + late_execution_limit, kept_until) +
+           longest_duration(this->longest_lease);
 }
 
 order_authority target_session::grant_lease()
@@ -208,6 +209,7 @@
     if (!this->has_been_polled)
         this->assume_lease(this->longest_lease);
     this->has_been_polled = true;
+    this->polled_at = sent;
     this->notify.poll_answered(view, sent);
     if (!*session_alive || this->poll_in_progress || this->poll_timer.active())
         return;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -20,7 +20,8 @@
 /// is about to run there.
 class target_session {
 public:
-    /// Longest time for which an order, its repetitions and its relays may be on their way.
+    /// Longest time for which an order that was answered, its repetitions and its relays may be on
+    /// their way.
     static constexpr milliseconds late_execution_limit{2500};
 
     struct callbacks {
@@ -117,7 +118,14 @@
     /// for this life has ended, unless that life has got a lease of its own. A target that restarts
     /// under its name executes orders for its former life. Its clock starts anew, so that the lease
     /// in such an order is one of the longest length, from when the order is executed.
-    [[nodiscard]] milliseconds next_life_lease_expiry() const;
+    /// @param kept_until time since boot until which an order without an answer may be executed
+    [[nodiscard]] milliseconds next_life_lease_expiry(milliseconds kept_until) const;
+
+    /// @return time since boot at which the last poll was sent that this life has answered; 0: none
+    [[nodiscard]] milliseconds last_polled_at() const
+    {
+        return this->polled_at;
+    }
 
     /// @return how long a lease of this length, by a target's slow clock, may last by ours
     [[nodiscard]] static milliseconds longest_duration(milliseconds lease);
@@ -155,6 +163,7 @@
     std::int64_t clock_ms = 0;   ///< the target's clock at clock_at; 0: unknown
     milliseconds clock_at{0};    ///< time since boot
     milliseconds answered_at{0}; ///< time since boot
+    milliseconds polled_at{0};   ///< see last_polled_at()
     milliseconds lease_expires_at{0};
     milliseconds last_grant_at{0}; ///< time since boot; 0: this session has granted no lease
     std::int64_t acknowledged_up_to = 0;
--- a/src/libverbenalever/daemon/cluster_entry.cpp
+++ b/src/libverbenalever/daemon/cluster_entry.cpp
@@ -183,6 +183,7 @@
             .prefix = this->own_settings.key_prefix,
             .task_lease = this->own_settings.task_lease,
             .longest_task_lease = this->own_settings.longest_task_lease,
+            .unanswered_start_limit = this->own_settings.unanswered_start_limit,
             .ended_retention = this->own_settings.ended_retention,
             .usage_half_life = this->own_settings.usage_half_life,
             .admission = this->own_settings.admission,
--- a/src/libverbenalever/daemon/cluster_entry.h
+++ b/src/libverbenalever/daemon/cluster_entry.h
@@ -49,7 +49,10 @@
         /// A task stops when the coordinator has not renewed its lease this long.
         milliseconds task_lease{0};
         milliseconds longest_task_lease{0}; ///< targets shorten longer leases to this
-        milliseconds ended_retention{0};    ///< how long ended workflows stay in the store
+        /// Targets may keep a start order that they do not answer for 12 s, and the order takes
+        /// some time to reach them.
+        milliseconds unanswered_start_limit{13'000};
+        milliseconds ended_retention{0}; ///< how long ended workflows stay in the store
         /// See coordinator::environment::usage_half_life.
         milliseconds usage_half_life{0};
         admission_policy admission = admission_policy::none;
--- a/src/libverbenalever/testing/coordinating_process.cpp
+++ b/src/libverbenalever/testing/coordinating_process.cpp
@@ -45,6 +45,7 @@
                                  .task_lease = this->task_lease,
                                  .longest_task_lease =
                                      std::max(this->task_lease, this->longest_task_lease),
+                                 .unanswered_start_limit = this->unanswered_start_limit,
                                  .ended_retention = milliseconds(60'000),
                                  .usage_half_life = this->usage_half_life,
                                  .past_use_store_interval = this->past_use_store_interval,
--- a/src/libverbenalever/testing/coordinating_process.h
+++ b/src/libverbenalever/testing/coordinating_process.h
@@ -36,6 +36,7 @@
     bool all_members_connected = false;                  ///< reported to the coordinator
     milliseconds task_lease{1500};                       ///< used by the next coordinator
     milliseconds longest_task_lease{0};                  ///< the same; 0: task_lease
+    milliseconds unanswered_start_limit{2500};           ///< the same
     milliseconds usage_half_life{0};                     ///< the same
     milliseconds past_use_store_interval{10'000};        ///< the same
     admission_policy admission = admission_policy::none; ///< the same
--- a/src/libverbenalever/testing/coordinator_fixture.h
+++ b/src/libverbenalever/testing/coordinator_fixture.h
@@ -43,6 +43,7 @@
                                                             this->log, vm));
         this->processes.back()->task_lease = this->task_lease;
         this->processes.back()->longest_task_lease = this->longest_task_lease;
+        this->processes.back()->unanswered_start_limit = this->unanswered_start_limit;
         this->processes.back()->usage_half_life = this->usage_half_life;
         this->processes.back()->past_use_store_interval = this->past_use_store_interval;
         this->processes.back()->admission = this->admission;
@@ -94,6 +95,7 @@
     std::shared_ptr<fleet_configuration> configuration;
     milliseconds task_lease{1500};                ///< of processes that are elected from now on
     milliseconds longest_task_lease{0};           ///< the same
+    milliseconds unanswered_start_limit{2500};    ///< the same
     milliseconds usage_half_life{0};              ///< the same
     milliseconds past_use_store_interval{10'000}; ///< the same
     admission_policy admission = admission_policy::none; ///< the same
