A removed queue keeps its last definition: its steps go on asking the advisor

What callers saw: a job whose second step's turn came while the route of its queue was away for 5 s stayed `running` for good beside idle targets.

Hypotheses: 1. its tasks are not tried any more since the queue is missing; 2. the targets are avoided after refusals; 3. the advisor's answers are wrong. The log tells them apart since `start_refused` says whether the queue is advised and the order had a ticket: twelve starts, one on each target, refused with bad_ticket, and no question to the advisor, also later.

Cause: a missing queue was taken for one that needs no advice, so that starts went out without tickets. The refusal of a start without a ticket was entered into the advisor's answers as a denial, which is never asked about again.

Change: known_definitions keeps the last definition of each queue that was removed; an open workflow refers to it and nothing looks a queue up that may be missing. A refusal of a start without a ticket says that the target knows a newer definition: the step does not use the target for a second, and the advisor is asked once the definition demands it. Related: a ticket that has expired, of a queue that came back without advice, held the starts back for good; tickets count only while advice is needed.

Evidence, the tests of coordinator_definitions_test on the code before: all three fail (0 of 3 tasks run).

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -49,6 +49,7 @@
       cleanup_timer(this->env.loop, [this] { this->delete_ended_workflows(); }),
       load_log_timer(this->env.loop, [this] { this->log_load(); })
 {
+    this->definitions.apply(*this->configuration);
 }
 
 coordinator::~coordinator()
@@ -77,6 +78,7 @@
 {
     const bool first = this->configuration->version == 0 && configuration->version != 0;
     this->configuration = std::move(configuration);
+    this->definitions.apply(*this->configuration);
     if (first)
         this->load_page(this->record_prefix(), {});
     this->request_scheduling_pass();
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -8,6 +8,7 @@
 #include "coordinator/call_outcome.h"
 #include "coordinator/fleet_target.h"
 #include "coordinator/free_capacity_index.h"
+#include "coordinator/known_definitions.h"
 #include "coordinator/placement_history.h"
 #include "coordinator/placement_log.h"
 #include "coordinator/preemption_policy.h"
@@ -427,8 +428,7 @@
     /// Preempts less urgent runs on targets that the urgent step may use, or asks the advisor
     /// about such targets.
     /// @return whether runs were preempted or targets were named to the advisor
-    bool preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                              const queue_definition* queue, std::uint32_t wanted);
+    bool preempt_for_capacity(workflow& owner, std::uint32_t step_index, std::uint32_t wanted);
     /// Preempts less urgent runs with checkpoints on targets that the advisor has allowed, until
     /// all tasks of the gang fit at once. The capacity is reserved for the gang, and its tickets
     /// are renewed meanwhile.
@@ -455,25 +455,21 @@
     /// @return the target as a candidate for the step; nothing when no task fits there, it is
     /// not usable now or was denied by the advisor
     [[nodiscard]] std::optional<step_candidate>
-    evaluate_target(fleet_target& target, const workflow& owner, std::uint32_t step_index,
-                    const queue_definition* queue) const;
+    evaluate_target(fleet_target& target, const workflow& owner, std::uint32_t step_index) const;
     /// @return candidates for the step: those that the advisor has allowed, and a limited number of
     /// others, which are those with most free capacity
     [[nodiscard]] std::vector<step_candidate> find_candidates(const workflow& owner,
-                                                              std::uint32_t step_index,
-                                                              const queue_definition* queue) const;
+                                                              std::uint32_t step_index) const;
     /// @return a limited number of candidates for a step that needs no advice: those with least
     /// free capacity
     [[nodiscard]] std::vector<step_candidate>
-    find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
-                             const queue_definition* queue) const;
+    find_tightest_candidates(const workflow& owner, std::uint32_t step_index) const;
     /// @return whether operators have taken the target's availability zone out, or none of its
     /// targets answers
     [[nodiscard]] bool in_unusable_zone(const fleet_target& target) const;
     /// @return candidates among the targets that the advisor has allowed
     [[nodiscard]] std::vector<step_candidate>
-    find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
-                            const queue_definition* queue) const;
+    find_allowed_candidates(const workflow& owner, std::uint32_t step_index) const;
     /// @return estimated fraction of targets that the advisor will allow for the step
     [[nodiscard]] double expected_grant_rate(const workflow& owner, std::uint32_t step_index) const;
     /// @return whether the record of a new workflow would wait too long until the store has it
@@ -532,7 +528,7 @@
     /// @return the targets without duplicates, in no particular order
     [[nodiscard]] static std::vector<fleet_target*>
     without_duplicates(std::vector<fleet_target*> targets);
-    /// @return whether the advisor's ticket for the target has not expired; true without a ticket
+    /// @return whether the advisor's ticket for the target has not expired, or none is needed
     [[nodiscard]] bool ticket_valid(const workflow& owner, std::uint32_t step_index,
                                     const std::string& target) const;
     /// Asks the advisor which of @p targets may run the step. The targets of a gang are divided
@@ -662,6 +658,7 @@
     commit_chain& chain;
     std::int64_t term;
     std::shared_ptr<const fleet_configuration> configuration;
+    known_definitions definitions;
     advice_dispatcher dispatcher;
     advice_economy economy;
     std::int64_t unlogged_questions = 0;    ///< sent since the last load line
--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -59,8 +59,7 @@
 
 std::optional<step_candidate> coordinator::evaluate_target(fleet_target& target,
                                                            const workflow& owner,
-                                                           std::uint32_t step_index,
-                                                           const queue_definition* queue) const
+                                                           std::uint32_t step_index) const
 {
     const auto now = this->evaluation_time;
     const auto& spec = owner.record.spec.steps[step_index];
@@ -79,7 +78,7 @@
         if (candidate.max_tasks == 0)
             return std::nullopt;
     }
-    if (queue == nullptr || !queue->needs_advice)
+    if (!owner.definition->needs_advice)
         return candidate;
     const auto& advice = owner.steps[step_index].advice;
     const auto answer = advice.find(target.report.name);
@@ -96,11 +95,10 @@
 }
 
 std::vector<step_candidate> coordinator::find_candidates(const workflow& owner,
-                                                         std::uint32_t step_index,
-                                                         const queue_definition* queue) const
+                                                         std::uint32_t step_index) const
 {
-    if (queue == nullptr || !queue->needs_advice)
-        return this->find_tightest_candidates(owner, step_index, queue);
+    if (!owner.definition->needs_advice)
+        return this->find_tightest_candidates(owner, step_index);
     const auto& need = owner.record.spec.steps[step_index].need;
     const auto waiting = owner.steps[step_index].waiting_count;
     const auto ample_tasks = step_placer::ample_capacity_factor * waiting;
@@ -118,7 +116,7 @@
         if (this->in_unusable_zone(*entry.target))
             continue;
         ++weighed;
-        const auto candidate = this->evaluate_target(*entry.target, owner, step_index, queue);
+        const auto candidate = this->evaluate_target(*entry.target, owner, step_index);
         if (!candidate)
             continue;
         found.push_back(*candidate);
@@ -132,14 +130,13 @@
         return found;
     // The advisor's answers name the allowed targets that it did not reach.
     std::erase_if(found, [](const auto& candidate) { return !is_new(candidate); });
-    const auto allowed = this->find_allowed_candidates(owner, step_index, queue);
+    const auto allowed = this->find_allowed_candidates(owner, step_index);
     found.insert(found.end(), allowed.begin(), allowed.end());
     return found;
 }
 
-std::vector<step_candidate>
-coordinator::find_tightest_candidates(const workflow& owner, std::uint32_t step_index,
-                                      const queue_definition* queue) const
+std::vector<step_candidate> coordinator::find_tightest_candidates(const workflow& owner,
+                                                                  std::uint32_t step_index) const
 {
     const auto& need = owner.record.spec.steps[step_index].need;
     std::vector<step_candidate> found;
@@ -151,7 +148,7 @@
         if (this->in_unusable_zone(target))
             continue;
         ++weighed;
-        if (const auto candidate = this->evaluate_target(target, owner, step_index, queue))
+        if (const auto candidate = this->evaluate_target(target, owner, step_index))
             found.push_back(*candidate);
     }
     this->env.metrics.add("targets_weighed", weighed);
@@ -165,9 +162,8 @@
            this->silent_zones.is_silent(zone, this->evaluation_time);
 }
 
-std::vector<step_candidate>
-coordinator::find_allowed_candidates(const workflow& owner, std::uint32_t step_index,
-                                     const queue_definition* queue) const
+std::vector<step_candidate> coordinator::find_allowed_candidates(const workflow& owner,
+                                                                 std::uint32_t step_index) const
 {
     std::vector<step_candidate> found;
     for (const auto& [name, answer] : owner.steps[step_index].advice) {
@@ -176,7 +172,7 @@
         const auto known = this->targets.find(name);
         if (known == this->targets.end() || this->in_unusable_zone(*known->second))
             continue;
-        if (const auto candidate = this->evaluate_target(*known->second, owner, step_index, queue))
+        if (const auto candidate = this->evaluate_target(*known->second, owner, step_index))
             found.push_back(*candidate);
     }
     return found;
--- /dev/null
+++ b/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
@@ -0,0 +1,157 @@
+// Accepted workflows whose queue is removed from the configuration, or changed, while they go on.
+
+#include "testing/coordinator_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenalever {
+namespace {
+
+class coordinator_definitions_test : public coordinator_fixture {
+protected:
+    coordinator_definitions_test()
+    {
+        this->configuration->queues.push_back({.name = "advised",
+                                               .pool = "pool",
+                                               .priority = 1,
+                                               .attempts = 3,
+                                               .latency_objective = milliseconds(5000),
+                                               .needs_advice = true,
+                                               .advice_base_ms = 1,
+                                               .advice_target_ms = 1});
+    }
+
+    /// Start a coordinator whose advisor allows all targets.
+    process& elect_with_advisor(const std::string& vm)
+    {
+        auto& elected = this->elect(vm);
+        elected.active_coordinator->advice_dispatch().add_vm(
+            vm, [this](const advice_question& question, milliseconds,
+                       const advice_dispatcher::answer_callback& done) {
+                ++this->questions;
+                if (this->answers_left-- <= 0)
+                    return;
+                advice_answer answer{.answered = true, .valid_ms = this->ticket_validity_ms};
+                for (const auto& name : question.targets)
+                    answer.granted.push_back({name, "ticket"});
+                done(answer);
+            });
+        return elected;
+    }
+
+    void add_targets(bool require_tickets, const std::string& pool = "pool")
+    {
+        for (const auto* name : {"1", "2", "3"}) {
+            auto& added = this->targets.add(pool + name, 2000);
+            added.task_duration = milliseconds(0);
+            added.requires_ticket = require_tickets;
+            added.report.pool = pool;
+        }
+        this->targets.publish_targets();
+    }
+
+    /// Give the coordinator a newer configuration; processes elected later start with it too.
+    void reconfigure(process& of, const std::function<void(fleet_configuration&)>& change)
+    {
+        auto newer = std::make_shared<fleet_configuration>(*this->configuration);
+        ++newer->version;
+        change(*newer);
+        this->configuration = newer;
+        of.active_coordinator->apply_configuration(newer);
+    }
+
+    static queue_definition& queue(fleet_configuration& configuration, const std::string& name)
+    {
+        return *std::ranges::find(configuration.queues, name, &queue_definition::name);
+    }
+
+    void remove_queue(process& of, const std::string& name)
+    {
+        this->reconfigure(of, [&name](fleet_configuration& newer) {
+            std::erase_if(newer.queues, [&name](const auto& known) { return known.name == name; });
+        });
+    }
+
+    /// @return a step of tasks of one core, of which each target runs at most one
+    static step_spec spread_step(std::uint32_t count, std::vector<std::uint32_t> after = {})
+    {
+        auto step = tasks(count, 1);
+        step.max_per_target = 1;
+        step.after = std::move(after);
+        return step;
+    }
+
+    void end_all()
+    {
+        for (const auto& [name, target] : this->targets.targets)
+            this->targets.end_all(name, target_view::ending::done);
+    }
+
+    int questions = 0;
+    int answers_left = 1000; ///< questions that the advisor still answers
+    std::int64_t ticket_validity_ms = 10'000;
+};
+
+// A step whose turn came while its queue was removed was started without tickets. The refusals
+// counted as denials by the advisor for good, so that it never started.
+TEST_F(coordinator_definitions_test, a_step_of_a_removed_queue_asks_the_advisor)
+{
+    this->add_targets(true);
+    auto& first = this->elect_with_advisor("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1), spread_step(3, {0})}, "advised");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 1);
+    const auto starts = this->targets.start_count;
+    this->remove_queue(first, "advised");
+    this->end_all();
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 3);
+    EXPECT_EQ(this->targets.start_count, starts + 3) << "starts were refused";
+}
+
+// The targets know a newer configuration than the coordinator: they demand tickets, which says
+// nothing of what the advisor allows.
+TEST_F(coordinator_definitions_test, a_refusal_without_a_ticket_is_no_denial_by_the_advisor)
+{
+    this->add_targets(true);
+    this->queue(*this->configuration, "advised").needs_advice = false;
+    auto& first = this->elect_with_advisor("vm-1");
+    this->submit(first, "w", {spread_step(3)}, "advised");
+    this->run_for(milliseconds(500));
+    ASSERT_EQ(this->targets.running("w"), 0);
+    EXPECT_LE(this->targets.start_count, 3) << "the refused starts are repeated at once";
+    this->reconfigure(
+        first, [](fleet_configuration& newer) { queue(newer, "advised").needs_advice = true; });
+    this->run_for(milliseconds(3500)); // polls have to show that the refused runs are not there
+    EXPECT_GT(this->questions, 0);
+    EXPECT_EQ(this->targets.running("w"), 3);
+}
+
+// The queue comes back without advice: starts were withheld for want of a ticket that is valid.
+TEST_F(coordinator_definitions_test, an_expired_ticket_of_a_queue_without_advice_is_not_needed)
+{
+    this->add_targets(false);
+    this->ticket_validity_ms = 1;
+    this->answers_left = 1;
+    auto& first = this->elect_with_advisor("vm-1");
+    this->submit(first, "w", {spread_step(3)}, "advised");
+    this->run_for(milliseconds(300));
+    ASSERT_GT(this->questions, 0);
+    ASSERT_EQ(this->targets.running("w"), 0) << "the tickets expire too soon";
+    this->remove_queue(first, "advised");
+    this->run_for(milliseconds(100));
+    this->reconfigure(first, [](fleet_configuration& newer) {
+        newer.queues.push_back({.name = "advised", .pool = "pool", .priority = 1, .attempts = 3});
+    });
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 3);
+}
+
+} // namespace
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_preemption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_preemption.cpp
@@ -126,7 +126,7 @@
 }
 
 bool coordinator::preempt_for_capacity(workflow& owner, std::uint32_t step_index,
-                                       const queue_definition* queue, std::uint32_t wanted)
+                                       std::uint32_t wanted)
 {
     const auto now = boot_time();
     auto& step = owner.steps[step_index];
@@ -144,9 +144,8 @@
             continue;
         examined = true;
         const auto answer = step.advice.find(name);
-        const bool needs_advice = queue != nullptr && queue->needs_advice;
-        const bool allowed =
-            !needs_advice || (answer != step.advice.end() && answer->second.allowed);
+        const bool allowed = !owner.definition->needs_advice ||
+                             (answer != step.advice.end() && answer->second.allowed);
         auto runs = preemptible_runs(*target, rule);
         if (allowed && this->env.preemption == preemption_policy::least)
             std::ranges::move(plan_preemptions(*target, need, runs, wanted, preemption_policy::any),
@@ -166,10 +165,9 @@
     this->count_avoided_stops(avoided_stops(plans_of_any));
     if (plans.empty()) {
         const bool is_gang = owner.record.spec.steps[step_index].gang;
+        const auto& queue = *owner.definition;
         const auto max_targets =
-            queue == nullptr
-                ? max_targets_to_ask
-                : std::max(max_targets_to_ask, this->economy.least_targets(*queue, is_gang));
+            std::max(max_targets_to_ask, this->economy.least_targets(queue, is_gang));
         std::ranges::sort(not_asked);
         std::vector<fleet_target*> targets_to_ask;
         for (const auto& [lost_work, target] : not_asked) {
@@ -178,7 +176,7 @@
         }
         // The step may preempt again as soon as the advisor has answered.
         if (!targets_to_ask.empty() &&
-            this->ask_advisor(owner, step_index, *queue, targets_to_ask, is_gang))
+            this->ask_advisor(owner, step_index, queue, targets_to_ask, is_gang))
             step.next_preemption_at = now;
         return !targets_to_ask.empty();
     }
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -74,6 +74,10 @@
     auto added = std::make_unique<workflow>();
     added->record = std::move(record);
     added->state = added->record.stored_state();
+    added->definition =
+        is_final(added->state)
+            ? this->definitions.queue(added->record.queue)
+            : &this->definitions.queue_or_assumed(added->record.queue, added->record.pool);
     const auto remaining =
         remaining_times(added->record.spec, this->run_length_models[added->record.queue]);
     std::int64_t longest = 0;
@@ -137,6 +141,7 @@
                         {{"workflow", owner.record.id}, {"queue", submission.queue}});
     owner.record.queue = std::move(submission.queue);
     owner.record.pool = queue.pool;
+    owner.definition = this->definitions.queue(queue.name);
     owner.record.team = std::move(submission.team);
     owner.record_stored = false;
     owner.replies_after_record_stored.push_back(reply_id);
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -186,7 +186,7 @@
 {
     auto& step = owner.steps[step_index];
     const auto& spec = owner.record.spec.steps[step_index];
-    const auto* queue = this->configuration->queue(owner.record.queue);
+    const auto& queue = *owner.definition;
     const auto allowed = this->tasks_within_team_limit(owner, spec.need, step.waiting_count);
     if (owner.urgent() && allowed < step.waiting_count)
         this->claim_team_limit(owner, step_index, allowed);
@@ -198,12 +198,11 @@
         return false;
     this->evaluation_time = boot_time();
     // While no question can be sent, only targets that the advisor has allowed are of use.
-    const bool cannot_ask =
-        queue != nullptr && queue->needs_advice &&
-        (step.open_questions > 0 || this->evaluation_time < step.next_question_at);
+    const bool cannot_ask = queue.needs_advice && (step.open_questions > 0 ||
+                                                   this->evaluation_time < step.next_question_at);
     this->release_reservation(step);
-    auto candidates = cannot_ask ? this->find_allowed_candidates(owner, step_index, queue)
-                                 : this->find_candidates(owner, step_index, queue);
+    auto candidates = cannot_ask ? this->find_allowed_candidates(owner, step_index)
+                                 : this->find_candidates(owner, step_index);
     std::uint32_t wanted = allowed;
     const bool may_place =
         this->election.is_lease_valid() && !this->chain.stalled() && this->list_is_recent();
@@ -217,10 +216,10 @@
         wanted -= static_cast<std::uint32_t>(assigned_targets.size());
         this->place_tasks(owner, step_index, assigned_targets, false);
     }
-    if (wanted == 0 || queue == nullptr || cannot_ask)
+    if (wanted == 0 || cannot_ask)
         return !cannot_ask;
-    if (!queue->needs_advice) {
-        this->preempt_for_capacity(owner, step_index, queue, wanted);
+    if (!queue.needs_advice) {
+        this->preempt_for_capacity(owner, step_index, wanted);
         return true;
     }
     // After a long wait it is enough that the step would fit if all targets were allowed.
@@ -232,23 +231,23 @@
             !renewed_targets.empty()) {
             // Reserved before the call: an answer that comes within it schedules the step.
             this->reserve(step, spec.need, renewed_targets);
-            if (!this->ask_advisor(owner, step_index, *queue, without_duplicates(renewed_targets),
+            if (!this->ask_advisor(owner, step_index, queue, without_duplicates(renewed_targets),
                                    true))
                 this->release_reservation(step);
             return true;
         }
-        if (this->preempt_for_gang(owner, step_index, *queue, wanted))
+        if (this->preempt_for_gang(owner, step_index, queue, wanted))
             return true;
     }
     const auto targets_to_ask = placer.select_targets_to_ask(
-        wanted, spec.gang, grant_rate, this->economy.least_targets(*queue, spec.gang));
-    if (this->asks_whole_fleet(owner, step_index, *queue, targets_to_ask) &&
-        this->ask_about_unasked_targets(owner, step_index, *queue))
+        wanted, spec.gang, grant_rate, this->economy.least_targets(queue, spec.gang));
+    if (this->asks_whole_fleet(owner, step_index, queue, targets_to_ask) &&
+        this->ask_about_unasked_targets(owner, step_index, queue))
         return true;
     if (!targets_to_ask.empty())
-        this->ask_advisor(owner, step_index, *queue, targets_to_ask, spec.gang);
+        this->ask_advisor(owner, step_index, queue, targets_to_ask, spec.gang);
     else
-        this->preempt_for_capacity(owner, step_index, queue, wanted);
+        this->preempt_for_capacity(owner, step_index, wanted);
     return true;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -15,6 +15,9 @@
 
 /// No start is sent to a target for this long after it has refused one.
 constexpr milliseconds refusal_backoff{300};
+/// A step that was refused for want of a ticket does not use the target for this long, so that the
+/// configuration that demands it can arrive.
+constexpr milliseconds missing_ticket_backoff{1000};
 
 } // namespace
 
@@ -83,9 +86,11 @@
 bool coordinator::ticket_valid(const workflow& owner, std::uint32_t step_index,
                                const std::string& target) const
 {
+    if (!owner.definition->needs_advice)
+        return true;
     const auto& advice = owner.steps[step_index].advice;
     const auto answer = advice.find(target);
-    return answer == advice.end() || answer->second.valid_until > boot_time();
+    return answer != advice.end() && answer->second.valid_until > boot_time();
 }
 
 fleet_target* coordinator::find_unsent_run(const placement_entry& entry)
@@ -290,12 +295,23 @@
                          {"step", name.step},
                          {"index", name.index},
                          {"target", target.report.name},
-                         {"reason", static_cast<int>(result.how)}});
+                         {"reason", static_cast<int>(result.how)},
+                         {"advised", owner.definition->needs_advice},
+                         {"ticket", !this->make_start_order(target, name).ticket.empty()}});
     target.start_backoff_until = boot_time() + refusal_backoff;
     if (result.how == order_result::outcome::bad_ticket) {
-        auto& answer = owner.steps[name.step].advice[target.report.name];
-        answer.valid_until = milliseconds(0);
         target.start_backoff_until = milliseconds(0);
+        auto& step = owner.steps[name.step];
+        if (const auto answer = step.advice.find(target.report.name);
+            answer != step.advice.end() && !answer->second.ticket.empty()) {
+            answer->second.valid_until = milliseconds(0);
+        }
+        else {
+            // The target knows a newer definition of the queue, which says nothing of what the
+            // advisor allows.
+            this->definitions.require_advice(owner.record.queue);
+            step.avoided_until[target.report.name] = boot_time() + missing_ticket_backoff;
+        }
     }
     // An earlier copy of the start order may still arrive: only a stop order makes sure that it has
     // no effect.
--- /dev/null
+++ b/src/libverbenalever/coordinator/known_definitions.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "ports/queue_definition.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace verbenalever {
+
+struct fleet_configuration;
+
+/// The definitions of queues under which accepted workflows go on: those of the present
+/// configuration, and of each queue that was removed from it the last one.
+class known_definitions {
+public:
+    /// Use the definitions of a newer configuration; those that it lacks are kept.
+    void apply(const fleet_configuration& configuration);
+
+    /// @return the definition of the queue; null when none is known. It stays where it is and is
+    /// updated by apply()
+    [[nodiscard]] const queue_definition* queue(std::string_view name) const;
+
+    /// @param pool of the queue when a workflow was accepted
+    /// @return the definition of the queue; when none is known one that is assumed until apply()
+    /// brings it: the least urgent priority and the most attempts of all known queues
+    const queue_definition& queue_or_assumed(std::string_view name, std::string_view pool);
+
+    /// Take note that targets demand tickets of a queue whose definition is assumed; without effect
+    /// for other queues.
+    void require_advice(std::string_view queue);
+
+private:
+    struct known_queue {
+        queue_definition definition;
+        bool assumed = false;
+    };
+
+    std::map<std::string, known_queue, std::less<>> queues;
+};
+
+} // namespace verbenalever
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -17,6 +17,7 @@
 namespace verbenalever {
 
 class fleet_target;
+struct queue_definition;
 
 /// The coordinator's state of one task of a workflow.
 struct workflow_task {
@@ -103,6 +104,9 @@
 /// The coordinator's state of one workflow.
 struct workflow {
     workflow_record record;
+    /// Present or last known definition of its queue, see known_definitions; null only when it has
+    /// ended.
+    const queue_definition* definition = nullptr;
     workflow_state state = workflow_state::queued;
     std::vector<workflow_step> steps;
     int priority = 0;
--- a/src/libverbenalever/testing/fake_targets.cpp
+++ b/src/libverbenalever/testing/fake_targets.cpp
@@ -189,6 +189,8 @@
         result.how = order_result::outcome::target_restarted;
     else if (authority.fencing_token < destination.highest_fencing_token)
         result.how = order_result::outcome::fenced;
+    else if (destination.requires_ticket && order.ticket.empty())
+        result.how = order_result::outcome::bad_ticket;
     else {
         destination.highest_fencing_token =
             std::max(destination.highest_fencing_token, authority.fencing_token);
--- a/src/libverbenalever/testing/fake_targets.h
+++ b/src/libverbenalever/testing/fake_targets.h
@@ -34,6 +34,7 @@
         milliseconds order_delay{1};  ///< delay of the response to a start order
         milliseconds stop_delay{1};   ///< time that a run takes to end after a stop order
         bool fails_all_tasks = false; ///< every task fails when its time is over
+        bool requires_ticket = false; ///< refuses starts without a ticket
         bool is_stalled = false;      ///< tasks make no progress and do not end
         milliseconds percent_time{0}; ///< time that a run takes for one percent; 0: any
 
