Accepted workflows follow their queue to another pool

What callers saw: a job that was accepted before its queue was sent to another service stayed `running` for good after the old service's last worker had left as planned, beside 15 idle workers of the new one.

Hypotheses: 1. the step is matched with the pool of its acceptance; 2. the worker that leaves keeps a reservation or a placement; 3. the new pool's targets count as unusable. No start is logged after the change, no target is silent or quarantined, and a job that is handed in then runs: the first.

Cause: the pool was copied into the record at acceptance, and targets were compared with that copy only.

Change: targets are compared with the pool of the queue's present or last definition. The record still has the pool of its acceptance, for builds that read only that.

Evidence, on the code before: a_workflow_follows_its_queue_to_another_pool, a_workflow_starts_when_its_queue_ moves_back (twice within a second to pools without targets) and a_successor_uses_the_pool_to_which_the_queue_has_ moved fail.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -79,6 +79,7 @@
     const bool first = this->configuration->version == 0 && configuration->version != 0;
     this->configuration = std::move(configuration);
     this->definitions.apply(*this->configuration);
+    this->follow_moved_queues();
     if (first)
         this->load_page(this->record_prefix(), {});
     this->request_scheduling_pass();
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -167,6 +167,10 @@
     /// milliseconds since boot plus workflow_step::due_shift, workflow id, step index.
     using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
 
+    // Definitions of queues (coordinator_definitions.cpp).
+    /// Let the open workflows of queues that are sent to another pool wait for its targets.
+    void follow_moved_queues();
+
     // Loading the store (coordinator_store_load.cpp).
     /// Request the keys of @p prefix that follow @p after; request them again when that fails.
     void load_page(const std::string& prefix, const std::string& after);
@@ -446,7 +450,8 @@
     /// @return whether the target accepts work now and is suitable for the step
     [[nodiscard]] bool can_use(const fleet_target& target, const workflow& owner,
                                std::uint32_t step_index) const;
-    /// @return whether the target is in the workflow's pool and has the label that the step needs
+    /// @return whether the target is in the pool to which the workflow's queue is sent now, and has
+    /// the label that the step needs
     [[nodiscard]] static bool matches(const fleet_target& target, const workflow& owner,
                                       std::uint32_t step_index);
     /// @return whether the target matches() and the step has not just failed there
--- a/src/libverbenalever/coordinator/coordinator_admission.cpp
+++ b/src/libverbenalever/coordinator/coordinator_admission.cpp
@@ -27,8 +27,8 @@
 {
     if (after == owner.counted_work)
         return;
-    this->work_ahead.replace(owner.record.team, owner.record.pool, owner.priority,
-                             owner.counted_work, after);
+    this->work_ahead.replace(owner.record.team, owner.pool, owner.priority, owner.counted_work,
+                             after);
     owner.counted_work = after;
 }
 
--- a/src/libverbenalever/coordinator/coordinator_candidates.cpp
+++ b/src/libverbenalever/coordinator/coordinator_candidates.cpp
@@ -44,7 +44,7 @@
 {
     const auto& report = target.report;
     const auto& label = owner.record.spec.steps[step_index].required_label;
-    return report.pool == owner.record.pool &&
+    return report.pool == owner.pool &&
            (label.empty() || std::ranges::find(report.labels, label) != report.labels.end());
 }
 
--- a/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
@@ -153,5 +153,68 @@
     EXPECT_EQ(this->targets.running("w"), 3);
 }
 
+// An accepted workflow stayed with the pool of its acceptance, whose targets had left.
+TEST_F(coordinator_definitions_test, a_workflow_follows_its_queue_to_another_pool)
+{
+    this->add_targets(false, "old");
+    this->add_targets(false, "new");
+    const auto send_to = [](const std::string& pool) {
+        return [pool](fleet_configuration& newer) { queue(newer, "slow").pool = pool; };
+    };
+    send_to("old")(*this->configuration);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1), spread_step(3, {0})}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.targets["old1"]->running.size() +
+                  this->targets.targets["old2"]->running.size() +
+                  this->targets.targets["old3"]->running.size(),
+              1);
+    this->reconfigure(first, send_to("new"));
+    EXPECT_EQ(first.active_coordinator->waiting().ahead_in_pool("old", 2).workflows, 0);
+    EXPECT_EQ(first.active_coordinator->waiting().ahead_in_pool("new", 2).workflows, 1);
+    this->end_all();
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 3);
+    for (const auto* name : {"new1", "new2", "new3"})
+        EXPECT_EQ(this->targets.targets[name]->running.size(), 1);
+}
+
+// The queue moves to a pool without targets, twice within a second, and back.
+TEST_F(coordinator_definitions_test, a_workflow_starts_when_its_queue_moves_back)
+{
+    this->add_targets(false);
+    auto& first = this->elect("vm-1");
+    for (const auto* pool : {"empty", "empty too"}) {
+        this->reconfigure(first,
+                          [pool](fleet_configuration& newer) { queue(newer, "slow").pool = pool; });
+        this->submit(first, pool, {spread_step(3)}, "slow");
+        this->run_for(milliseconds(200));
+    }
+    ASSERT_EQ(this->targets.running("empty") + this->targets.running("empty too"), 0);
+    this->reconfigure(first,
+                      [](fleet_configuration& newer) { queue(newer, "slow").pool = "pool"; });
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("empty"), 3);
+    EXPECT_EQ(this->targets.running("empty too"), 3);
+    for (const auto* pool : {"empty", "empty too", "pool"})
+        EXPECT_EQ(first.active_coordinator->waiting().ahead_in_pool(pool, 2).processors_milli, 0)
+            << pool;
+}
+
+// The successor of a coordinator reads the workflow with the pool of its acceptance.
+TEST_F(coordinator_definitions_test, a_successor_uses_the_pool_to_which_the_queue_has_moved)
+{
+    this->add_targets(false, "new");
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {spread_step(3)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 0);
+    this->reconfigure(first, [](fleet_configuration& newer) { queue(newer, "slow").pool = "new"; });
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 3);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -78,6 +78,8 @@
         is_final(added->state)
             ? this->definitions.queue(added->record.queue)
             : &this->definitions.queue_or_assumed(added->record.queue, added->record.pool);
+    if (added->definition != nullptr)
+        added->pool = added->definition->pool;
     const auto remaining =
         remaining_times(added->record.spec, this->run_length_models[added->record.queue]);
     std::int64_t longest = 0;
@@ -172,8 +174,7 @@
             this->release_reservation(step);
         for (std::uint32_t step = 0; step < candidate.steps.size(); ++step)
             this->remove_from_ready(candidate, step);
-        const auto retry_after_s =
-            this->retry_after_stall(candidate.record.pool, candidate.priority);
+        const auto retry_after_s = this->retry_after_stall(candidate.pool, candidate.priority);
         this->replace_waiting_work(candidate, {});
         this->workflows.erase(id);
         for (const auto number : waiters)
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -107,6 +107,7 @@
     /// Present or last known definition of its queue, see known_definitions; null only when it has
     /// ended.
     const queue_definition* definition = nullptr;
+    std::string pool; ///< of its definition, see coordinator::follow_moved_queues()
     workflow_state state = workflow_state::queued;
     std::vector<workflow_step> steps;
     int priority = 0;
