Definitions of queues are stored: a successor knows those that were removed

What callers saw: a job whose task always fails, with maxAttempts 3, was started some twenty times and never given up, after its route had been removed and the coordinator killed.

Hypotheses: 1. the successor does not know the failures of the earlier runs; 2. it does not know how many are allowed; 3. the failures count for different runs. All runs of the trace start after the kill, each end is listed, acknowledged and logged with `attempts_unknown`: the second.

Cause: how many attempts a queue allows was read from the present configuration, 0 when the queue is missing, and 0 counted as no bound. The priority and the objective were read alike.

Change: the definitions, in use or removed, are stored under a key of their own whenever they differ from what is stored, urgently, so before the records of workflows that are accepted under them. A coordinator reads them before the records; what its configuration has counts more. Removed ones that no workflow uses are forgotten. Attempts, priority and objective come from the definition. A record whose queue is neither configured nor stored (accepted by an earlier build) gets the least urgent priority and the most attempts of the known queues, its own pool, and advice as soon as a target demands a ticket: it has a bound and does not wait for good. Related: a queue that comes back with fewer attempts than a waiting task has used started it once more; its workflow fails instead when the step's turn comes. The event attempts_unknown is gone; attempts_exhausted, definitions_unreadable are new.

Earlier builds neither read nor write the key. After one of them has coordinated, the key may be older than the last configuration; a present configuration counts more in any case.

Two tests changed the configuration object that a coordinator holds behind its back, which no process does: they pass it to apply_configuration() now. a_task_that_fails_while_its_queue_is_missing_keeps_its_attempts asks the same.

Evidence, on the code before: a_successor_knows_the_attempts_of_a_removed_queue (8 starts, 3 allowed), a_successor_ knows_the_definition_of_a_removed_queue, a_record_without_a_known_definition_has_a_bound (8 starts) and a_task_that_ has_used_the_attempts_left_is_not_started (3 starts, 2 allowed) fail.

--- a/src/libverbenalever/coordinator/coordinator.cpp
+++ b/src/libverbenalever/coordinator/coordinator.cpp
@@ -68,7 +68,7 @@
         [this](const std::vector<target_report>& reports) { this->apply_directory(reports); });
     // Without a configuration the queues, limits and zones of what is loaded are not known.
     if (this->configuration->version != 0)
-        this->load_page(this->record_prefix(), {});
+        this->load_definitions();
     this->check_timer.start_repeating(check_interval);
     this->cleanup_timer.start_repeating(cleanup_interval);
     this->load_log_timer.start_repeating(load_log_interval);
@@ -80,8 +80,10 @@
     this->configuration = std::move(configuration);
     this->definitions.apply(*this->configuration);
     this->follow_moved_queues();
+    if (this->loaded)
+        this->store_definitions();
     if (first)
-        this->load_page(this->record_prefix(), {});
+        this->load_definitions();
     this->request_scheduling_pass();
 }
 
--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -170,6 +170,20 @@
     // Definitions of queues (coordinator_definitions.cpp).
     /// Let the open workflows of queues that are sent to another pool wait for its targets.
     void follow_moved_queues();
+    /// Read the stored definitions, again when that fails, and then the records.
+    void load_definitions();
+    /// Store the definitions if they differ from the stored ones.
+    void store_definitions();
+    /// Forget the definitions of removed queues that no workflow uses.
+    void forget_unused_definitions();
+    /// @return whether the task, or its gang, has failed as often as its queue allows
+    [[nodiscard]] static bool has_used_attempts(const workflow& owner, std::uint32_t step_index,
+                                                std::uint32_t index);
+    /// @return whether a waiting task of the step may not start again, since the queue allows fewer
+    /// attempts than when the task failed last
+    [[nodiscard]] static bool has_exhausted_task(const workflow& owner, std::uint32_t step_index);
+    /// Fail the workflows of which a pass has found that they have such a task.
+    void fail_exhausted_workflows();
 
     // Loading the store (coordinator_store_load.cpp).
     /// Request the keys of @p prefix that follow @p after; request them again when that fails.
@@ -657,6 +671,7 @@
     [[nodiscard]] std::string placement_prefix() const;
     [[nodiscard]] std::string progress_prefix() const;
     [[nodiscard]] std::string past_use_key() const;
+    [[nodiscard]] std::string definitions_key() const;
 
     environment env;
     leadership& election;
@@ -664,6 +679,8 @@
     std::int64_t term;
     std::shared_ptr<const fleet_configuration> configuration;
     known_definitions definitions;
+    std::string stored_definitions;               ///< as last read or written
+    std::vector<std::string> exhausted_workflows; ///< see fail_exhausted_workflows()
     advice_dispatcher dispatcher;
     advice_economy economy;
     std::int64_t unlogged_questions = 0;    ///< sent since the last load line
@@ -737,7 +754,7 @@
     std::uint64_t last_reply_id = 0;
     std::size_t remembered_cancels = 0;      ///< workflows that were cancelled and not submitted
     std::uint64_t last_registration = 0;     ///< registration_id of the fleet_target added last
-    std::unique_ptr<timer> load_retry_timer; ///< retries a page of records that could not be read
+    std::unique_ptr<timer> load_retry_timer; ///< retries a page that could not be read
     std::unique_ptr<timer> past_use_timer;   ///< retries its load, then updates and stores past_use
     timer scheduling_timer;
     timer check_timer;
--- a/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
@@ -93,6 +93,12 @@
             this->targets.end_all(name, target_view::ending::done);
     }
 
+    /// Let the list of targets be too old for starts until list_stopped_at is 0 again.
+    void pause_starts()
+    {
+        this->targets.list_stopped_at = boot_time() - milliseconds(5000);
+    }
+
     int questions = 0;
     int answers_left = 1000; ///< questions that the advisor still answers
     std::int64_t ticket_validity_ms = 10'000;
@@ -216,5 +222,100 @@
     EXPECT_EQ(this->targets.running("w"), 3);
 }
 
+// A queue was removed and the coordinator killed: the successor did not know the attempts, and
+// started a task that always fails without an end.
+TEST_F(coordinator_definitions_test, a_successor_knows_the_attempts_of_a_removed_queue)
+{
+    for (const auto* name : {"t1", "t2", "t3", "t4"})
+        this->targets.add(name, 1000).fails_all_tasks = true;
+    auto& first = this->elect("vm-1");
+    this->pause_starts();
+    this->submit(first, "w", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(100));
+    this->remove_queue(first, "slow");
+    this->kill(first);
+    this->targets.list_stopped_at = milliseconds(0);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(3000));
+    EXPECT_EQ(this->targets.start_count, 3);
+    EXPECT_EQ(this->state(second, "w"), workflow_state::failed);
+}
+
+// The same for the need of advice, the pool and the priority.
+TEST_F(coordinator_definitions_test, a_successor_knows_the_definition_of_a_removed_queue)
+{
+    this->add_targets(true, "new");
+    auto& first = this->elect_with_advisor("vm-1");
+    this->submit(first, "w", {spread_step(3)}, "advised");
+    this->run_for(milliseconds(100));
+    this->reconfigure(first,
+                      [](fleet_configuration& newer) { queue(newer, "advised").pool = "new"; });
+    this->run_for(milliseconds(100));
+    this->targets.end_all("new1", target_view::ending::stopped);
+    this->remove_queue(first, "advised");
+    this->kill(first);
+    this->elect_with_advisor("vm-2");
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.running("w"), 3);
+}
+
+// A successor that finds a record of a build that stored no definitions, and no queue in the
+// configuration, neither starts its tasks without a bound nor leaves them waiting.
+TEST_F(coordinator_definitions_test, a_record_without_a_known_definition_has_a_bound)
+{
+    for (const auto* name : {"t1", "t2", "t3", "t4"})
+        this->targets.add(name, 1000).fails_all_tasks = true;
+    auto& first = this->elect("vm-1");
+    this->pause_starts();
+    this->submit(first, "w", {this->tasks(1, 1)}, "slow");
+    this->run_for(milliseconds(100));
+    this->remove_queue(first, "slow");
+    this->run_for(milliseconds(100));
+    this->kill(first);
+    this->store.items["v/q/definitions"].removed = true;
+    this->targets.list_stopped_at = milliseconds(0);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(3000));
+    EXPECT_EQ(this->targets.start_count, 3) << "the most attempts of a known queue";
+    EXPECT_EQ(this->state(second, "w"), workflow_state::failed);
+}
+
+// Targets tell of such a queue that it needs advice.
+TEST_F(coordinator_definitions_test, a_queue_without_a_known_definition_gets_advice_when_needed)
+{
+    this->add_targets(true);
+    auto& first = this->elect("vm-1"); // without an advisor
+    this->submit(first, "w", {spread_step(3)}, "advised");
+    this->run_for(milliseconds(100));
+    this->remove_queue(first, "advised");
+    this->run_for(milliseconds(100));
+    this->kill(first);
+    this->store.items["v/q/definitions"].removed = true;
+    this->elect_with_advisor("vm-2");
+    this->run_for(milliseconds(1800));
+    EXPECT_EQ(this->targets.running("w"), 3);
+}
+
+// The queue comes back with fewer attempts than have failed: the task was started again.
+TEST_F(coordinator_definitions_test, a_task_that_has_used_the_attempts_left_is_not_started)
+{
+    for (const auto* name : {"t1", "t2", "t3", "t4"})
+        this->targets.add(name, 1000).fails_all_tasks = true;
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)}, "slow");
+    while (this->targets.start_count < 2)
+        this->run_for(milliseconds(5));
+    this->pause_starts();
+    this->run_for(milliseconds(200));
+    this->remove_queue(first, "slow");
+    this->reconfigure(first, [](fleet_configuration& newer) {
+        newer.queues.push_back({.name = "slow", .pool = "pool", .priority = 2, .attempts = 2});
+    });
+    this->targets.list_stopped_at = milliseconds(0);
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->targets.start_count, 2);
+    EXPECT_EQ(this->state(first, "w"), workflow_state::failed);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_gangs_test.cpp
@@ -45,6 +45,7 @@
                                                .priority = 2,
                                                .attempts = 3,
                                                .latency_objective = latency_objective});
+        to.active_coordinator->apply_configuration(this->configuration);
         auto tasks = this->tasks(static_cast<std::uint32_t>(target_count), 42);
         tasks.checkpointing = true;
         tasks.max_per_target = 1;
--- a/src/libverbenalever/coordinator/coordinator_records.cpp
+++ b/src/libverbenalever/coordinator/coordinator_records.cpp
@@ -90,10 +90,9 @@
         added_step.time_to_workflow_end = milliseconds(remaining[number]);
         longest = std::max(longest, remaining[number]);
     }
-    if (const auto* queue = this->configuration->queue(added->record.queue)) {
-        added->priority = queue->priority;
-        added->attempts = static_cast<std::uint32_t>(std::max(1, queue->attempts));
-        added->objective = objective_of(*queue, milliseconds(longest));
+    if (added->definition != nullptr) {
+        added->priority = added->definition->priority;
+        added->objective = objective_of(*added->definition, milliseconds(longest));
     }
     const auto age = wall_microseconds() / 1000 - added->record.accepted_ms;
     added->accepted_at = boot_time() - milliseconds(age);
@@ -187,6 +186,8 @@
 
 void coordinator::delete_ended_workflows()
 {
+    if (this->loaded)
+        this->forget_unused_definitions();
     const auto limit = wall_microseconds() / 1000 - this->env.ended_retention.count();
     std::vector<std::string> expired;
     for (const auto& [id, candidate] : this->workflows) {
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -211,13 +211,8 @@
     if (std::ranges::find(task.failed_runs, run) != task.failed_runs.end())
         return false;
     task.failed_runs.push_back(run);
-    // The queue may be missing from the present configuration, and come back with the next one.
-    if (const auto* queue = this->configuration->queue(owner.record.queue))
-        owner.attempts = static_cast<std::uint32_t>(std::max(1, queue->attempts));
-    if (owner.attempts == 0)
-        this->env.log.write("coordinator", "attempts_unknown",
-                            {{"workflow", owner.record.id}, {"queue", owner.record.queue}});
-    else if (task.failed_runs.size() >= owner.attempts)
+    step.failures_seen = true;
+    if (has_used_attempts(owner, name.step, name.index))
         this->end_workflow(owner, workflow_state::failed);
     return true;
 }
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -147,6 +147,7 @@
             later_steps_per_pass, reranked);
     else
         this->resume_pass_at.reset();
+    this->fail_exhausted_workflows();
     for (const auto& [owner, step_index] : reranked) {
         if (owner->steps[step_index].in_ready_list)
             this->update_rank(*owner, step_index);
@@ -187,6 +188,11 @@
     auto& step = owner.steps[step_index];
     const auto& spec = owner.record.spec.steps[step_index];
     const auto& queue = *owner.definition;
+    if (has_exhausted_task(owner, step_index)) {
+        // Not ended here: the callers refer to its steps.
+        this->exhausted_workflows.push_back(owner.record.id);
+        return false;
+    }
     const auto allowed = this->tasks_within_team_limit(owner, spec.need, step.waiting_count);
     if (owner.urgent() && allowed < step.waiting_count)
         this->claim_team_limit(owner, step_index, allowed);
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -175,6 +175,7 @@
     const bool gang = owner->record.spec.steps[entry.step].gang;
     if (entry.how == static_cast<int>(progress_entry::ending::failed)) {
         // Failures of any member of a gang are counted at its first task.
+        step.failures_seen = true;
         auto& failed = (gang ? step.tasks[0] : task).failed_runs;
         if (std::ranges::find(failed, entry.run) == failed.end())
             failed.push_back(entry.run);
@@ -201,6 +202,7 @@
 void coordinator::finish_load()
 {
     this->loaded = true;
+    this->store_definitions();
     std::size_t unfinished = 0;
     std::size_t unconfirmed = 0; // workflows of which only placements show that they may run
     for (auto& [id, entry] : this->workflows) {
--- a/src/libverbenalever/coordinator/coordinator_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_test.cpp
@@ -94,11 +94,12 @@
     this->submit(first, "w", {this->tasks(1, 1)});
     this->run_for(milliseconds(200));
     ASSERT_EQ(this->targets.start_count, 1);
-    const auto complete = *this->configuration;
-    this->configuration->queues.clear();
+    auto incomplete = std::make_shared<fleet_configuration>(*this->configuration);
+    incomplete->queues.clear();
+    first.active_coordinator->apply_configuration(incomplete);
     this->run_for(milliseconds(400));
     EXPECT_NE(this->state(first, "w"), workflow_state::failed);
-    *this->configuration = complete;
+    first.active_coordinator->apply_configuration(this->configuration);
     for (int round = 0; round < 60 && this->state(first, "w") != workflow_state::failed; ++round)
         this->run_for(milliseconds(100));
     EXPECT_EQ(this->state(first, "w"), workflow_state::failed);
--- a/src/libverbenalever/coordinator/known_definitions.cpp
+++ b/src/libverbenalever/coordinator/known_definitions.cpp
@@ -1,8 +1,11 @@
 #include "coordinator/known_definitions.h"
 
+#include "membership/message_codec.h"
 #include "ports/fleet_configuration.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <vector>
 
 namespace verbenalever {
 
@@ -11,12 +14,94 @@
 /// Attempts of a queue of which nothing is known, when no other queue is known either.
 constexpr int default_attempts = 3;
 
+/// What accepted workflows need of a queue's definition. Fields are added at the end: decoding
+/// ignores further ones, and leaves missing ones at their defaults.
+struct stored_queue {
+    std::string name;
+    std::string pool;
+    int priority = 0;
+    int attempts = 1;
+    double stretch = 1;
+    std::int64_t latency_objective_ms = 0;
+    bool needs_advice = false;
+    double advice_base_ms = 0;
+    double advice_target_ms = 0;
+
+    MSGPACK_DEFINE(name, pool, priority, attempts, stretch, latency_objective_ms, needs_advice,
+                   advice_base_ms, advice_target_ms)
+};
+
+struct stored_definitions {
+    std::vector<stored_queue> queues;
+
+    MSGPACK_DEFINE(queues)
+};
+
+stored_queue stored_queue_of(const queue_definition& queue)
+{
+    return {.name = queue.name,
+            .pool = queue.pool,
+            .priority = queue.priority,
+            .attempts = queue.attempts,
+            .stretch = queue.stretch,
+            .latency_objective_ms = queue.latency_objective.count(),
+            .needs_advice = queue.needs_advice,
+            .advice_base_ms = queue.advice_base_ms,
+            .advice_target_ms = queue.advice_target_ms};
+}
+
+queue_definition definition_of(const stored_queue& stored)
+{
+    return {.name = stored.name,
+            .pool = stored.pool,
+            .priority = stored.priority,
+            .attempts = stored.attempts,
+            .stretch = stored.stretch,
+            .latency_objective = milliseconds(stored.latency_objective_ms),
+            .needs_advice = stored.needs_advice,
+            .advice_base_ms = stored.advice_base_ms,
+            .advice_target_ms = stored.advice_target_ms};
+}
+
 } // namespace
 
 void known_definitions::apply(const fleet_configuration& configuration)
 {
+    for (auto& [name, known] : this->queues)
+        known.configured = false;
     for (const auto& queue : configuration.queues)
-        this->queues.insert_or_assign(queue.name, known_queue{.definition = queue});
+        this->queues.insert_or_assign(queue.name,
+                                      known_queue{.definition = queue, .configured = true});
+}
+
+absl::Status known_definitions::restore(std::string_view text)
+{
+    const auto stored = unpack_message<stored_definitions>(text);
+    if (!stored.ok())
+        return absl::InvalidArgumentError("malformed definitions of queues");
+    for (const auto& queue : stored->queues) {
+        if (queue.name.empty() || this->queues.contains(queue.name))
+            continue;
+        this->queues[queue.name].definition = definition_of(queue);
+    }
+    return absl::OkStatus();
+}
+
+std::string known_definitions::encode() const
+{
+    stored_definitions stored;
+    for (const auto& [name, known] : this->queues) {
+        if (!known.assumed)
+            stored.queues.push_back(stored_queue_of(known.definition));
+    }
+    return pack_message(stored);
+}
+
+void known_definitions::forget_removed(const std::function<bool(const queue_definition&)>& in_use)
+{
+    std::erase_if(this->queues, [&in_use](const auto& entry) {
+        return !entry.second.configured && !in_use(entry.second.definition);
+    });
 }
 
 const queue_definition* known_definitions::queue(std::string_view name) const
--- a/src/libverbenalever/coordinator/known_definitions.h
+++ b/src/libverbenalever/coordinator/known_definitions.h
@@ -2,6 +2,9 @@
 
 #include "ports/queue_definition.h"
 
+#include <absl/status/status.h>
+
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -11,12 +14,23 @@
 struct fleet_configuration;
 
 /// The definitions of queues under which accepted workflows go on: those of the present
-/// configuration, and of each queue that was removed from it the last one.
+/// configuration, and of each queue that was removed from it the last one. They are stored, so that
+/// they outlive the coordinator.
 class known_definitions {
 public:
     /// Use the definitions of a newer configuration; those that it lacks are kept.
     void apply(const fleet_configuration& configuration);
 
+    /// Use the definitions that an earlier coordinator has stored, except of queues that are known.
+    /// @return INVALID_ARGUMENT when the text cannot be decoded
+    absl::Status restore(std::string_view text);
+
+    /// @return the definitions as text for restore(), without those that are assumed
+    [[nodiscard]] std::string encode() const;
+
+    /// Forget the definitions that are neither configured nor selected.
+    void forget_removed(const std::function<bool(const queue_definition&)>& in_use);
+
     /// @return the definition of the queue; null when none is known. It stays where it is and is
     /// updated by apply()
     [[nodiscard]] const queue_definition* queue(std::string_view name) const;
@@ -33,6 +47,7 @@
 private:
     struct known_queue {
         queue_definition definition;
+        bool configured = false; ///< in the present configuration
         bool assumed = false;
     };
 
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -93,8 +93,9 @@
     milliseconds time_to_workflow_end{0};
     /// Predicted run time of one of its tasks; 0: no run of the queue has ended yet.
     milliseconds predicted_run{0};
-    int stalled_runs = 0;      ///< runs that were stopped because they seemed stalled
-    bool crashes_seen = false; ///< a target has crashed under a task of the step
+    int stalled_runs = 0;       ///< runs that were stopped because they seemed stalled
+    bool crashes_seen = false;  ///< a target has crashed under a task of the step
+    bool failures_seen = false; ///< a run of a task of the step has failed
     /// Time since boot since when suspects of crashes wait for a target; 0: none waits.
     milliseconds suspects_wait_since{0};
     milliseconds next_preemption_at{0}; ///< time since boot before which the step preempts no runs
@@ -115,10 +116,8 @@
     milliseconds accepted_at{0}; ///< time since boot
     /// Time since boot of the first start that a target has confirmed in this term; 0: none.
     milliseconds first_start_at{0};
-    milliseconds ended_at{0};  ///< time since boot; 0: it has not ended in this term
-    milliseconds objective{0}; ///< latency objective: time from acceptance to end
-    /// Runs of a task that may fail, as its queue was last configured; 0: not known yet.
-    std::uint32_t attempts = 0;
+    milliseconds ended_at{0};         ///< time since boot; 0: it has not ended in this term
+    milliseconds objective{0};        ///< latency objective: time from acceptance to end
     std::int64_t run_number_base = 0; ///< runs that start in this term have greater numbers
     bool record_stored = false;       ///< the store has its record
     bool end_stored = false;          ///< the store has its record with the final state
