A removed team keeps its last limit and weight

What callers would see: once a team is missing from the configuration, its accepted jobs start without any limit, beside those of the teams whose limits hold, also after a change of coordinator.

Cause: the limit was looked up in the present configuration, and a missing team counted as one without a limit.

Change: known_definitions has the teams too (without keys), stored with the queues. What is configured counts more.

Evidence: a_removed_team_keeps_its_limit on the code before: 5 tasks run where 2 are allowed, after the removal and after the change of coordinator; after: 2.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -167,14 +167,14 @@
     /// milliseconds since boot plus workflow_step::due_shift, workflow id, step index.
     using ready_key = std::tuple<int, int, std::int64_t, std::string, std::uint32_t>;
 
-    // Definitions of queues (coordinator_definitions.cpp).
+    // Definitions of queues and teams (coordinator_definitions.cpp).
     /// Let the open workflows of queues that are sent to another pool wait for its targets.
     void follow_moved_queues();
     /// Read the stored definitions, again when that fails, and then the records.
     void load_definitions();
     /// Store the definitions if they differ from the stored ones.
     void store_definitions();
-    /// Forget the definitions of removed queues that no workflow uses.
+    /// Forget the definitions of removed queues and teams that no workflow uses.
     void forget_unused_definitions();
     /// @return whether the task, or its gang, has failed as often as its queue allows
     [[nodiscard]] static bool has_used_attempts(const workflow& owner, std::uint32_t step_index,
--- a/src/libverbenalever/coordinator/coordinator_admission.cpp
+++ b/src/libverbenalever/coordinator/coordinator_admission.cpp
@@ -111,7 +111,7 @@
             now.processors += step.count * step.need.processors_milli;
     }
     now.team.ahead = this->work_ahead.ahead_in_team(submission.team, queue.priority);
-    if (const auto* team = this->configuration->team(submission.team)) {
+    if (const auto* team = this->definitions.team(submission.team)) {
         now.team.capacity = team->limit.processors_milli;
         now.team.used_by_them =
             this->usage_by_team.processors_in_use(submission.team, queue.priority == 0);
--- a/src/libverbenalever/coordinator/coordinator_definitions.cpp
+++ b/src/libverbenalever/coordinator/coordinator_definitions.cpp
@@ -1,5 +1,5 @@
-// Definitions of queues that outlive their place in the configuration: their storage, workflows
-// that follow a queue to another pool, and the attempts that a queue allows.
+// Definitions of queues and teams that outlive their place in the configuration: their storage,
+// workflows that follow a queue to another pool, and the attempts that a queue allows.
 
 #include "coordination/commit_chain.h"
 #include "coordinator/coordinator.h"
@@ -65,11 +65,15 @@
 
 void coordinator::forget_unused_definitions()
 {
-    std::set<const queue_definition*> used;
-    for (const auto& [id, known] : this->workflows)
-        used.insert(known->definition);
+    std::set<const queue_definition*> queues;
+    std::set<std::string_view> teams;
+    for (const auto& [id, known] : this->workflows) {
+        queues.insert(known->definition);
+        teams.insert(known->record.team);
+    }
     this->definitions.forget_removed(
-        [&used](const queue_definition& queue) { return used.contains(&queue); });
+        [&queues](const queue_definition& queue) { return queues.contains(&queue); },
+        [&teams](const team_definition& team) { return teams.contains(team.name); });
     this->store_definitions();
 }
 
--- a/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_definitions_test.cpp
@@ -317,5 +317,23 @@
     EXPECT_EQ(this->state(first, "w"), workflow_state::failed);
 }
 
+// A team without a definition counted as one without a limit, also for a successor.
+TEST_F(coordinator_definitions_test, a_removed_team_keeps_its_limit)
+{
+    this->configuration->teams.front().limit.processors_milli = 2000;
+    this->add_targets(false);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(5, 1)}, "slow");
+    this->run_for(milliseconds(200));
+    ASSERT_EQ(this->targets.running("w"), 2);
+    this->reconfigure(first, [](fleet_configuration& newer) { newer.teams.clear(); });
+    this->run_for(milliseconds(300));
+    EXPECT_EQ(this->targets.running("w"), 2);
+    this->kill(first);
+    this->elect("vm-2");
+    this->run_for(milliseconds(500));
+    EXPECT_EQ(this->targets.running("w"), 2);
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_scheduling.cpp
+++ b/src/libverbenalever/coordinator/coordinator_scheduling.cpp
@@ -159,7 +159,7 @@
 int coordinator::rank_of(const workflow& owner, std::uint32_t step_index) const
 {
     // Steps of a team that uses more than its share come after those of other teams.
-    const auto* team = this->configuration->team(owner.record.team);
+    const auto* team = this->definitions.team(owner.record.team);
     const bool exceeds_share =
         team != nullptr &&
         this->usage_by_team.exceeds_share(owner.record.team, team->weight, this->total_team_weight,
@@ -263,7 +263,7 @@
     const auto& step = owner.steps[step_index];
     const auto& spec = owner.record.spec.steps[step_index];
     const auto wanted = step.waiting_count;
-    const auto* team = this->configuration->team(owner.record.team);
+    const auto* team = this->definitions.team(owner.record.team);
     const auto within_limit =
         team == nullptr ? wanted
                         : team_usage_tracker::max_runs_beside({}, team->limit, spec.need, wanted);
@@ -310,7 +310,7 @@
 std::uint32_t coordinator::tasks_within_team_limit(const workflow& owner, const resources& need,
                                                    std::uint32_t wanted) const
 {
-    const auto* team = this->configuration->team(owner.record.team);
+    const auto* team = this->definitions.team(owner.record.team);
     if (team == nullptr)
         return wanted;
     return this->usage_by_team.max_runs_within_limit(owner.record.team, team->limit, need, wanted,
--- a/src/libverbenalever/coordinator/known_definitions.cpp
+++ b/src/libverbenalever/coordinator/known_definitions.cpp
@@ -31,10 +31,19 @@
                    advice_base_ms, advice_target_ms)
 };
 
+struct stored_team {
+    std::string name;
+    double weight = 1;
+    resources limit;
+
+    MSGPACK_DEFINE(name, weight, limit)
+};
+
 struct stored_definitions {
     std::vector<stored_queue> queues;
+    std::vector<stored_team> teams;
 
-    MSGPACK_DEFINE(queues)
+    MSGPACK_DEFINE(queues, teams)
 };
 
 stored_queue stored_queue_of(const queue_definition& queue)
@@ -72,6 +81,12 @@
     for (const auto& queue : configuration.queues)
         this->queues.insert_or_assign(queue.name,
                                       known_queue{.definition = queue, .configured = true});
+    for (auto& [name, known] : this->teams)
+        known.configured = false;
+    for (const auto& [name, keys, weight, limit] : configuration.teams)
+        this->teams.insert_or_assign(
+            name, known_team{.definition = {.name = name, .weight = weight, .limit = limit},
+                             .configured = true});
 }
 
 absl::Status known_definitions::restore(std::string_view text)
@@ -84,6 +99,10 @@
             continue;
         this->queues[queue.name].definition = definition_of(queue);
     }
+    for (const auto& [name, weight, limit] : stored->teams) {
+        if (!name.empty() && !this->teams.contains(name))
+            this->teams[name].definition = {.name = name, .weight = weight, .limit = limit};
+    }
     return absl::OkStatus();
 }
 
@@ -94,16 +113,29 @@
         if (!known.assumed)
             stored.queues.push_back(stored_queue_of(known.definition));
     }
+    for (const auto& [name, known] : this->teams)
+        stored.teams.push_back({name, known.definition.weight, known.definition.limit});
     return pack_message(stored);
 }
 
-void known_definitions::forget_removed(const std::function<bool(const queue_definition&)>& in_use)
+void known_definitions::forget_removed(
+    const std::function<bool(const queue_definition&)>& queue_in_use,
+    const std::function<bool(const team_definition&)>& team_in_use)
 {
-    std::erase_if(this->queues, [&in_use](const auto& entry) {
-        return !entry.second.configured && !in_use(entry.second.definition);
+    std::erase_if(this->queues, [&queue_in_use](const auto& entry) {
+        return !entry.second.configured && !queue_in_use(entry.second.definition);
+    });
+    std::erase_if(this->teams, [&team_in_use](const auto& entry) {
+        return !entry.second.configured && !team_in_use(entry.second.definition);
     });
 }
 
+const team_definition* known_definitions::team(std::string_view name) const
+{
+    const auto found = this->teams.find(name);
+    return found == this->teams.end() ? nullptr : &found->second.definition;
+}
+
 const queue_definition* known_definitions::queue(std::string_view name) const
 {
     const auto found = this->queues.find(name);
--- a/src/libverbenalever/coordinator/known_definitions_test.cpp
+++ b/src/libverbenalever/coordinator/known_definitions_test.cpp
@@ -87,11 +87,32 @@
     known_definitions known;
     known.apply(configuration_with({{.name = "a"}, {.name = "b"}, {.name = "c"}}));
     known.apply(configuration_with({{.name = "c"}}));
-    known.forget_removed([](const queue_definition& queue) { return queue.name == "a"; });
+    known.forget_removed([](const queue_definition& queue) { return queue.name == "a"; },
+                         [](const team_definition&) { return false; });
     EXPECT_NE(known.queue("a"), nullptr);
     EXPECT_EQ(known.queue("b"), nullptr);
     EXPECT_NE(known.queue("c"), nullptr);
 }
 
+TEST(known_definitions, keeps_and_restores_the_limit_of_a_removed_team)
+{
+    fleet_configuration with_team;
+    with_team.teams.push_back(
+        {.name = "t", .keys = {"secret"}, .weight = 3, .limit = {.processors_milli = 4000}});
+    known_definitions first;
+    first.apply(with_team);
+    first.apply(fleet_configuration());
+    ASSERT_NE(first.team("t"), nullptr);
+    EXPECT_EQ(first.encode().find("secret"), std::string::npos);
+    known_definitions second;
+    ASSERT_TRUE(second.restore(first.encode()).ok());
+    ASSERT_NE(second.team("t"), nullptr);
+    EXPECT_EQ(second.team("t")->weight, 3);
+    EXPECT_EQ(second.team("t")->limit.processors_milli, 4000);
+    const auto unused = [](const auto&) { return false; };
+    second.forget_removed(unused, unused);
+    EXPECT_EQ(second.team("t"), nullptr);
+}
+
 } // namespace
 } // namespace verbenalever
