--- a/src/libverbenalever/settings/yaml_mapping.cpp
+++ b/src/libverbenalever/settings/yaml_mapping.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace verbenalever {
 
@@ -31,17 +32,21 @@
     return value;
 }
 
+/// @return the value in the smallest unit; a fraction of it is rounded up
 std::optional<std::int64_t> parse_with_unit(std::string_view text, std::span<const unit> units)
 {
-    const auto unit_start = text.find_first_not_of("0123456789");
+    const auto unit_start = text.find_first_not_of("0123456789.");
     if (unit_start == 0 || unit_start == std::string_view::npos)
         return std::nullopt;
-    const auto value = parse_number<std::int64_t>(text.substr(0, unit_start));
+    const auto value = parse_number<double>(text.substr(0, unit_start));
     const auto found = std::ranges::find(units, text.substr(unit_start), &unit::name);
-    constexpr std::int64_t max_value = 1'000'000'000'000;
-    if (!value || found == units.end() || *value > max_value / found->factor)
+    constexpr double max_value = 1'000'000'000'000;
+    if (!value || found == units.end())
         return std::nullopt;
-    return *value * found->factor;
+    const auto scaled = *value * static_cast<double>(found->factor);
+    if (scaled > max_value)
+        return std::nullopt;
+    return static_cast<std::int64_t>(std::ceil(scaled));
 }
 
 int line_of(const YAML::Node& node)
