--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -2,8 +2,9 @@
 
 Checked from what callers and the stand-ins of the platform see: no task runs twice, no target gets
 more than its capacity, each accepted job ends and its state never goes back, nothing of a job
-starts or runs on after its cancel was acknowledged, no request that was read is cut off around a
-planned stop, no process ends by itself.
+starts or runs on after its cancel was acknowledged, no task starts after it has failed as often as
+any configuration allows, no request that was read is cut off around a planned stop, no process ends
+by itself.
 """
 
 import argparse
@@ -23,6 +24,8 @@
 LATE_IN_GRACE_S = GRACE_S * 5 / 6  # requests may be cut off after this part of the grace time
 READ_S = 0.5  # a request that was sent this long ago has been read
 CONTACT_S = 5.0  # after an unplanned disruption of an entry its requests may be cut off
+ROUTE_S = 12.0  # a removed route may be answered 404 for so long after it is back: an entry may
+# be frozen, or the store refuse its reads, when the configuration that has it is written
 CANCEL_S = 3.0  # nothing of a job may start later than this after its cancel was acknowledged
 SETTLE_S = 60.0  # time for all jobs to end once all faults have ended
 VM_KINDS = [(0.5, 200), (0.5, 200), (0.3, 10), (0.12, 10)]  # (cores, Mbit/s)
@@ -50,10 +53,17 @@
         self.fleet = Fleet(work_s=0.3)
         self.fleet.disturbed = True
         self.fleet.late_after_restart = options.late_after_restart
+        self.fleet.keeps_orders = options.kept_orders
         self.fleet.random = random.Random(options.seed + 1)
         self.platform = Platform(self.fleet, targets=options.targets)
         self.version = 3
+        self.terms = {}  # arguments of configure()
+        self.route_back_at = 0.0  # infinite while the route is away
         configure(self.platform)
+        self.fleet.advice_known = not options.advice_changes
+        self.second_pool = list(self.fleet.targets)[:2] if options.routes else []
+        for name in self.second_pool:
+            self.fleet.targets[name].service = "other-pool"
         self.began = time.monotonic()
         self.entries = Entries(self.platform, options.entries, build,
                                vms=self.draw_vms())
@@ -69,6 +79,11 @@
         self.counts = {}
         self.workers = []
 
+    def answers_without_fault(self):
+        """Statuses that callers may get at any time, or now since the route is away."""
+        away = time.monotonic() < self.route_back_at + ROUTE_S
+        return (0, 429, 503, 504, 404) if away and self.route_back_at else (0, 429, 503, 504)
+
     def note(self, what):
         with self.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
@@ -123,7 +138,7 @@
             self.fleet.work_by_job[job] = 1.2 if lasts else rng.choice([0.05, 0.1, 0.3, 1.0])
             if draw < 0.01:
                 self.fleet.failing.add(task)
-            elif draw < 0.015:
+            elif draw < 0.015 or (self.options.routes and draw > 0.95):
                 self.fleet.always_failing.add(task)
             elif draw < 0.025 and self.options.deadly:
                 self.fleet.deadly.add(task)
@@ -157,7 +172,7 @@
                     pending = None
                 elif status in (429, 503) and job.answers <= {429, 503} and rng.random() < 0.2:
                     pending = None  # refused for good
-                elif status not in (0, 429, 503, 504):
+                elif status not in self.answers_without_fault():
                     self.problem(f"submission of {pending} answered {status}")
                     pending = None
             elif own and rng.random() < 0.03:
@@ -173,7 +188,7 @@
         if status in (200, 410):
             self.jobs[name].cancel_answers.append((time.monotonic(), status))
             return True
-        if status not in (0, 429, 503, 504):
+        if status not in self.answers_without_fault():
             self.problem(f"cancelling of {name} answered {status}")
         return False
 
@@ -204,7 +219,7 @@
             self.problem(f"{name} was accepted and is answered 410")
             return None
         if status != 200:
-            if status not in (0, 429, 503, 504):
+            if status not in self.answers_without_fault():
                 self.problem(f"state of {name} answered {status}")
             return None
         state = json.loads(body)["state"]
@@ -233,14 +248,15 @@
 
     # Faults
 
-    def spawn(self, action, *arguments):
-        worker = threading.Thread(target=self.guard, args=(action, *arguments), daemon=True)
+    def spawn(self, action, *arguments, **named):
+        worker = threading.Thread(target=self.guard, args=(action, *arguments), kwargs=named,
+                                  daemon=True)
         self.workers.append(worker)
         worker.start()
 
-    def guard(self, action, *arguments):
+    def guard(self, action, *arguments, **named):
         try:
-            action(*arguments)
+            action(*arguments, **named)
         except Exception as error:  # a fault of the case must fail it
             self.problem(f"{action.__name__}: {error!r}")
 
@@ -313,9 +329,39 @@
         with self.lock:
             self.version += rng.randint(1, 4)
             version = self.version
-        self.log(f"configuration {version}")
+            terms = dict(self.terms)
+        self.log(f"configuration {version} {terms}")
         configure(self.platform, version=version,
-                  extra_keys=[f"key-x{version}"] if rng.random() < 0.5 else [])
+                  extra_keys=[f"key-x{version}"] if rng.random() < 0.5 else [], **terms)
+
+    def change_terms(self, rng, **terms):
+        with self.lock:
+            self.terms.update(terms)
+            self.route_back_at = max(self.route_back_at, time.monotonic())
+            if not self.terms.get("with_route", True):
+                self.route_back_at = float("inf")
+            elif self.route_back_at == float("inf"):
+                self.route_back_at = time.monotonic()
+        self.reconfigure(rng)
+
+    def draw_terms(self, rng):
+        """Draw the terms under which a queue comes back: service, attempts, need of advice."""
+        terms = {"service": rng.choice(["pool", "pool", "other-pool"]),
+                 "attempts": rng.choice([2, 3, self.fleet.most_attempts])}
+        if self.options.advice_changes:
+            terms["advised"] = rng.random() < 0.8  # the targets demand tickets all the same
+        return terms
+
+    def take_route_away(self, rng):
+        self.change_terms(rng, with_route=False)
+        time.sleep(rng.choice([0.2, 1, 5]) * rng.uniform(0.5, 1.5))
+        self.change_terms(rng, with_route=True, **self.draw_terms(rng))
+
+    def retire_second_pool(self):
+        """Send the queue to the first pool and let all targets of the second one leave."""
+        self.change_terms(self.random, with_route=True, service="pool", advised=True)
+        for name in self.second_pool:
+            self.disturb_target("leave", name, 2 * SETTLE_S)
 
     def set_store(self, attribute, value, pause):
         self.log(f"store {attribute} {value} {pause:.1f}")
@@ -372,6 +418,13 @@
         }
         if self.options.shrink:
             kinds["resize"] = (3, lambda: self.spawn(self.disturb_target, "resize", target, 0))
+        if self.options.routes:
+            kinds["route_away"] = (3, lambda: self.spawn(self.take_route_away,
+                                                         random.Random(rng.random())))
+            kinds["queue_moves"] = (3, lambda: self.spawn(
+                self.change_terms, random.Random(rng.random()), **self.draw_terms(rng)))
+            kinds["leave"] = (2, lambda: self.spawn(self.disturb_target, "leave", target,
+                                                    rng.uniform(0.5, 5)))
         if self.options.crash_then_cut:
             kinds["crash_then_cut"] = (3, lambda: self.spawn(self.crash_then_cut, target,
                                                              random.Random(rng.random())))
@@ -409,6 +462,8 @@
         self.settling.set()
         for worker in list(self.workers):
             worker.join(60)
+        if self.options.routes:
+            self.retire_second_pool()
         self.settle()
         self.stopping.set()
         for thread in [*callers, watcher]:
@@ -562,6 +617,12 @@
                         help="a target may carry out late what its life before was sent")
     parser.add_argument("--crash-then-cut", action="store_true",
                         help="targets restart under their names and are cut off soon after")
+    parser.add_argument("--kept-orders", action="store_true",
+                        help="targets carry out some orders 2 to 12 s late, also in their next life")
+    parser.add_argument("--routes", action="store_true",
+                        help="routes go and come back, queues move between pools, targets leave")
+    parser.add_argument("--advice-changes", action="store_true",
+                        help="with --routes: queues also come back without need of advice")
     parser.add_argument("--shrink", action="store_true",
                         help="the capacity of targets shrinks and grows")
     parser.add_argument("--early-cancels", type=float, default=0.15,
