--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -50,16 +50,17 @@
     def __init__(self, options, build=BUILD):
         self.options = options
         self.random = random.Random(options.seed)
-        self.fleet = Fleet(work_s=0.3)
+        self.advised = not options.without_advice
+        self.fleet = Fleet(advised=self.advised, work_s=0.3)
         self.fleet.disturbed = True
         self.fleet.late_after_restart = options.late_after_restart
         self.fleet.keeps_orders = options.kept_orders
         self.fleet.random = random.Random(options.seed + 1)
         self.platform = Platform(self.fleet, targets=options.targets)
         self.version = 3
-        self.terms = {}  # arguments of configure()
+        self.terms = {"advised": self.advised}  # arguments of configure()
         self.route_back_at = 0.0  # infinite while the route is away
-        configure(self.platform)
+        configure(self.platform, **self.terms)
         self.fleet.advice_known = not options.advice_changes
         self.second_pool = list(self.fleet.targets)[:2] if options.routes else []
         for name in self.second_pool:
@@ -359,7 +360,7 @@
 
     def retire_second_pool(self):
         """Send the queue to the first pool and let all targets of the second one leave."""
-        self.change_terms(self.random, with_route=True, service="pool", advised=True)
+        self.change_terms(self.random, with_route=True, service="pool", advised=self.advised)
         for name in self.second_pool:
             self.disturb_target("leave", name, 2 * SETTLE_S)
 
@@ -623,6 +624,8 @@
                         help="routes go and come back, queues move between pools, targets leave")
     parser.add_argument("--advice-changes", action="store_true",
                         help="with --routes: queues also come back without need of advice")
+    parser.add_argument("--without-advice", action="store_true",
+                        help="starts need no tickets, whose expiry would void orders that are kept")
     parser.add_argument("--shrink", action="store_true",
                         help="the capacity of targets shrinks and grows")
     parser.add_argument("--early-cancels", type=float, default=0.15,
