The record of a failed workflow keeps the reason

What callers saw: a job was answered `failed`, and no log of the processes that were left named it. The reason was written only to the log of the coordinator that decided it, whose last lines went with its process, while the state outlives it. A mass of other lines of the same kind in one second (200 are let through) hides it as well.

Change: workflow_record has a further field at the end, `reason`: the runs that decided the failure. It is logged at once (`workflow_failed`), and by each successor that reads the record (`workflow_failed_earlier`). Earlier builds ignore the field. `run_crashed` also has the life of the target, the evidence, whether the run was listed, whether a stop had been sent, and whether an earlier coordinator had placed it; the entry of the crash in the progress log has the target and its life. New counters `crashed_runs_*`, one for each kind of evidence.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -282,6 +282,15 @@
         task_name task;
         std::int64_t run = 0;
         crash_evidence evidence = crash_evidence::bystander;
+        bool started = false;   ///< its start was confirmed
+        bool listed = false;    ///< a poll has shown it
+        bool stopping = false;  ///< a stop order for it was on its way
+        bool inherited = false; ///< an earlier coordinator placed it
+    };
+    /// One life of a target.
+    struct target_identity {
+        std::string name;
+        std::int64_t born_ms = 0;
     };
     /// The runs of a life of a target of which it is not known how it ended.
     struct lost_life {
@@ -310,10 +319,10 @@
     /// share a label with it, such as that of their rack
     [[nodiscard]] bool lost_with_its_group(const std::string& target) const;
     /// Count the crash of a target against the runs that were on it, unless its group was lost.
-    void count_crash(const std::string& target, const std::vector<implicated_run>& runs);
+    void count_crash(const target_identity& target, const std::vector<implicated_run>& runs);
     /// Store the crash under one run; fail the workflow when its task causes the crashes.
     void count_crashed_run(workflow& owner, const implicated_run& implicated,
-                           const std::string& target);
+                           const target_identity& target);
     /// @return whether the task, or its gang, may crash targets
     [[nodiscard]] bool is_suspect(const workflow& owner, std::uint32_t step_index,
                                   std::uint32_t index) const;
@@ -334,7 +343,7 @@
     static void keep_quiet_candidates(workflow_step& step, std::vector<step_candidate>& candidates);
     /// Count a crash, or keep the evidence until the target is seen, for runs that earlier
     /// coordinators placed.
-    void count_inherited_crashes(const std::string& target, std::int64_t born_ms,
+    void count_inherited_crashes(const target_identity& target,
                                  const std::vector<placement_entry>& placements,
                                  bool target_restarted);
     /// Called when the target has answered a poll.
@@ -395,6 +404,9 @@
     /// Stop all runs of a step.
     void stop_step(workflow& owner, std::uint32_t step_index);
     void end_workflow(workflow& owner, workflow_state state);
+    /// End a workflow as failed.
+    /// @param reason for the log and the record: the runs that decided it
+    void fail_workflow(workflow& owner, std::string reason);
     /// Called when the store has the end of a workflow.
     void handle_end_stored(const std::string& id);
     void stop_workflow(workflow& owner);
--- a/src/libverbenalever/coordinator/coordinator_adoption.cpp
+++ b/src/libverbenalever/coordinator/coordinator_adoption.cpp
@@ -63,7 +63,7 @@
     }
     std::erase_if(this->awaited_placements, [](const auto& known) { return known.second.empty(); });
     for (const auto& [target, born_ms, placed, restarted] : lost)
-        this->count_inherited_crashes(target, born_ms, placed, restarted);
+        this->count_inherited_crashes({target, born_ms}, placed, restarted);
     this->resolve_inherited_placements(expired_entries);
     if (!this->awaited_placements.empty() || this->inherited_placement_keys.empty())
         return;
@@ -89,7 +89,7 @@
             in_former_life.push_back(placement);
     }
     if (!in_former_life.empty())
-        this->count_inherited_crashes(target_name, in_former_life.front().target_born_ms,
+        this->count_inherited_crashes({target_name, in_former_life.front().target_born_ms},
                                       in_former_life, true);
     this->resolve_inherited_placements(entries);
 }
--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -7,6 +7,8 @@
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -91,7 +93,12 @@
                 suspects.size() == 1 ? crash_evidence::sole_suspect : crash_evidence::suspect;
         else if (!any_recent && suspects.size() == 1)
             evidence = crash_evidence::suspect; // long after its start, and nothing else was there
-        found.push_back({task, placed.run, evidence});
+        found.push_back({.task = task,
+                         .run = placed.run,
+                         .evidence = evidence,
+                         .started = placed.started,
+                         .listed = placed.listed,
+                         .stopping = placed.stopping});
     }
     return found;
 }
@@ -120,7 +127,7 @@
     this->lost_lives.erase(found);
     if (born_ms == life.born_ms || boot_time() - life.lost_at > lost_life_retention)
         return; // it was cut off, and its runs have lapsed
-    this->count_crash(name, life.runs);
+    this->count_crash({name, life.born_ms}, life.runs);
 }
 
 void coordinator::record_target_loss(const fleet_target& target)
@@ -190,12 +197,13 @@
         });
 }
 
-void coordinator::count_crash(const std::string& target, const std::vector<implicated_run>& runs)
+void coordinator::count_crash(const target_identity& target,
+                              const std::vector<implicated_run>& runs)
 {
-    if (this->lost_with_its_group(target)) {
+    if (this->lost_with_its_group(target.name)) {
         this->env.metrics.add("crashes_of_groups");
         this->env.log.write("coordinator", "crash_not_counted",
-                            {{"target", target}, {"tasks", runs.size()}});
+                            {{"target", target.name}, {"tasks", runs.size()}});
         return;
     }
     if (!runs.empty())
@@ -208,9 +216,10 @@
 }
 
 void coordinator::count_crashed_run(workflow& owner, const implicated_run& implicated,
-                                    const std::string& target)
+                                    const target_identity& target)
 {
-    const auto& [name, run, evidence] = implicated;
+    const auto& name = implicated.task;
+    const auto run = implicated.run;
     auto& step = owner.steps[name.step];
     auto& task = step.tasks[name.index];
     const bool gang = owner.record.spec.steps[name.step].gang;
@@ -218,28 +227,37 @@
     const auto& failed_runs = (gang ? step.tasks[0] : task).failed_runs;
     if (task.current_phase == workflow_task::phase::done ||
         std::ranges::find(failed_runs, run) != failed_runs.end() ||
-        !task.crashes.add({.run = run, .evidence = evidence, .target = target}))
+        !task.crashes.add({.run = run,
+                           .evidence = implicated.evidence,
+                           .target = target.name,
+                           .born_ms = target.born_ms}))
         return;
     step.crashes_seen = true;
     this->progress.add({.workflow = name.workflow,
                         .step = name.step,
                         .index = name.index,
                         .run = run,
-                        .how = static_cast<int>(ending_of(evidence)),
-                        .checkpoint = {}},
+                        .how = static_cast<int>(ending_of(implicated.evidence)),
+                        .checkpoint = {},
+                        .target = target.name,
+                        .target_born_ms = target.born_ms},
                        {});
-    if (evidence == crash_evidence::bystander)
-        return;
+    this->env.metrics.add(fmt::format("crashed_runs_{}", evidence_name(implicated.evidence)));
     this->env.log.write("coordinator", "run_crashed",
                         {{"workflow", name.workflow},
                          {"step", name.step},
                          {"index", name.index},
                          {"run", run},
-                         {"target", target},
-                         {"confirmed", evidence != crash_evidence::unconfirmed},
-                         {"sole", evidence == crash_evidence::sole_suspect},
+                         {"target", target.name},
+                         {"born_ms", target.born_ms},
+                         {"evidence", evidence_name(implicated.evidence)},
+                         {"confirmed", implicated.started},
+                         {"sole", implicated.evidence == crash_evidence::sole_suspect},
+                         {"listed", implicated.listed},
+                         {"stop_sent", implicated.stopping},
+                         {"inherited", implicated.inherited},
                          {"crashes", task.crashes.crashes().size()}});
-    if (!task.crashes.is_culprit())
+    if (implicated.evidence == crash_evidence::bystander || !task.crashes.is_culprit())
         return;
     std::string crashed;
     for (const auto& crash : task.crashes.crashes())
@@ -253,7 +271,8 @@
                          {"queue", owner.record.queue},
                          {"team", owner.record.team},
                          {"targets", crashed}});
-    this->end_workflow(owner, workflow_state::failed);
+    this->fail_workflow(owner, fmt::format("step {} task {} crashes its targets: {}", name.step,
+                                           name.index, task.crashes.describe()));
 }
 
 bool coordinator::is_suspect(const workflow& owner, std::uint32_t step_index,
@@ -367,18 +386,21 @@
     });
 }
 
-void coordinator::count_inherited_crashes(const std::string& target, std::int64_t born_ms,
+void coordinator::count_inherited_crashes(const target_identity& target,
                                           const std::vector<placement_entry>& placements,
                                           bool target_restarted)
 {
     std::vector<implicated_run> runs;
     for (const auto& placement : placements) // whether and when they were started is not known
-        runs.push_back({placement.task(), placement.run, crash_evidence::unconfirmed});
+        runs.push_back({.task = placement.task(),
+                        .run = placement.run,
+                        .evidence = crash_evidence::unconfirmed,
+                        .inherited = true});
     if (target_restarted)
         this->count_crash(target, runs);
     else if (!runs.empty())
-        this->lost_lives[target] = {
-            .born_ms = born_ms, .lost_at = boot_time(), .runs = std::move(runs)};
+        this->lost_lives[target.name] = {
+            .born_ms = target.born_ms, .lost_at = boot_time(), .runs = std::move(runs)};
 }
 
 void coordinator::record_answer(const fleet_target& target)
--- a/src/libverbenalever/coordinator/coordinator_definitions.cpp
+++ b/src/libverbenalever/coordinator/coordinator_definitions.cpp
@@ -7,6 +7,8 @@
 #include "ports/metadata_store.h"
 #include "timeline/event_log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 
@@ -128,7 +130,9 @@
                             {{"workflow", id},
                              {"queue", owner->record.queue},
                              {"attempts", owner->definition->attempts}});
-        this->end_workflow(*owner, workflow_state::failed);
+        this->fail_workflow(*owner,
+                            fmt::format("a task has used the {} attempts that its queue allows now",
+                                        owner->definition->attempts));
     }
 }
 
--- a/src/libverbenalever/coordinator/coordinator_run_ends.cpp
+++ b/src/libverbenalever/coordinator/coordinator_run_ends.cpp
@@ -5,6 +5,9 @@
 #include "timeline/counters.h"
 #include "timeline/event_log.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -52,6 +55,12 @@
             .checkpoint = end.checkpoint};
 }
 
+std::string describe_failures(const task_name& task, const std::vector<std::int64_t>& failed_runs)
+{
+    return fmt::format("step {} task {} has failed in runs {}", task.step, task.index,
+                       fmt::join(failed_runs, ", "));
+}
+
 } // namespace
 
 bool coordinator::apply_run_end(fleet_target& target, const target_view::ended_task& end)
@@ -213,7 +222,7 @@
     task.failed_runs.push_back(run);
     step.failures_seen = true;
     if (has_used_attempts(owner, name.step, name.index))
-        this->end_workflow(owner, workflow_state::failed);
+        this->fail_workflow(owner, describe_failures(name, task.failed_runs));
     return true;
 }
 
@@ -313,6 +322,17 @@
     this->store_record(owner, [this, id = owner.record.id] { this->handle_end_stored(id); });
 }
 
+void coordinator::fail_workflow(workflow& owner, std::string reason)
+{
+    this->env.log.write("coordinator", "workflow_failed",
+                        {{"workflow", owner.record.id},
+                         {"queue", owner.record.queue},
+                         {"team", owner.record.team},
+                         {"reason", reason}});
+    owner.record.reason = std::move(reason);
+    this->end_workflow(owner, workflow_state::failed);
+}
+
 void coordinator::handle_end_stored(const std::string& id)
 {
     auto* stored_workflow = this->find_workflow(id);
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -142,6 +142,13 @@
         auto& loaded_workflow = this->add_workflow(std::move(record));
         loaded_workflow.record_stored = true;
         loaded_workflow.end_stored = is_final(loaded_workflow.state);
+        if (const auto& stored = loaded_workflow.record; !stored.reason.empty())
+            this->env.log.write("coordinator", "workflow_failed_earlier",
+                                {{"workflow", stored.id},
+                                 {"queue", stored.queue},
+                                 {"team", stored.team},
+                                 {"ended_ms", stored.ended_ms},
+                                 {"reason", stored.reason}});
     }
     this->records.add_inherited_key(key, current, outdated);
 }
@@ -182,7 +189,10 @@
     }
     if (evidence) {
         step.crashes_seen = true;
-        task.crashes.add({.run = entry.run, .evidence = *evidence, .target = {}});
+        task.crashes.add({.run = entry.run,
+                          .evidence = *evidence,
+                          .target = entry.target,
+                          .born_ms = entry.target_born_ms});
     }
     if (entry.how != static_cast<int>(progress_entry::ending::done))
         return true;
--- a/src/libverbenalever/coordinator/crash_history.cpp
+++ b/src/libverbenalever/coordinator/crash_history.cpp
@@ -1,5 +1,7 @@
 #include "coordinator/crash_history.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace verbenalever {
@@ -19,6 +21,21 @@
 
 } // namespace
 
+std::string_view evidence_name(crash_evidence evidence)
+{
+    switch (evidence) {
+    case crash_evidence::bystander:
+        return "bystander";
+    case crash_evidence::unconfirmed:
+        return "unconfirmed";
+    case crash_evidence::suspect:
+        return "suspect";
+    case crash_evidence::sole_suspect:
+        return "sole_suspect";
+    }
+    return "unconfirmed";
+}
+
 bool crash_history::add(const crash& added)
 {
     const auto at = std::ranges::lower_bound(this->entries, added.run, {}, &crash::run);
@@ -63,4 +80,13 @@
            (this->crashes_late() && this->entries.back().evidence >= crash_evidence::suspect);
 }
 
+std::string crash_history::describe() const
+{
+    std::string text;
+    for (const auto& [run, evidence, target, born_ms] : this->entries)
+        text += fmt::format("{}run {} with {} ({}): {}", text.empty() ? "" : ", ", run,
+                            target.empty() ? "a target" : target, born_ms, evidence_name(evidence));
+    return text;
+}
+
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/crash_history.h
+++ b/src/libverbenalever/coordinator/crash_history.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace verbenalever {
@@ -15,13 +16,17 @@
     sole_suspect = 3, ///< no other workflow had been started there shortly before
 };
 
+/// @return the name of the evidence, for logs
+[[nodiscard]] std::string_view evidence_name(crash_evidence evidence);
+
 /// The crashes of targets under the runs of one task.
 class crash_history {
 public:
     struct crash {
         std::int64_t run = 0;
         crash_evidence evidence = crash_evidence::bystander;
-        std::string target; ///< empty when an earlier coordinator saw the crash
+        std::string target;       ///< empty when an earlier build stored the crash
+        std::int64_t born_ms = 0; ///< the life of the target that crashed; 0: not known
     };
 
     /// Add a crash under a run. A run counts once; the strongest evidence is kept.
@@ -42,6 +47,9 @@
     /// @return whether the task causes the crashes, as far as can be known
     [[nodiscard]] bool is_culprit() const;
 
+    /// @return the crashes in words, for logs and the record of a workflow that failed
+    [[nodiscard]] std::string describe() const;
+
     /// @return all crashes, by run
     [[nodiscard]] const std::vector<crash>& crashes() const
     {
--- a/src/libverbenalever/coordinator/progress_entry.h
+++ b/src/libverbenalever/coordinator/progress_entry.h
@@ -24,10 +24,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     std::int64_t run = 0;
-    int how = 0;            ///< value of an ending
-    std::string checkpoint; ///< latest checkpoint that the run has saved; empty: none
+    int how = 0;                     ///< value of an ending
+    std::string checkpoint;          ///< latest checkpoint that the run has saved; empty: none
+    std::string target;              ///< that crashed; earlier builds do not store it
+    std::int64_t target_born_ms = 0; ///< the life of that target
 
-    MSGPACK_DEFINE(workflow, step, index, run, how, checkpoint)
+    MSGPACK_DEFINE(workflow, step, index, run, how, checkpoint, target, target_born_ms)
 };
 
 } // namespace verbenalever
--- a/src/libverbenalever/workflows/workflow_record.h
+++ b/src/libverbenalever/workflows/workflow_record.h
@@ -22,6 +22,7 @@
     int state = 0;                ///< a workflow_state; queued until it has ended
     std::int64_t ended_ms = 0;    ///< wall clock; 0: it has not ended
     workflow_spec spec;           ///< empty once it has ended
+    std::string reason;           ///< of a failure: the runs that decided it
 
     [[nodiscard]] workflow_state stored_state() const
     {
@@ -33,7 +34,7 @@
         return !this->queue.empty();
     }
 
-    MSGPACK_DEFINE(id, queue, pool, team, accepted_ms, term, state, ended_ms, spec)
+    MSGPACK_DEFINE(id, queue, pool, team, accepted_ms, term, state, ended_ms, spec, reason)
 };
 
 } // namespace verbenalever
