A run that was stopped is no crash under its task

What callers saw: a job whose runs had all been stopped for urgent work was shown as failed, though none of its runs had failed or crashed a target. Cause: assess_crash() took each run on the coordinator's list for one that the target had been running when it was lost, also when its stop was answered and only its end had not been read. Now a run is not counted when its stop was answered, or a poll that was sent after the stop. It still counts among the possible causes, so that the evidence against its neighbours does not grow by this.

--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -42,6 +42,13 @@
     return !placed.started || placed.started_at + suspect_window >= last_answer_at;
 }
 
+/// @return whether a stop order may have ended the run before its target was lost
+bool may_have_stopped(const placed_run& placed, const target_session& session)
+{
+    return placed.stopping && (placed.order_confirmed_at.count() != 0 ||
+                               session.last_polled_at() >= placed.stop_sent_at);
+}
+
 bool has_crashed_under(const workflow_step& step, const std::string& target)
 {
     return std::ranges::any_of(step.tasks, [&](const workflow_task& task) {
@@ -70,20 +77,19 @@
 std::vector<coordinator::implicated_run> coordinator::assess_crash(const fleet_target& target) const
 {
     const auto last_answer_at = target.session->last_answer_at();
-    const auto was_started = [](const placed_run& placed) {
-        return placed.owner != nullptr && placed.start_sent && !is_final(placed.owner->state);
-    };
+    // Also runs that do not count themselves may have caused the crash.
     bool any_recent = false;
     for (const auto& [task, placed] : target.tasks)
-        any_recent = any_recent || (was_started(placed) && is_recent(placed, last_answer_at));
+        any_recent = any_recent || (placed.start_sent && is_recent(placed, last_answer_at));
     std::set<std::string_view> suspects;
     for (const auto& [task, placed] : target.tasks) {
-        if (was_started(placed) && (!any_recent || is_recent(placed, last_answer_at)))
+        if (placed.start_sent && (!any_recent || is_recent(placed, last_answer_at)))
             suspects.insert(task.workflow);
     }
     std::vector<implicated_run> found;
     for (const auto& [task, placed] : target.tasks) {
-        if (!was_started(placed))
+        if (placed.owner == nullptr || is_final(placed.owner->state) || !placed.start_sent ||
+            may_have_stopped(placed, *target.session))
             continue;
         auto evidence = crash_evidence::bystander;
         if (!placed.started)
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -336,6 +336,8 @@
             return;
         }
         found->second.stopping = true;
+        if (found->second.stop_sent_at.count() == 0)
+            found->second.stop_sent_at = boot_time();
         found->second.order_confirmed_at = milliseconds(0);
         found->second.last_order_at = boot_time();
     }
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -26,6 +26,38 @@
     }
 };
 
+// A run that was preempted, and whose end was not read before its target crashed, counted as a
+// crash under its task: after two of them a job that had never failed was shown as failed.
+TEST_F(coordinator_verdicts_test, a_crash_after_a_run_was_stopped_does_not_count_against_its_task)
+{
+    auto& target = this->targets.add("t0", 4000);
+    target.task_duration = milliseconds(0);
+    target.stop_delay = milliseconds(20);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 4)}, "slow");
+    for (int loss = 0; loss < losses; ++loss) {
+        // Nothing else starts beside it at first once a target was lost.
+        this->run_for(milliseconds(loss == 0 ? 150 : 900));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        const auto id = "urgent" + std::to_string(loss);
+        const auto stopped_before = first.metrics.value("runs_reclaimed");
+        this->submit(first, id, {this->tasks(1, 4)});
+        for (int waited = 0;
+             waited < 250 && first.metrics.value("runs_reclaimed") == stopped_before; ++waited)
+            this->run_for(milliseconds(2));
+        this->run_for(milliseconds(5)); // the stop is answered
+        target.unresponsive = true;
+        this->run_for(milliseconds(30));
+        ASSERT_EQ(this->targets.running("w"), 0U) << "the stop was executed";
+        first.active_coordinator->cancel(id, [](call_outcome) {});
+        target.unresponsive = false;
+        this->targets.restart("t0");
+    }
+    this->run_for(milliseconds(1000));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::running);
+    EXPECT_EQ(this->targets.running("w"), 1U);
+}
+
 // A coordinator that was killed took the cause of a job's failure with it.
 TEST_F(coordinator_verdicts_test, the_record_of_a_failed_workflow_has_the_reason)
 {
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -42,6 +42,7 @@
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
     milliseconds last_order_at{0}; ///< time since boot of the last order or its answer
+    milliseconds stop_sent_at{0};  ///< time since boot of the first stop order
     milliseconds started_at{0};    ///< time since boot
     milliseconds preempted_at{0};  ///< time since boot of its first stop by preemption; 0: none
     double percent = 0; ///< percentage of its work done, in the last poll that showed progress
