A start executed by the next life of a target is no crash of the former one

Cause: orders name a target and not its life. A target that had restarted unnoticed confirmed a start in the session of its former life; when the restart was seen, the run counted as the only one that had been started just before the crash, though the target had crashed before the start was sent. Evidence: in the new test, starts at targets that have restarted; before: run_crashed with "confirmed":true,"sole":true twice, task_given_up after two runs and no crash under either. The clock of a target starts anew with its life, and answers contain it: a clock that has gone back shows the later life. A start that was confirmed from then on is not counted, and such answers no longer tell when the former life was up.

--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -89,7 +89,7 @@
     std::vector<implicated_run> found;
     for (const auto& [task, placed] : target.tasks) {
         if (placed.owner == nullptr || is_final(placed.owner->state) || !placed.start_sent ||
-            may_have_stopped(placed, *target.session))
+            placed.in_later_life || may_have_stopped(placed, *target.session))
             continue;
         auto evidence = crash_evidence::bystander;
         if (!placed.started)
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -261,6 +261,7 @@
     if (result.how == order_result::outcome::done) {
         placed.started = true;
         placed.started_at = boot_time();
+        placed.in_later_life = target.session->answered_by_later_life();
         update_isolation(target, placed);
         if (!placed.stopping)
             placed.order_confirmed_at = boot_time();
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -58,6 +58,28 @@
     EXPECT_EQ(this->targets.running("w"), 1U);
 }
 
+// A start that the next life of its target had executed counted as a crash of the former one, under
+// which the task had never run.
+TEST_F(coordinator_verdicts_test, a_start_executed_by_the_next_life_does_not_count)
+{
+    this->targets.clocks_restart = true;
+    this->targets.executes_starts_for_former_lives = true;
+    for (int number = 0; number < losses; ++number)
+        this->targets.add("t" + std::to_string(number), 4000, "z" + std::to_string(number))
+            .task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->run_for(milliseconds(1500)); // no poll from now on
+    for (const auto& [name, target] : this->targets.targets) {
+        this->targets.listed_born_ms[name] = target->report.born_ms;
+        this->targets.restart(name);
+    }
+    this->submit(first, "w", {this->tasks(1, 1)});
+    this->run_for(milliseconds(12'000));
+    EXPECT_GE(this->targets.start_count, 2);
+    EXPECT_EQ(first.metrics.value("tasks_given_up"), 0);
+    EXPECT_EQ(this->state(first, "w"), workflow_state::running);
+}
+
 // A coordinator that was killed took the cause of a job's failure with it.
 TEST_F(coordinator_verdicts_test, the_record_of_a_failed_workflow_has_the_reason)
 {
--- a/src/libverbenalever/coordinator/target_session.cpp
+++ b/src/libverbenalever/coordinator/target_session.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds first_start_timeout{250};
 /// A target's clock may be slower than ours by this many percent.
 constexpr int clock_drift_percent = 2;
+/// Answers overtake each other by less than this.
+constexpr milliseconds max_answer_delay{1000};
 /// Margin for rounding when the expiry of a lease is computed.
 constexpr milliseconds expiry_slack{100};
 
@@ -223,6 +225,9 @@
 {
     if (result.clock_ms == 0)
         return;
+    // Orders name only the target, so that a later life may execute them before a poll shows it.
+    if (result.clock_ms + max_answer_delay.count() < this->clock_ms)
+        this->later_life_answers = true;
     this->clock_ms = result.clock_ms;
     this->clock_at = boot_time();
 }
@@ -234,7 +239,7 @@
         return;
     }
     this->apply_clock(result);
-    if (result.how != order_result::outcome::target_restarted)
+    if (result.how != order_result::outcome::target_restarted && !this->later_life_answers)
         this->answered_at = boot_time();
     const bool back = this->missed_answers > 0;
     this->missed_answers = 0;
--- a/src/libverbenalever/coordinator/target_session.h
+++ b/src/libverbenalever/coordinator/target_session.h
@@ -107,6 +107,12 @@
         return this->answered_at;
     }
 
+    /// @return whether the target's clock has shown that a later life answers orders for this one
+    [[nodiscard]] bool answered_by_later_life() const
+    {
+        return this->later_life_answers;
+    }
+
     /// @return time since boot at which the leases of all runs on the target have expired unless
     /// they are renewed
     [[nodiscard]] milliseconds lease_expiry() const
@@ -174,6 +180,7 @@
     bool probing = false; ///< the next poll does not wait for an end
     bool waiting_for_stored_end = false;
     bool has_been_polled = false;
+    bool later_life_answers = false; ///< see answered_by_later_life()
     int missed_answers = 0;
     timer poll_timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
