An adopted run does not count as just started

What callers saw: a job could be shown as failed after two crashes of targets of which each followed a change of coordinator. Cause: a coordinator sets the start of a run that it finds on a target to the moment when it finds it. Such runs are bystanders of a crash: when they have started is not known.

--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -91,10 +91,12 @@
         if (placed.owner == nullptr || is_final(placed.owner->state) || !placed.start_sent ||
             placed.in_later_life || may_have_stopped(placed, *target.session))
             continue;
+        // When an adopted run has started is not known.
+        const bool recent = !placed.adopted && is_recent(placed, last_answer_at);
         auto evidence = crash_evidence::bystander;
         if (!placed.started)
             evidence = crash_evidence::unconfirmed;
-        else if (any_recent && is_recent(placed, last_answer_at))
+        else if (recent)
             evidence =
                 suspects.size() == 1 ? crash_evidence::sole_suspect : crash_evidence::suspect;
         else if (!any_recent && suspects.size() == 1)
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -156,6 +156,7 @@
                       .start_sent = true,
                       .started = true,
                       .listed = true,
+                      .adopted = true,
                       .order_confirmed_at = boot_time(),
                       .last_order_at = boot_time(),
                       .started_at = boot_time(),
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -58,6 +58,28 @@
     EXPECT_EQ(this->targets.running("w"), 1U);
 }
 
+// A run counted as just started when a new coordinator had just found it.
+TEST_F(coordinator_verdicts_test, a_crash_just_after_a_change_of_coordinator_does_not_count_in_full)
+{
+    for (int number = 0; number < 4; ++number)
+        this->targets.add("t" + std::to_string(number), 4000, "z" + std::to_string(number))
+            .task_duration = milliseconds(0);
+    auto* current = &this->elect("vm-0");
+    this->submit(*current, "w", {this->tasks(1, 1)});
+    for (int loss = 0; loss < 3; ++loss) {
+        this->run_for(milliseconds(1000));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        this->kill(*current);
+        current = &this->elect("vm-" + std::to_string(loss + 1));
+        for (const auto& [name, target] : this->targets.targets) {
+            if (!target->running.empty())
+                this->targets.crash(name, milliseconds(700));
+        }
+        this->run_for(milliseconds(1500));
+    }
+    EXPECT_EQ(this->state(*current, "w"), workflow_state::running);
+}
+
 // A start that the next life of its target had executed counted as a crash of the former one, under
 // which the task had never run.
 TEST_F(coordinator_verdicts_test, a_start_executed_by_the_next_life_does_not_count)
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -36,6 +36,7 @@
     milliseconds unanswered_until{0};
     std::int64_t unanswered_batch = 0; ///< number of the batch that stores this; 0: none
     bool stopping = false;             ///< a stop was ordered
+    bool adopted = false;              ///< an earlier coordinator started it
     bool in_later_life = false;        ///< its start was confirmed by a later life of the target
     bool suspect = false;              ///< its task may crash targets, see crash_history
     bool stop_avoided = false;         ///< counted as not stopped because of stop_avoidance
