Crashes that nothing shows to be under a task only isolate it

Cause: evidence of the weakest kind, that the coordinator had once chosen the target, ended a task when it came four times, and the same target counted more than once. Evidence: runs_that_ended_before_a_change_of_coordinator_do_not_count failed before (task_given_up, "earlier earlier earlier t0", no crash under the task).

Now there are two kinds of it. `unconfirmed` only isolates the next start. `unanswered` counts: an isolated start at a target that had answered in the last half second (such a target is probed before) and never answered again; or a placement of an earlier coordinator whose target has a new life within the lease of the start. It fails a task after three crashes if no start of it was ever confirmed, else after four crashes in all. Two or three crashes as a suspect count as before if they were of two targets; one target may itself be at fault, and counts up to four. A successor does not count targets of a zone or rack of which most have restarted.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -282,6 +282,7 @@
         task_name task;
         std::int64_t run = 0;
         crash_evidence evidence = crash_evidence::bystander;
+        bool recent = false;    ///< it may have been started shortly before the target was lost
         bool started = false;   ///< its start was confirmed
         bool listed = false;    ///< a poll has shown it
         bool stopping = false;  ///< a stop order for it was on its way
@@ -341,6 +342,11 @@
     /// Remove candidates on which a run was started shortly before, unless the gang that may crash
     /// targets has waited long for others.
     static void keep_quiet_candidates(workflow_step& step, std::vector<step_candidate>& candidates);
+    /// Find out from the inherited placements which targets may have been lost together.
+    void find_inherited_losses();
+    /// @return whether the target restarted so soon after the placement that the lease of the run
+    /// had not ended, and not together with its zone or rack
+    [[nodiscard]] bool restarted_soon_after(const placement_entry& placement) const;
     /// Count a crash, or keep the evidence until the target is seen, for runs that earlier
     /// coordinators placed.
     void count_inherited_crashes(const target_identity& target,
@@ -737,6 +743,8 @@
     zone_silence_detector silent_zones;
     target_loss_log target_losses;
     std::map<std::string, lost_life> lost_lives; ///< by target name
+    /// Targets that were lost with their zone or rack before this coordinator was elected.
+    std::set<std::string> lost_before_load;
     /// Time since boot at which scheduling of the current step began.
     milliseconds evaluation_time{0};
     int preemptions_left = 0;           ///< steps that may still preempt in this pass
--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -2,6 +2,7 @@
 // meanwhile.
 
 #include "coordinator/coordinator.h"
+#include "coordinator/crash_progress.h"
 #include "coordinator/step_placer.h"
 #include "coordinator/target_session.h"
 #include "timeline/counters.h"
@@ -21,6 +22,8 @@
 /// before the target's last answer or later are suspects. Answers overtake each other, and orders
 /// reach the target through relays.
 constexpr milliseconds suspect_window{300};
+/// A target that has answered this long before a start order is taken to have been up then.
+constexpr milliseconds max_answer_age{500};
 /// A suspect that runs for this long is taken not to have crashed its target.
 constexpr milliseconds settle_time{500};
 /// Longest time for which a target is kept for a suspect whose start is not confirmed.
@@ -42,13 +45,6 @@
     return !placed.started || placed.started_at + suspect_window >= last_answer_at;
 }
 
-/// @return whether a stop order may have ended the run before its target was lost
-bool may_have_stopped(const placed_run& placed, const target_session& session)
-{
-    return placed.stopping && (placed.order_confirmed_at.count() != 0 ||
-                               session.last_polled_at() >= placed.stop_sent_at);
-}
-
 bool has_crashed_under(const workflow_step& step, const std::string& target)
 {
     return std::ranges::any_of(step.tasks, [&](const workflow_task& task) {
@@ -57,19 +53,18 @@
     });
 }
 
-progress_entry::ending ending_of(crash_evidence evidence)
+/// @return whether the target answered shortly before the first start order and not after it
+bool was_up_at_start(const placed_run& placed, milliseconds last_answer_at)
 {
-    switch (evidence) {
-    case crash_evidence::bystander:
-        return progress_entry::ending::crashed_bystander;
-    case crash_evidence::unconfirmed:
-        return progress_entry::ending::crashed_unconfirmed;
-    case crash_evidence::suspect:
-        return progress_entry::ending::crashed_suspect;
-    case crash_evidence::sole_suspect:
-        return progress_entry::ending::crashed_sole_suspect;
-    }
-    return progress_entry::ending::other;
+    const auto since_answer = placed.start_sent_at - last_answer_at;
+    return since_answer <= max_answer_age && -since_answer <= suspect_window;
+}
+
+/// @return whether a stop order may have ended the run before its target was lost
+bool may_have_stopped(const placed_run& placed, const target_session& session)
+{
+    return placed.stopping && (placed.order_confirmed_at.count() != 0 ||
+                               session.last_polled_at() >= placed.stop_sent_at);
 }
 
 } // namespace
@@ -95,15 +90,20 @@
         const bool recent = !placed.adopted && is_recent(placed, last_answer_at);
         auto evidence = crash_evidence::bystander;
         if (!placed.started)
-            evidence = crash_evidence::unconfirmed;
+            evidence = placed.suspect && was_up_at_start(placed, last_answer_at)
+                           ? crash_evidence::unanswered
+                           : crash_evidence::unconfirmed;
+        else if (recent && placed.stopping)
+            evidence = crash_evidence::unanswered;
         else if (recent)
             evidence =
                 suspects.size() == 1 ? crash_evidence::sole_suspect : crash_evidence::suspect;
-        else if (!any_recent && suspects.size() == 1)
+        else if (!any_recent && suspects.size() == 1 && !placed.stopping)
             evidence = crash_evidence::suspect; // long after its start, and nothing else was there
         found.push_back({.task = task,
                          .run = placed.run,
                          .evidence = evidence,
+                         .recent = recent,
                          .started = placed.started,
                          .listed = placed.listed,
                          .stopping = placed.stopping});
@@ -197,7 +197,9 @@
                 return false;
             std::size_t survivors = 0;
             for (const auto& [other, target] : this->targets) {
-                const bool survived = target->added_at < loss->last_answer_at &&
+                // When a target that never answered this coordinator was lost is not known.
+                const bool survived = (target->added_at < loss->last_answer_at ||
+                                       loss->last_answer_at.count() == 0) &&
                                       target->session->last_answer_at() > loss->noticed_at;
                 survivors += survived && in_group(target->report) ? 1 : 0;
             }
@@ -245,12 +247,14 @@
                         .step = name.step,
                         .index = name.index,
                         .run = run,
-                        .how = static_cast<int>(ending_of(implicated.evidence)),
+                        .how = static_cast<int>(crash_ending(implicated.evidence)),
                         .checkpoint = {},
                         .target = target.name,
                         .target_born_ms = target.born_ms},
                        {});
     this->env.metrics.add(fmt::format("crashed_runs_{}", evidence_name(implicated.evidence)));
+    if (implicated.evidence == crash_evidence::bystander)
+        return;
     this->env.log.write("coordinator", "run_crashed",
                         {{"workflow", name.workflow},
                          {"step", name.step},
@@ -265,7 +269,7 @@
                          {"stop_sent", implicated.stopping},
                          {"inherited", implicated.inherited},
                          {"crashes", task.crashes.crashes().size()}});
-    if (implicated.evidence == crash_evidence::bystander || !task.crashes.is_culprit())
+    if (!task.crashes.is_culprit())
         return;
     std::string crashed;
     for (const auto& crash : task.crashes.crashes())
@@ -363,10 +367,19 @@
         return !has_crashed_under(step, candidate.target->report.name);
     });
     std::vector<fleet_target*> chosen;
+    std::size_t probed = 0;
     for (const auto& candidate : suitable) {
-        if (chosen.size() >= wanted)
+        if (chosen.size() + probed >= wanted)
             break;
-        chosen.push_back(candidate.target);
+        auto& session = *candidate.target->session;
+        // A target that is down already would seem to crash under the task.
+        if (waited_long || session.last_answer_at() + suspect_window >= now) {
+            chosen.push_back(candidate.target);
+            continue;
+        }
+        ++probed;
+        this->env.metrics.add("suspect_probes");
+        session.probe();
     }
     this->place_tasks(owner, step_index, chosen, true);
     std::erase_if(candidates, [now](const step_candidate& candidate) {
@@ -399,11 +412,14 @@
                                           bool target_restarted)
 {
     std::vector<implicated_run> runs;
-    for (const auto& placement : placements) // whether and when they were started is not known
+    for (const auto& placement : placements) { // whether they were started is not known
+        const bool soon = target_restarted && this->restarted_soon_after(placement);
         runs.push_back({.task = placement.task(),
                         .run = placement.run,
-                        .evidence = crash_evidence::unconfirmed,
+                        .evidence = soon ? crash_evidence::unanswered : crash_evidence::unconfirmed,
+                        .recent = soon,
                         .inherited = true});
+    }
     if (target_restarted)
         this->count_crash(target, runs);
     else if (!runs.empty())
@@ -411,6 +427,48 @@
             .born_ms = target.born_ms, .lost_at = boot_time(), .runs = std::move(runs)};
 }
 
+bool coordinator::restarted_soon_after(const placement_entry& placement) const
+{
+    const auto age = milliseconds(wall_microseconds() / 1000 - placement.written_wall_ms);
+    return placement.written_wall_ms != 0 && placement.late_ms != 0 && age.count() >= 0 &&
+           age <= this->env.task_lease && !this->lost_before_load.contains(placement.target);
+}
+
+void coordinator::find_inherited_losses()
+{
+    std::map<std::string_view, const target_report*> listed;
+    for (const auto& report : this->latest_reports)
+        listed[report.name] = &report;
+    std::vector<const target_report*> lost;
+    for (const auto& [name, entries] : this->awaited_placements) {
+        const auto found = listed.find(name);
+        if (found != listed.end() &&
+            std::ranges::any_of(entries, [&](const awaited_placement& entry) {
+                return entry.placement.target_born_ms < found->second->born_ms;
+            }))
+            lost.push_back(found->second);
+    }
+    std::vector<const target_report*> survivors;
+    const auto recent_ms = wall_microseconds() / 1000 - this->env.task_lease.count();
+    for (const auto& report : this->latest_reports) {
+        if (report.born_ms < recent_ms && std::ranges::find(lost, &report) == lost.end())
+            survivors.push_back(&report);
+    }
+    for (const auto* report : lost) {
+        const auto groups = groups_of(*report);
+        const bool with_group = std::ranges::any_of(groups, [&](const target_group& in_group) {
+            const auto count = [&](const auto& among) {
+                return static_cast<std::size_t>(std::ranges::count_if(
+                    among, [&](const auto* other) { return in_group(*other); }));
+            };
+            return count(lost) >= min_group_losses &&
+                   count(lost) >= losses_per_survivor * count(survivors);
+        });
+        if (with_group)
+            this->lost_before_load.insert(report->name);
+    }
+}
+
 void coordinator::record_answer(const fleet_target& target)
 {
     this->resolve_lost_life(target.report.name, target.report.born_ms);
--- a/src/libverbenalever/coordinator/coordinator_starts.cpp
+++ b/src/libverbenalever/coordinator/coordinator_starts.cpp
@@ -208,6 +208,8 @@
         return;
     auto& placed = found->second;
     placed.last_order_at = boot_time();
+    if (placed.start_sent_at.count() == 0)
+        placed.start_sent_at = boot_time();
     ++placed.unanswered_starts;
     placed.unanswered_until =
         this->unanswered_start_end(*placed.owner, name.step, target.report.name);
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -1,6 +1,7 @@
 // Loads workflows, progress and placements from the store when a coordinator starts.
 
 #include "coordinator/coordinator.h"
+#include "coordinator/crash_progress.h"
 #include "membership/message_codec.h"
 #include "ports/metadata_store.h"
 #include "timeline/event_log.h"
@@ -15,20 +16,6 @@
 /// Wait before a page that could not be read is requested again.
 constexpr milliseconds retry_wait{200};
 
-std::optional<crash_evidence> crash_evidence_of(const progress_entry& entry)
-{
-    using ending = progress_entry::ending;
-    if (entry.how == static_cast<int>(ending::crashed_bystander))
-        return crash_evidence::bystander;
-    if (entry.how == static_cast<int>(ending::crashed_unconfirmed))
-        return crash_evidence::unconfirmed;
-    if (entry.how == static_cast<int>(ending::crashed_suspect))
-        return crash_evidence::suspect;
-    if (entry.how == static_cast<int>(ending::crashed_sole_suspect))
-        return crash_evidence::sole_suspect;
-    return std::nullopt;
-}
-
 } // namespace
 
 milliseconds coordinator::time_without_load_progress() const
@@ -173,7 +160,9 @@
         entry.index >= owner->steps[entry.step].tasks.size())
         return false;
     const auto evidence = crash_evidence_of(entry);
-    (evidence == crash_evidence::unconfirmed ? owner->may_have_started : owner->has_started) = true;
+    const bool unseen =
+        evidence == crash_evidence::unconfirmed || evidence == crash_evidence::unanswered;
+    (unseen ? owner->may_have_started : owner->has_started) = true;
     auto& step = owner->steps[entry.step];
     auto& task = step.tasks[entry.index];
     task.run = std::max(task.run, entry.run);
@@ -231,6 +220,7 @@
                          {"keys", this->loaded_keys},
                          {"unseen_targets", this->awaited_placements.size()},
                          {"ms", (boot_time() - this->started_at).count()}});
+    this->find_inherited_losses();
     this->apply_directory(this->latest_reports);
     const auto actions = std::move(this->deferred_calls);
     this->deferred_calls.clear();
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -58,6 +58,30 @@
     EXPECT_EQ(this->targets.running("w"), 1U);
 }
 
+// A successor counted each placement on a target that was restarted, however its run had ended.
+TEST_F(coordinator_verdicts_test, runs_that_ended_before_a_change_of_coordinator_do_not_count)
+{
+    this->targets.add("t0", 4000).task_duration = milliseconds(0);
+    auto* current = &this->elect("vm-1");
+    this->submit(*current, "w", {this->tasks(1, 1)});
+    for (int loss = 0; loss < losses; ++loss) {
+        this->run_for(milliseconds(500));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        this->kill(*current);
+        this->run_for(milliseconds(2200));
+        ASSERT_EQ(this->targets.running("w"), 0U) << "the lease has ended";
+        this->targets.restart("t0");
+        current = &this->elect("vm-" + std::to_string(loss + 2));
+        this->run_for(milliseconds(1000));
+    }
+    EXPECT_EQ(this->state(*current, "w"), workflow_state::running);
+    EXPECT_EQ(this->targets.running("w"), 1U);
+}
+
+// A target that was cut off, and restarted after the lease of its runs had ended, counted as
+// crashed under them.
+// A sound task that takes long was given up after three crashes of targets under it, each long
+// after its start.
 // A run counted as just started when a new coordinator had just found it.
 TEST_F(coordinator_verdicts_test, a_crash_just_after_a_change_of_coordinator_does_not_count_in_full)
 {
@@ -102,6 +126,7 @@
     EXPECT_EQ(this->state(first, "w"), workflow_state::running);
 }
 
+// Two crashes just after starts failed a sound task, though its run between them had gone on.
 // A coordinator that was killed took the cause of a job's failure with it.
 TEST_F(coordinator_verdicts_test, the_record_of_a_failed_workflow_has_the_reason)
 {
--- a/src/libverbenalever/coordinator/crash_history.cpp
+++ b/src/libverbenalever/coordinator/crash_history.cpp
@@ -3,22 +3,30 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
+#include <span>
 
 namespace verbenalever {
 
 namespace {
 
-/// Crashes after which a task is not started again if it was a suspect each time.
+/// Crashes as a suspect after which a task is not started again.
 constexpr std::size_t max_suspect_crashes = 3;
 /// The same if it was the only suspect in at least one of them.
 constexpr std::size_t max_proven_crashes = 2;
-/// The same including starts that were not confirmed, each of which may have been too late to
-/// matter.
-constexpr std::size_t max_possible_crashes = 4;
+/// The same if no target has ever confirmed a start of it before a crash.
+constexpr std::size_t max_unanswered_crashes = 3;
+/// The same in any mixture, and if all were of one target, which may itself be at fault.
+constexpr std::size_t max_mixed_crashes = 4;
+/// Targets that must have crashed otherwise.
+constexpr std::size_t min_crashed_targets = 2;
 /// Crashes as a bystander after which the task may be one that crashes targets long after its
 /// start.
 constexpr std::size_t max_bystander_crashes = 3;
 
+/// Latest crashes in a description.
+constexpr std::size_t max_described_crashes = 8;
+
 } // namespace
 
 std::string_view evidence_name(crash_evidence evidence)
@@ -28,6 +36,8 @@
         return "bystander";
     case crash_evidence::unconfirmed:
         return "unconfirmed";
+    case crash_evidence::unanswered:
+        return "unanswered";
     case crash_evidence::suspect:
         return "suspect";
     case crash_evidence::sole_suspect:
@@ -55,6 +65,16 @@
         this->entries, [&](const crash& entry) { return entry.evidence >= at_least; }));
 }
 
+std::size_t crash_history::count_targets(crash_evidence at_least) const
+{
+    std::set<std::string_view> targets;
+    for (const auto& entry : this->entries) {
+        if (entry.evidence >= at_least)
+            targets.insert(entry.target);
+    }
+    return targets.size();
+}
+
 bool crash_history::is_suspect() const
 {
     return this->count(crash_evidence::unconfirmed) > 0 ||
@@ -73,20 +93,28 @@
 
 bool crash_history::is_culprit() const
 {
-    const auto suspect_crashes = this->count(crash_evidence::suspect);
-    return suspect_crashes >= max_suspect_crashes ||
-           this->count(crash_evidence::unconfirmed) >= max_possible_crashes ||
-           (suspect_crashes >= max_proven_crashes && this->is_prime_suspect()) ||
+    const auto witnessed = this->count(crash_evidence::unanswered);
+    if (witnessed >= max_mixed_crashes)
+        return true;
+    if (this->count_targets(crash_evidence::unanswered) < min_crashed_targets)
+        return false;
+    const auto as_suspect = this->count(crash_evidence::suspect);
+    return as_suspect >= max_suspect_crashes ||
+           (as_suspect == 0 && witnessed >= max_unanswered_crashes) ||
+           (as_suspect >= max_proven_crashes && this->is_prime_suspect() &&
+            this->count_targets(crash_evidence::suspect) >= min_crashed_targets) ||
            (this->crashes_late() && this->entries.back().evidence >= crash_evidence::suspect);
 }
 
 std::string crash_history::describe() const
 {
     std::string text;
-    for (const auto& [run, evidence, target, born_ms] : this->entries)
+    const auto omitted =
+        this->entries.size() - std::min(this->entries.size(), max_described_crashes);
+    for (const auto& [run, evidence, target, born_ms] : std::span(this->entries).subspan(omitted))
         text += fmt::format("{}run {} with {} ({}): {}", text.empty() ? "" : ", ", run,
                             target.empty() ? "a target" : target, born_ms, evidence_name(evidence));
-    return text;
+    return omitted == 0 ? text : fmt::format("{} earlier ones, {}", omitted, text);
 }
 
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/crash_history.h
+++ b/src/libverbenalever/coordinator/crash_history.h
@@ -10,10 +10,11 @@
 
 /// How strongly the crash of a target implicates a run that was on it.
 enum class crash_evidence : std::uint8_t {
-    bystander = 0,    ///< other runs were started after it, shortly before the crash
-    unconfirmed = 1,  ///< its start was sent; the target may have been down already
-    suspect = 2,      ///< one of several workflows that may have caused the crash
-    sole_suspect = 3, ///< no other workflow had been started there shortly before
+    bystander = 0,    ///< it ran there, but was not started shortly before the crash
+    unconfirmed = 1,  ///< it may not have been there when the target crashed
+    unanswered = 2,   ///< an order for it had no answer from a target that had just answered others
+    suspect = 3,      ///< one of several workflows that may have caused the crash
+    sole_suspect = 4, ///< no other workflow had been started there shortly before
 };
 
 /// @return the name of the evidence, for logs
@@ -44,7 +45,8 @@
     /// @return whether a crash had the task as its only suspect
     [[nodiscard]] bool is_prime_suspect() const;
 
-    /// @return whether the task causes the crashes, as far as can be known
+    /// @return whether the task causes the crashes, as far as can be known. Crashes without a proof
+    /// that the task was there only isolate it, see is_suspect().
     [[nodiscard]] bool is_culprit() const;
 
     /// @return the crashes in words, for logs and the record of a workflow that failed
@@ -58,6 +60,8 @@
 
 private:
     [[nodiscard]] std::size_t count(crash_evidence at_least) const;
+    /// @return on how many different targets
+    [[nodiscard]] std::size_t count_targets(crash_evidence at_least) const;
 
     std::vector<crash> entries; ///< sorted by run
 };
--- a/src/libverbenalever/coordinator/fleet_target.h
+++ b/src/libverbenalever/coordinator/fleet_target.h
@@ -36,14 +36,15 @@
     milliseconds unanswered_until{0};
     std::int64_t unanswered_batch = 0; ///< number of the batch that stores this; 0: none
     bool stopping = false;             ///< a stop was ordered
-    bool adopted = false;              ///< an earlier coordinator started it
     bool in_later_life = false;        ///< its start was confirmed by a later life of the target
+    bool adopted = false;              ///< an earlier coordinator started it
     bool suspect = false;              ///< its task may crash targets, see crash_history
     bool stop_avoided = false;         ///< counted as not stopped because of stop_avoidance
     /// Time since boot at which the target confirmed the last order for this run; 0: it has not
     /// confirmed any, so that a start order may still take effect.
     milliseconds order_confirmed_at{0};
     milliseconds last_order_at{0}; ///< time since boot of the last order or its answer
+    milliseconds start_sent_at{0}; ///< time since boot of the first start order
     milliseconds stop_sent_at{0};  ///< time since boot of the first stop order
     milliseconds started_at{0};    ///< time since boot
     milliseconds preempted_at{0};  ///< time since boot of its first stop by preemption; 0: none
--- a/src/libverbenalever/coordinator/placement_log.cpp
+++ b/src/libverbenalever/coordinator/placement_log.cpp
@@ -48,8 +48,10 @@
                     return std::nullopt;
                 this->batch_open = this->batch_open && batch_number != this->last_batch;
                 auto& entries = this->batches[batch_number].entries;
-                for (auto& entry : entries)
+                for (auto& entry : entries) {
                     entry.written_ms = boot_time().count();
+                    entry.written_wall_ms = wall_microseconds() / 1000;
+                }
                 return pack_message(entries);
             },
             true,
--- a/src/libverbenalever/coordinator/placement_log.h
+++ b/src/libverbenalever/coordinator/placement_log.h
@@ -32,6 +32,8 @@
     bool unanswered = false; ///< a start order for the run had no answer
     /// How long after its batch was written such an order may be executed, in milliseconds.
     std::int64_t late_ms = 0;
+    std::int64_t written_wall_ms =
+        0; ///< when its batch was written, by the wall clock; 0: see above
 
     [[nodiscard]] task_name task() const
     {
@@ -39,7 +41,7 @@
     }
 
     MSGPACK_DEFINE(workflow, occurrence, step, index, run, target, target_born_ms, written_ms,
-                   unanswered, late_ms)
+                   unanswered, late_ms, written_wall_ms)
 };
 
 /// Stores the target of each run, from before its start order is sent until it has ended. A later
--- a/src/libverbenalever/coordinator/progress_entry.h
+++ b/src/libverbenalever/coordinator/progress_entry.h
@@ -18,6 +18,7 @@
         crashed_unconfirmed = 4,
         crashed_suspect = 5,
         crashed_sole_suspect = 6,
+        crashed_unanswered = 7,
     };
 
     std::string workflow;
