Crashes long after the start fail a task only after five

What callers saw: a sound long task was given up after three crashes of targets under it, each seconds after its start; and one whose runs had ended by their lease behind cuts, when the targets restarted there. Cause: a run that was alone on its target when that was lost was a suspect like one that had just been started, and a target that came back after the lease of its runs counted as crashed under all of them. Evidence: a_long_task_survives_three_crashes_late_in_its_runs and a_restart_behind_a_cut_does_not_count_against_ended_runs failed before (task_given_up after three). Now such a run is a bystander. After three of these the task runs apart from others, and two further crashes while it is alone give it up: five starts, the bound on deadly tasks. Red: a task that crashes its targets late, when they take longer than the lease to return, is no longer given up, since this looks like a restart behind a cut (it was before); and late crashes beside long runs isolate these too (not given up before either).

--- a/src/libverbenalever/coordinator/coordinator_crash_evidence_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crash_evidence_test.cpp
@@ -52,6 +52,31 @@
 
 // A task that crashes its target 1.2 s after its start, on targets that need longer than the lease
 // to return, was never counted and went on crashing targets.
+TEST_F(coordinator_crash_evidence_test,
+       a_task_that_crashes_its_targets_late_is_given_up_if_they_return_late)
+{
+    this->add_targets(6, milliseconds(0));
+    this->count_starts();
+    auto& first = this->elect("vm-1");
+    this->submit(first, "deadly", {this->tasks(1, 1)});
+    int crashes = 0;
+    const auto until = boot_time() + milliseconds(60'000);
+    while (boot_time() < until && crashes < 9 &&
+           this->state(first, "deadly") != workflow_state::failed) {
+        this->run_for(milliseconds(50));
+        const auto on = this->target_of("deadly");
+        if (on.empty())
+            continue;
+        this->run_for(milliseconds(1200));
+        if (this->target_of("deadly") != on)
+            continue;
+        this->targets.crash(on, milliseconds(3000));
+        ++crashes;
+    }
+    EXPECT_EQ(this->state(first, "deadly"), workflow_state::failed);
+    EXPECT_LE(crashes, 5) << "at most two starts after three crashes";
+}
+
 // A run that had been stopped left the list of suspects, so that its neighbour became the sole one.
 TEST_F(coordinator_crash_evidence_test,
        a_run_that_was_stopped_still_makes_its_neighbour_one_of_several)
@@ -180,6 +205,25 @@
 }
 
 // Crashes 0.9 s after the start count as just after it, since a poll waits for a second.
+TEST_F(coordinator_crash_evidence_test,
+       a_long_task_survives_two_crashes_almost_a_second_after_its_starts)
+{
+    this->add_targets(4, milliseconds(0));
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)}, "slow");
+    for (int loss = 0; loss < 2; ++loss) {
+        for (int waited = 0; waited < 3000 && this->targets.running("w") == 0; ++waited)
+            this->run_for(milliseconds(2));
+        const auto on = this->target_of("w");
+        ASSERT_FALSE(on.empty());
+        this->run_for(milliseconds(900));
+        this->targets.crash(on, milliseconds(700));
+        this->run_for(milliseconds(1200));
+    }
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::running);
+}
+
 // A deadly run that was preempted before the crash left the list of suspects, so that its neighbour
 // became the sole one.
 TEST_F(coordinator_crash_evidence_test, a_preempted_run_still_makes_its_neighbour_one_of_several)
@@ -267,5 +311,35 @@
 }
 
 // A task that crashes its targets late, beside long runs, was a bystander each time.
+TEST_F(coordinator_crash_evidence_test,
+       a_task_that_crashes_its_targets_late_beside_others_is_given_up)
+{
+    this->add_targets(3, milliseconds(0));
+    auto& first = this->elect("vm-1");
+    for (int number = 0; number < 6; ++number)
+        this->submit(first, "sound" + std::to_string(number), {this->tasks(1, 1)});
+    this->run_for(milliseconds(1000));
+    this->submit(first, "deadly", {this->tasks(1, 1)});
+    int crashes = 0;
+    const auto until = boot_time() + milliseconds(45'000);
+    while (boot_time() < until && crashes < 9 &&
+           this->state(first, "deadly") != workflow_state::failed) {
+        this->run_for(milliseconds(50));
+        const auto on = this->target_of("deadly");
+        if (on.empty())
+            continue;
+        this->run_for(milliseconds(1500));
+        if (this->target_of("deadly") != on)
+            continue;
+        this->targets.crash(on, milliseconds(700));
+        ++crashes;
+    }
+    EXPECT_EQ(this->state(first, "deadly"), workflow_state::failed);
+    EXPECT_LE(crashes, 5);
+    for (int number = 0; number < 6; ++number)
+        EXPECT_EQ(this->state(first, "sound" + std::to_string(number)), workflow_state::running)
+            << number;
+}
+
 } // namespace
 } // namespace verbenalever
--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -98,8 +98,9 @@
         else if (recent)
             evidence =
                 suspects.size() == 1 ? crash_evidence::sole_suspect : crash_evidence::suspect;
-        else if (!any_recent && suspects.size() == 1 && !placed.stopping)
-            evidence = crash_evidence::suspect; // long after its start, and nothing else was there
+        else if (!any_recent && suspects.size() == 1 && !placed.stopping &&
+                 placed.owner->steps[task.step].tasks[task.index].crashes.crashes_late())
+            evidence = crash_evidence::suspect; // again, and nothing else was there
         found.push_back({.task = task,
                          .run = placed.run,
                          .evidence = evidence,
--- a/src/libverbenalever/coordinator/coordinator_targets.cpp
+++ b/src/libverbenalever/coordinator/coordinator_targets.cpp
@@ -298,8 +298,12 @@
     }
     if (expired.empty())
         return;
+    // The target may have gone on, and crashed only after the leases had ended.
     auto implicated = this->assess_crash(target);
     std::erase_if(implicated, [&](const auto& run) { return !expired.contains(run.task); });
+    for (auto& run : implicated)
+        run.evidence = std::min(run.evidence, run.recent ? crash_evidence::unanswered
+                                                         : crash_evidence::bystander);
     this->remember_lost_life(target, implicated);
     this->env.log.write("coordinator", "runs_lapsed",
                         {{"target", target.report.name},
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -80,8 +80,48 @@
 
 // A target that was cut off, and restarted after the lease of its runs had ended, counted as
 // crashed under them.
+TEST_F(coordinator_verdicts_test, a_restart_behind_a_cut_does_not_count_against_ended_runs)
+{
+    this->targets.add("t0", 4000, "za").task_duration = milliseconds(0);
+    this->targets.add("t1", 4000, "zb").task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 4)});
+    for (int loss = 0; loss < losses; ++loss) {
+        this->run_for(milliseconds(1500));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        const std::string on = this->targets.targets.at("t0")->running.empty() ? "t1" : "t0";
+        const std::string other = on == "t0" ? "t1" : "t0";
+        this->targets.targets.at(other)->unresponsive = true;
+        this->restart_behind_cut(on);
+        this->targets.targets.at(other)->unresponsive = false;
+    }
+    this->run_for(milliseconds(2000));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::running);
+    EXPECT_EQ(this->targets.running("w"), 1U);
+}
+
 // A sound task that takes long was given up after three crashes of targets under it, each long
 // after its start.
+TEST_F(coordinator_verdicts_test, a_long_task_survives_three_crashes_late_in_its_runs)
+{
+    for (int number = 0; number < 4; ++number)
+        this->targets.add("t" + std::to_string(number), 4000, "z" + std::to_string(number))
+            .task_duration = milliseconds(4000);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    for (int loss = 0; loss < 3; ++loss) {
+        this->run_for(milliseconds(1500));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        for (const auto& [name, target] : this->targets.targets) {
+            if (!target->running.empty())
+                this->targets.crash(name, milliseconds(700));
+        }
+        this->run_for(milliseconds(1500));
+    }
+    this->run_for(milliseconds(6000));
+    EXPECT_EQ(this->state(first, "w"), workflow_state::completed);
+}
+
 // A run counted as just started when a new coordinator had just found it.
 TEST_F(coordinator_verdicts_test, a_crash_just_after_a_change_of_coordinator_does_not_count_in_full)
 {
--- a/src/libverbenalever/coordinator/crash_history.cpp
+++ b/src/libverbenalever/coordinator/crash_history.cpp
@@ -23,6 +23,9 @@
 /// Crashes as a bystander after which the task may be one that crashes targets long after its
 /// start.
 constexpr std::size_t max_bystander_crashes = 3;
+/// Further crashes after which such a task, which runs apart from others then, is not started
+/// again.
+constexpr std::size_t max_late_crashes = 2;
 
 /// Latest crashes in a description.
 constexpr std::size_t max_described_crashes = 8;
@@ -103,7 +106,7 @@
            (as_suspect == 0 && witnessed >= max_unanswered_crashes) ||
            (as_suspect >= max_proven_crashes && this->is_prime_suspect() &&
             this->count_targets(crash_evidence::suspect) >= min_crashed_targets) ||
-           (this->crashes_late() && this->entries.back().evidence >= crash_evidence::suspect);
+           (as_suspect >= max_late_crashes && this->crashes_late());
 }
 
 std::string crash_history::describe() const
