A run that outlives its start discounts earlier crashes under its task

Cause: evidence was only ever added. A task that crashes its targets does so within moments of each start; one whose run goes on for half a second does not. When a poll shows a run half a second after its confirmed start, the evidence of crashes just after earlier starts is removed, unless the task is one that may crash its targets late. The progress log gets an entry for successors, which earlier builds read as an end without effect. Log `crashes_discounted`, and a counter of the same name.

--- a/src/libverbenalever/coordinator/coordinator.h
+++ b/src/libverbenalever/coordinator/coordinator.h
@@ -324,6 +324,9 @@
     /// Store the crash under one run; fail the workflow when its task causes the crashes.
     void count_crashed_run(workflow& owner, const implicated_run& implicated,
                            const target_identity& target);
+    /// Called when a poll shows a run: when it has outlived the time in which tasks crash their
+    /// targets, earlier crashes do not count any more.
+    void discount_crashes(const task_name& name, const placed_run& placed);
     /// @return whether the task, or its gang, may crash targets
     [[nodiscard]] bool is_suspect(const workflow& owner, std::uint32_t step_index,
                                   std::uint32_t index) const;
--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -288,6 +288,31 @@
                                            name.index, task.crashes.describe()));
 }
 
+void coordinator::discount_crashes(const task_name& name, const placed_run& placed)
+{
+    if (placed.owner == nullptr || is_final(placed.owner->state) || placed.adopted ||
+        placed.in_later_life || placed.started_at + settle_time > boot_time())
+        return;
+    auto& task = placed.owner->steps[name.step].tasks[name.index];
+    if (!task.crashes.is_suspect() || task.crashes.crashes_late() ||
+        !task.crashes.discount(placed.run))
+        return;
+    task.sound_run = placed.run;
+    this->env.metrics.add("crashes_discounted");
+    this->env.log.write("coordinator", "crashes_discounted",
+                        {{"workflow", name.workflow},
+                         {"step", name.step},
+                         {"index", name.index},
+                         {"run", placed.run}});
+    this->progress.add({.workflow = name.workflow,
+                        .step = name.step,
+                        .index = name.index,
+                        .run = placed.run,
+                        .how = static_cast<int>(progress_entry::ending::outlived_start),
+                        .checkpoint = {}},
+                       {});
+}
+
 bool coordinator::is_suspect(const workflow& owner, std::uint32_t step_index,
                              std::uint32_t index) const
 {
--- a/src/libverbenalever/coordinator/coordinator_polls.cpp
+++ b/src/libverbenalever/coordinator/coordinator_polls.cpp
@@ -86,6 +86,7 @@
             return;
         }
     }
+    this->discount_crashes(reported.task, placed);
     this->detect_stall(target, reported, placed);
     if (placed.owner != nullptr && !is_final(placed.owner->state))
         placed.owner->steps[reported.task.step].tasks[reported.task.index].update_checkpoint(
--- a/src/libverbenalever/coordinator/coordinator_store_load.cpp
+++ b/src/libverbenalever/coordinator/coordinator_store_load.cpp
@@ -183,6 +183,9 @@
                           .target = entry.target,
                           .born_ms = entry.target_born_ms});
     }
+    if (entry.how == static_cast<int>(progress_entry::ending::outlived_start))
+        task.sound_run = std::max(task.sound_run, entry.run);
+    task.crashes.discount(task.sound_run); // entries may be loaded in any order
     if (entry.how != static_cast<int>(progress_entry::ending::done))
         return true;
     // The tasks of a gang end together: the end of one completes all.
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -167,6 +167,40 @@
 }
 
 // Two crashes just after starts failed a sound task, though its run between them had gone on.
+TEST_F(coordinator_verdicts_test, a_run_between_two_crashes_shows_that_its_task_is_sound)
+{
+    for (int number = 0; number < 4; ++number)
+        this->targets.add("t" + std::to_string(number), 4000, "z" + std::to_string(number))
+            .task_duration = milliseconds(0);
+    auto* current = &this->elect("vm-0");
+    this->submit(*current, "w", {this->tasks(1, 1)});
+    for (int loss = 0; loss < 3; ++loss) {
+        for (int waited = 0; waited < 3000 && this->targets.running("w") == 0; ++waited)
+            this->run_for(milliseconds(2));
+        this->run_for(milliseconds(20)); // the start is confirmed
+        for (const auto& [name, target] : this->targets.targets) {
+            if (!target->running.empty())
+                this->targets.crash(name, milliseconds(700));
+        }
+        for (int waited = 0; waited < 3000 && this->targets.running("w") == 0; ++waited)
+            this->run_for(milliseconds(2));
+        ASSERT_EQ(this->targets.running("w"), 1U) << loss;
+        this->run_for(milliseconds(2200)); // polls show it
+        if (loss == 1) {                   // the successor knows this too
+            this->kill(*current);
+            current = &this->elect("vm-1");
+            this->run_for(milliseconds(1000));
+        }
+        for (const auto& [name, target] : this->targets.targets) {
+            if (!target->running.empty())
+                this->targets.end_all(name, target_view::ending::stopped);
+        }
+    }
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(*current, "w"), workflow_state::running);
+    EXPECT_EQ(this->targets.running("w"), 1U);
+}
+
 // A coordinator that was killed took the cause of a job's failure with it.
 TEST_F(coordinator_verdicts_test, the_record_of_a_failed_workflow_has_the_reason)
 {
--- a/src/libverbenalever/coordinator/crash_history.cpp
+++ b/src/libverbenalever/coordinator/crash_history.cpp
@@ -62,6 +62,13 @@
     return true;
 }
 
+bool crash_history::discount(std::int64_t run)
+{
+    return std::erase_if(this->entries, [run](const crash& entry) {
+               return entry.run < run && entry.evidence > crash_evidence::bystander;
+           }) > 0;
+}
+
 std::size_t crash_history::count(crash_evidence at_least) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/libverbenalever/coordinator/crash_history.h
+++ b/src/libverbenalever/coordinator/crash_history.h
@@ -34,6 +34,11 @@
     /// @return whether this changed anything
     bool add(const crash& added);
 
+    /// Remove the evidence of crashes just after the starts of runs before @p run: this one has
+    /// outlived that time, so that the task does not crash its targets then.
+    /// @return whether there was any
+    bool discount(std::int64_t run);
+
     /// @return whether the task must start apart from other starts, so that another crash shows
     /// whether the task causes it
     [[nodiscard]] bool is_suspect() const;
--- a/src/libverbenalever/coordinator/crash_history_test.cpp
+++ b/src/libverbenalever/coordinator/crash_history_test.cpp
@@ -94,6 +94,18 @@
 }
 
 // A sound task was given up although a run between two crashes had gone on for long.
+TEST(crash_history_test, a_run_that_outlives_its_start_discounts_earlier_crashes)
+{
+    auto history = history_of({evidence::sole_suspect, evidence::unanswered, evidence::bystander});
+    EXPECT_TRUE(history.discount(4));
+    EXPECT_FALSE(history.discount(4));
+    EXPECT_EQ(history.crashes().size(), 1);
+    history.add({4, evidence::sole_suspect, "t4", 1});
+    EXPECT_FALSE(history.is_culprit());
+    history.add({5, evidence::suspect, "t5", 1});
+    EXPECT_TRUE(history.is_culprit());
+}
+
 TEST(crash_history_test, a_bystander_is_not_given_up_before_it_was_suspected_twice)
 {
     auto history = history_of({evidence::bystander, evidence::bystander});
--- a/src/libverbenalever/coordinator/progress_entry.h
+++ b/src/libverbenalever/coordinator/progress_entry.h
@@ -19,6 +19,7 @@
         crashed_suspect = 5,
         crashed_sole_suspect = 6,
         crashed_unanswered = 7,
+        outlived_start = 8, ///< see crash_history::discount()
     };
 
     std::string workflow;
--- a/src/libverbenalever/coordinator/workflow.h
+++ b/src/libverbenalever/coordinator/workflow.h
@@ -33,6 +33,8 @@
     /// Numbers of the failed runs; each counts once, even if its end is listed again.
     std::vector<std::int64_t> failed_runs;
     crash_history crashes; ///< of targets under its runs
+    /// Number of the last run that has discounted earlier crashes, see crash_history::discount().
+    std::int64_t sound_run = 0;
     std::string checkpoint;
     std::int64_t checkpoint_run = 0; ///< run that reported the checkpoint
     fleet_target* target = nullptr;  ///< while phase::placed
