Soak: copies records of the fleet that may still change while they are read

One trial in an overloaded fleet ended with 'dictionary changed size during iteration' in check_cancels, since tasks may still start while the checks run.

--- a/testsuite/platform-soak/run.py
+++ b/testsuite/platform-soak/run.py
@@ -552,7 +552,7 @@
                 continue
             acknowledged_at, status = min(job.cancel_answers)
             text = f"its cancel was answered {status} at {acknowledged_at - self.began:.2f} s"
-            for task, arrivals in self.fleet.orders_of_starts.items():
+            for task, arrivals in list(self.fleet.orders_of_starts.items()):
                 if task.split(".")[0] != name:
                     continue
                 late = [at for at in arrivals if at > acknowledged_at + CANCEL_S]
@@ -654,7 +654,7 @@
     def check(self):
         fleet = self.fleet
         self.check_cancels()
-        started = {task.split(".")[0] for task, rows in fleet.starts.items()
+        started = {task.split(".")[0] for task, rows in list(fleet.starts.items())
                    if any(how == "started" for _, _, how in rows)}
         ends = {}
         for name, job in self.jobs.items():
@@ -680,7 +680,8 @@
             if count > 5:
                 self.problem(f"{task} was started {count} times and ended each target")
         self.problems += [f"target: {text}" for text in fleet.violations]
-        ended = collections.Counter(end.how for runs in fleet.run_ends.values() for end in runs)
+        ended = collections.Counter(end.how for runs in list(fleet.run_ends.values())
+                                    for end in runs)
         print(f"seed {self.options.seed}: {len(self.jobs)} jobs, ended {ends}, "
               f"faults and cuts {dict(sorted(self.counts.items()))}, "
               f"runs ended {dict(sorted(ended.items()))}, "
