Of the runs of a task that a successor inherits, only the last one counts

Cause: the placements of runs that had ended stay stored as long as another run of their batch goes on. All runs that a task had been given within the lease counted as unanswered when their targets had restarted, three of them for one loss. A task has a new run only once the one before has ended, so that only its last run can have been there. Earlier ones are unconfirmed.

--- a/src/libverbenalever/coordinator/coordinator_crashes.cpp
+++ b/src/libverbenalever/coordinator/coordinator_crashes.cpp
@@ -439,7 +439,12 @@
 {
     std::vector<implicated_run> runs;
     for (const auto& placement : placements) { // whether they were started is not known
-        const bool soon = target_restarted && this->restarted_soon_after(placement);
+        // Of the runs of one task only the last one can have been there.
+        const auto* owner = this->find_workflow(placement.workflow);
+        const bool last = owner != nullptr && placement.step < owner->steps.size() &&
+                          placement.index < owner->steps[placement.step].tasks.size() &&
+                          placement.run == owner->steps[placement.step].tasks[placement.index].run;
+        const bool soon = target_restarted && last && this->restarted_soon_after(placement);
         runs.push_back({.task = placement.task(),
                         .run = placement.run,
                         .evidence = soon ? crash_evidence::unanswered : crash_evidence::unconfirmed,
--- a/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
+++ b/src/libverbenalever/coordinator/coordinator_verdicts_test.cpp
@@ -78,6 +78,39 @@
     EXPECT_EQ(this->targets.running("w"), 1U);
 }
 
+// A successor counted a crash for each run of a task that its predecessor had placed, though only
+// the last one can have been there when all targets restarted.
+TEST_F(coordinator_verdicts_test, of_the_runs_of_a_task_before_a_change_of_coordinator_one_counts)
+{
+    constexpr int runs = 4;
+    for (int number = 0; number < 3 * runs; ++number)
+        this->targets.add("t" + std::to_string(number), 1000, "z" + std::to_string(number))
+            .task_duration = milliseconds(0);
+    auto& first = this->elect("vm-1");
+    this->submit(first, "w", {this->tasks(1, 1)});
+    for (int run = 1; run <= runs; ++run) {
+        // A run that goes on keeps the placements that are stored with its own.
+        this->submit(first, "beside" + std::to_string(run), {this->tasks(1, 1)});
+        this->run_for(milliseconds(120));
+        ASSERT_EQ(this->targets.running("w"), 1U) << run;
+        for (const auto& [name, target] : this->targets.targets) {
+            if (run < runs && target->running.begin() != target->running.end() &&
+                target->running.begin()->first.workflow == "w") {
+                this->submit(first, "with" + std::to_string(run), {this->tasks(1, 1)});
+                this->targets.end_all(name, target_view::ending::stopped);
+                break;
+            }
+        }
+    }
+    this->kill(first);
+    for (const auto& [name, target] : this->targets.targets)
+        this->targets.restart(name);
+    auto& second = this->elect("vm-2");
+    this->run_for(milliseconds(1500));
+    EXPECT_EQ(this->state(second, "w"), workflow_state::running);
+    EXPECT_LE(second.metrics.value("crashed_runs_unanswered"), 1 + 2 * runs) << "one for each task";
+}
+
 // A target that was cut off, and restarted after the lease of its runs had ended, counted as
 // crashed under them.
 TEST_F(coordinator_verdicts_test, a_restart_behind_a_cut_does_not_count_against_ended_runs)
